Add the design, the wire protocol and the shared interfaces

Cause: the project starts; every part needs the same messages and interfaces. Conclusion: the parts can be written against these interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Tools are pinned in tools/go.mod.
+GO ?= go
+TOOL = $(GO) tool -modfile=tools/go.mod
+PACKAGES = ./...
+
+.PHONY: build test fmt fmt-check lint vet generate measure fuzz
+
+build:
+	$(GO) build $(PACKAGES)
+
+test:
+	$(GO) test -race -timeout 8m $(PACKAGES)
+
+fmt:
+	$(TOOL) gofumpt -w $$(git ls-files -co --exclude-standard '*.go' ':!:*.pb.go')
+
+fmt-check:
+	@out=$$($(TOOL) gofumpt -l $$(git ls-files -co --exclude-standard '*.go' ':!:*.pb.go')); \
+	if [ -n "$$out" ]; then echo "not formatted by gofumpt:"; echo "$$out"; exit 1; fi
+
+lint:
+	$(TOOL) revive -config revive.toml -set_exit_status -formatter friendly $(PACKAGES)
+
+vet:
+	$(GO) vet $(PACKAGES)
+
+# Needs protoc (Debian package protobuf-compiler).
+generate:
+	mkdir -p .bin
+	$(GO) build -modfile=tools/go.mod -o .bin/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	for d in controlpb peerpb; do \
+	  PATH=$$PWD/.bin:$$PATH protoc -I internal/wire --go_out=. --go_opt=module=github.com/siskinrill/siskinrill \
+	    --go-grpc_out=. --go-grpc_opt=module=github.com/siskinrill/siskinrill internal/wire/$$d/*.proto || exit 1; \
+	done
--- /dev/null
+++ b/cmd/siskinrill/main.go
@@ -0,0 +1,4 @@
+// Command siskinrill routes requests to servers that own keys exclusively.
+package main
+
+func main() {}
--- /dev/null
+++ b/header.go
@@ -0,0 +1,25 @@
+package siskinrill
+
+// Headers towards callers and backend servers.
+const (
+	// HeaderOutcome tells the caller whether its request ran: complete, not_run or unknown.
+	HeaderOutcome = "Siskinrill-Outcome"
+	// HeaderTimeout carries the rest of the deadline as a Go duration, from callers and to backend servers.
+	HeaderTimeout = "Siskinrill-Timeout"
+	// HeaderIdempotencyKey lets a caller resend a non-idempotent request safely.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderFenceToken carries the fencing token of the key's grant to the backend server.
+	HeaderFenceToken = "Siskinrill-Fence-Token"
+	// HeaderFencePartition carries SERVICE/PARTITION, or SERVICE/PARTITION/KEY of an override, to the backend server.
+	HeaderFencePartition = "Siskinrill-Fence-Partition"
+	// HeaderFenceExpires carries the end of the lease to the backend server, in Unix milliseconds of the host's clock.
+	HeaderFenceExpires = "Siskinrill-Fence-Expires"
+	// HeaderUpstream names the upstream that answered.
+	HeaderUpstream = "Siskinrill-Upstream"
+	// HeaderNotRun with the value true in a backend server's refusal (409, 412, 429 or 503) is its proof that nothing ran.
+	HeaderNotRun = "Siskinrill-Not-Run"
+	// HeaderAttempt carries the attempt id ENTRY_SESSION-COUNTER to the backend server.
+	HeaderAttempt = "Siskinrill-Attempt"
+	// HeaderKey carries the key to the backend server.
+	HeaderKey = "Siskinrill-Key"
+)
--- /dev/null
+++ b/internal/wire/peerpb/doc.go
@@ -0,0 +1,2 @@
+// Package peerpb holds the messages and the service between agents.
+package peerpb
