load: add the open-loop load generator and its judge

Cause: the promises need a judge outside the router that compares what callers were told with what ran. Measured: go test -race ./internal/bench/load passes; each of ten injected faults is named with its request.

--- /dev/null
+++ b/internal/bench/load/call.go
@@ -0,0 +1,163 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill"
+)
+
+// Outcomes of a call beside those of the router.
+const (
+	outcomeComplete = "complete"
+	outcomeNotRun   = "not_run"
+	outcomeUnknown  = "unknown"
+	outcomeNoAnswer = "no_answer" // the connection broke before or in the middle of the answer
+	outcomeNotSent  = "not_sent"  // too many requests were outstanding
+)
+
+// call is one request and what its caller saw.
+type call struct {
+	plan     *plan
+	begun    time.Time // intended send time
+	ended    time.Time
+	outcome  string
+	status   int
+	reason   string
+	upstream string
+	bodyHash string
+	fault    string // a broken promise seen by the caller itself
+	resends  int
+}
+
+func (cal *call) latency() time.Duration { return cal.ended.Sub(cal.begun) }
+
+// served reports whether the caller got the whole answer of a backend server.
+func (cal *call) served() bool { return cal.outcome == outcomeComplete && cal.status < 500 }
+
+// echo is the part of a stand-in's answer that the caller checks.
+type echo struct {
+	Upstream  string `json:"upstream"`
+	Key       string `json:"key"`
+	RequestID string `json:"request_id"`
+	Padding   string `json:"padding"`
+}
+
+type sender struct {
+	opt    *Options
+	client *http.Client
+}
+
+func newSender(opt *Options) *sender {
+	trn := &http.Transport{
+		MaxIdleConnsPerHost: 512,
+		MaxConnsPerHost:     0,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}
+	return &sender{opt: opt, client: &http.Client{Transport: trn}}
+}
+
+// send runs one request and fills in what its caller saw.
+func (snd *sender) send(ctx context.Context, cal *call, base string) {
+	time.Sleep(snd.opt.ClientDelay)
+	ctx, cancel := context.WithTimeout(ctx, snd.opt.Timeout+time.Second)
+	defer cancel()
+	rsp, err := snd.do(ctx, cal, base)
+	if err != nil {
+		cal.outcome = outcomeNoAnswer
+		cal.reason = "transport"
+	} else {
+		snd.read(cal, rsp)
+	}
+	time.Sleep(snd.opt.ClientDelay)
+	cal.ended = time.Now()
+}
+
+func (snd *sender) do(ctx context.Context, cal *call, base string) (*http.Response, error) {
+	pln := cal.plan
+	bdy := pln.body(snd.opt.UploadBytes)
+	url := fmt.Sprintf("%s%s?size=%d", base, pln.path(), snd.opt.AnswerBytes)
+	req, err := http.NewRequestWithContext(ctx, pln.shape.method, url, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	if len(bdy) > 0 {
+		sum := sha256.Sum256(bdy)
+		cal.bodyHash = hex.EncodeToString(sum[:])
+		// No GetBody: net/http must not resend a request on its own.
+		req.Body = io.NopCloser(bytes.NewReader(bdy))
+		req.ContentLength = int64(len(bdy))
+	}
+	req.Header.Set("X-Request-Id", pln.id)
+	req.Header.Set(siskinrill.HeaderTimeout, snd.opt.Timeout.String())
+	if pln.shape.kind == kindNonIdempotent {
+		req.Header.Set(siskinrill.HeaderIdempotencyKey, pln.id)
+	}
+	return snd.client.Do(req)
+}
+
+func (snd *sender) read(cal *call, rsp *http.Response) {
+	defer rsp.Body.Close()
+	cal.status = rsp.StatusCode
+	cal.outcome = rsp.Header.Get(siskinrill.HeaderOutcome)
+	cal.upstream = rsp.Header.Get(siskinrill.HeaderUpstream)
+	bdy, err := io.ReadAll(rsp.Body)
+	if err != nil {
+		cal.outcome = outcomeNoAnswer
+		cal.reason = "cut"
+		return
+	}
+	if cal.plan.direct {
+		cal.outcome = outcomeComplete
+	}
+	switch cal.outcome {
+	case outcomeComplete:
+		snd.check(cal, bdy)
+	case outcomeNotRun, outcomeUnknown:
+		cal.reason = reasonOf(bdy)
+	default:
+		cal.fault = "answer without a valid " + siskinrill.HeaderOutcome
+		cal.outcome = outcomeNoAnswer
+	}
+}
+
+// check finds answers of another request and answers that are cut but look complete.
+func (snd *sender) check(cal *call, bdy []byte) {
+	if cal.status != http.StatusOK {
+		return
+	}
+	var ech echo
+	if err := json.Unmarshal(bdy, &ech); err != nil {
+		cal.fault = "cut answer marked complete"
+		return
+	}
+	cal.upstream = ech.Upstream
+	switch {
+	case ech.RequestID != cal.plan.id:
+		cal.fault = "answer of request " + ech.RequestID
+	case ech.Key != cal.plan.key:
+		cal.fault = "answer for key " + ech.Key
+	case len(ech.Padding) != snd.opt.AnswerBytes:
+		cal.fault = fmt.Sprintf("answer with %d of %d bytes of padding", len(ech.Padding), snd.opt.AnswerBytes)
+	}
+}
+
+func reasonOf(bdy []byte) string {
+	var pro struct {
+		Reason string `json:"reason"`
+	}
+	if err := json.Unmarshal(bdy, &pro); err != nil || pro.Reason == "" {
+		return "no_reason"
+	}
+	return pro.Reason
+}
--- /dev/null
+++ b/internal/bench/load/load_test.go
@@ -0,0 +1,186 @@
+package load
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinrill/siskinrill"
+)
+
+// fakeRouter answers as an entry agent with one stand-in behind it; fault changes what the nth non-idempotent request meets.
+type fakeRouter struct {
+	mut   sync.Mutex
+	rows  []row
+	fault string
+	count int
+}
+
+func (fak *fakeRouter) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
+	fak.mut.Lock()
+	defer fak.mut.Unlock()
+	if req.URL.Path == "/standin/ledger" {
+		var aft int
+		_, _ = fmt.Sscan(req.URL.Query().Get("after"), &aft)
+		_ = json.NewEncoder(wri).Encode(fak.rows[min(aft, len(fak.rows)):])
+		return
+	}
+	bdy, _ := io.ReadAll(req.Body)
+	fault := ""
+	if req.Method != http.MethodGet {
+		if fak.count++; fak.count == 3 {
+			fault = fak.fault
+		}
+	}
+	fak.answer(wri, req, bdy, fault)
+}
+
+func (fak *fakeRouter) run(req *http.Request, bdy []byte, tok uint64) {
+	sum := sha256.Sum256(bdy)
+	fak.rows = append(fak.rows, row{
+		Sequence: uint64(len(fak.rows) + 1), RequestID: req.Header.Get("X-Request-Id"),
+		FencePartition: "any/1", FenceToken: tok, Started: int64(len(fak.rows)), Ended: 1, BodyHash: hex.EncodeToString(sum[:]),
+	})
+}
+
+func (fak *fakeRouter) answer(wri http.ResponseWriter, req *http.Request, bdy []byte, fault string) {
+	ids, tok := req.Header.Get("X-Request-Id"), uint64(7)
+	key := strings.Split(req.URL.Path, "/")[2]
+	switch fault {
+	case "lost":
+	case "doubled":
+		fak.run(req, bdy, tok)
+		fak.run(req, bdy, tok)
+	case "old token":
+		fak.run(req, bdy, 6)
+	case "other body":
+		fak.run(req, []byte("other"), tok)
+	default:
+		fak.run(req, bdy, tok)
+	}
+	if fault == "false not_run" {
+		wri.Header().Set(siskinrill.HeaderOutcome, "not_run")
+		wri.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = wri.Write([]byte(`{"reason":"queue_full"}`))
+		return
+	}
+	if fault == "crossed" {
+		ids = "somebody-else"
+	}
+	wri.Header().Set(siskinrill.HeaderOutcome, "complete")
+	siz := DefaultAnswerBytes
+	if fault == "short" {
+		siz--
+	}
+	out, _ := json.Marshal(echo{Upstream: "up-1", Key: key, RequestID: ids, Padding: strings.Repeat("x", siz)})
+	if fault == "cut" {
+		out = out[:len(out)/2]
+	}
+	_, _ = wri.Write(out)
+}
+
+// Guards against a judge that cannot fail: each broken promise must be named with its request.
+func TestRunNamesBrokenPromises(t *testing.T) {
+	cases := map[string]struct {
+		only, fault, promise string
+	}{
+		"no fault":              {"", "", ""},
+		"payment lost":          {kindNonIdempotent, "lost", promiseAcceptedOk},
+		"payment doubled":       {kindNonIdempotent, "doubled", promiseOnce},
+		"payment false not_run": {kindNonIdempotent, "false not_run", promiseNotRun},
+		"answer crossed":        {kindNonIdempotent, "crossed", promiseWhole},
+		"answer cut":            {kindNonIdempotent, "cut", promiseWhole},
+		"answer short":          {kindNonIdempotent, "short", promiseWhole},
+		"old token":             {kindNonIdempotent, "old token", promiseOneOwner},
+		"upload lost":           {kindUpload, "lost", promiseAcceptedOk},
+		"upload changed":        {kindUpload, "other body", promiseUpload},
+		"upload doubled":        {kindUpload, "doubled", promiseOnce},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			srv := httptest.NewServer(&fakeRouter{fault: tc.fault})
+			defer srv.Close()
+			rep, err := Run(t.Context(), Options{
+				Targets: []string{srv.URL}, Standins: []string{srv.URL}, Mix: "bassma", Only: tc.only,
+				Rate: 400, Duration: 100 * time.Millisecond, UploadBytes: 2000, Seed: 3,
+			})
+			must.NoError(t, err)
+			must.Greater(t, 5, rep.Requests)
+			if tc.promise == "" {
+				must.SliceEmpty(t, rep.Violations)
+				return
+			}
+			must.False(t, rep.PromiseKept)
+			must.Eq(t, tc.promise, rep.Violations[0].Promise)
+			must.StrContains(t, rep.Violations[0].Request, "-")
+			var tab bytes.Buffer
+			must.NoError(t, rep.WriteTable(&tab))
+			must.StrContains(t, tab.String(), rep.Violations[0].Request)
+		})
+	}
+}
+
+// Guards against outages that are hidden by a request that fails late or by a slow one.
+func TestKeySpans(t *testing.T) {
+	at := time.Unix(1_000_000, 0)
+	mk := func(beg, end int, out string) *call {
+		return &call{
+			plan:  &plan{shape: &shape{service: "svc"}, key: "k"},
+			begun: at.Add(time.Duration(beg) * time.Millisecond), ended: at.Add(time.Duration(end) * time.Millisecond),
+			outcome: out, status: 200,
+		}
+	}
+	cases := map[string]struct {
+		calls []*call
+		want  int64
+	}{
+		"served":              {[]*call{mk(0, 5, "complete")}, 0},
+		"fails until served":  {[]*call{mk(0, 5, "complete"), mk(10, 20, "not_run"), mk(400, 900, "unknown"), mk(1500, 1503, "complete")}, 1493},
+		"slow answer":         {[]*call{mk(0, 1400, "complete")}, 1400},
+		"never served again":  {[]*call{mk(0, 10, "no_answer"), mk(100, 2100, "not_run")}, 2100},
+		"later outage longer": {[]*call{mk(0, 1, "not_run"), mk(5, 6, "complete"), mk(10, 11, "not_run"), mk(60, 61, "complete")}, 51},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			must.Eq(t, tc.want, unavailable(tc.calls).WorstMs)
+		})
+	}
+}
+
+// Guards against a workload that differs between two runs with the same seed, and hot keys that do not change.
+func TestGeneratorRepeatsAndShifts(t *testing.T) {
+	opt := Options{Mix: "rangsudhar", Seed: 9, Rate: 1000, ShiftEvery: time.Second}
+	opt.setDefaults()
+	one, two := newGenerator(&opt, "r"), newGenerator(&opt, "r")
+	tops := map[int]map[string]int{0: {}, 1: {}}
+	for range 1900 {
+		pln := one.next()
+		must.Eq(t, *pln.shape, *two.next().shape)
+		if pln.shape.zipf && int(pln.due/time.Second) < 2 {
+			tops[int(pln.due/time.Second)][pln.key]++
+		}
+	}
+	must.Greater(t, 50, tops[0]["shadefinder-0"])
+	must.Greater(t, 50, tops[1]["shadefinder-54"])
+	must.Less(t, 20, tops[1]["shadefinder-0"])
+}
+
+// Guards against plots that cannot be drawn from an empty or short run.
+func TestPlots(t *testing.T) {
+	rep := &Report{Seconds: []Second{{Second: 0, P50: 1, P99: 4}, {Second: 1, P50: 2, P99: 9, Unserved: 3}}}
+	dir := t.TempDir()
+	must.NoError(t, rep.PlotLatency(filepath.Join(dir, "latency.svg")))
+	must.NoError(t, rep.PlotUnavailable(filepath.Join(dir, "unavailable.png")))
+}
--- /dev/null
+++ b/internal/bench/load/mix.go
@@ -0,0 +1,138 @@
+package load
+
+import (
+	"fmt"
+	"math/rand"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Kinds of request, as in the configuration.
+const (
+	kindIdempotent    = "idempotent"
+	kindNonIdempotent = "non_idempotent"
+	kindUpload        = "upload"
+)
+
+// shape is one sort of request in a mix.
+type shape struct {
+	service string
+	method  string
+	prefix  string // of the path, before the key
+	suffix  string // of the path, after the key
+	kind    string
+	weight  float64
+	zipf    bool // keys by popularity; others are drawn evenly
+}
+
+// mixes are the workloads of the two example deployments: mostly lookups, some payments, few uploads.
+var mixes = map[string][]shape{
+	"rangsudhar": {
+		{"shadefinder", "GET", "/shades/", "", kindIdempotent, 0.70, true},
+		{"shadefinder", "GET", "/stock/", "", kindIdempotent, 0.12, true},
+		{"checkout", "POST", "/orders/", "/payment", kindNonIdempotent, 0.13, false},
+		{"photodesk", "PUT", "/photos/", "", kindUpload, 0.05, false},
+	},
+	"bassma": {
+		{"vitrine", "GET", "/catalogue/", "", kindIdempotent, 0.78, true},
+		{"commande", "POST", "/orders/", "/confirmation", kindNonIdempotent, 0.16, false},
+		{"empreinte", "PUT", "/scans/", "", kindUpload, 0.06, false},
+	},
+}
+
+func mixNames() []string {
+	nam := make([]string, 0, len(mixes))
+	for key := range mixes {
+		nam = append(nam, key)
+	}
+	sort.Strings(nam)
+	return nam
+}
+
+// plan is one request to be sent.
+type plan struct {
+	shape  *shape
+	key    string
+	id     string
+	due    time.Duration // since the start
+	direct bool
+}
+
+func (pln *plan) path() string { return pln.shape.prefix + pln.key + pln.shape.suffix }
+
+// generator draws requests; the same seed gives the same sequence.
+type generator struct {
+	opt    *Options
+	rng    *rand.Rand
+	zipf   *rand.Zipf
+	shapes []shape
+	total  float64
+	count  int
+	due    time.Duration
+	run    string
+}
+
+func newGenerator(opt *Options, run string) *generator {
+	rng := rand.New(rand.NewSource(int64(opt.Seed)))
+	gen := &generator{opt: opt, rng: rng, run: run}
+	gen.zipf = rand.NewZipf(rng, opt.Zipf, 1, uint64(opt.Keys-1))
+	for _, shp := range mixes[opt.Mix] {
+		if opt.Only == "" || opt.Only == shp.kind {
+			gen.shapes = append(gen.shapes, shp)
+			gen.total += shp.weight
+		}
+	}
+	return gen
+}
+
+// next returns the next request; arrivals are a Poisson process.
+func (gen *generator) next() *plan {
+	gen.due += time.Duration(gen.rng.ExpFloat64() / gen.opt.Rate * float64(time.Second))
+	gen.count++
+	shp := gen.pick()
+	return &plan{
+		shape:  shp,
+		key:    gen.key(shp),
+		id:     fmt.Sprintf("%s-%d", gen.run, gen.count),
+		due:    gen.due,
+		direct: shp.kind == kindIdempotent && gen.rng.Float64() < gen.opt.DirectShare,
+	}
+}
+
+func (gen *generator) pick() *shape {
+	val := gen.rng.Float64() * gen.total
+	for idx := range gen.shapes {
+		val -= gen.shapes[idx].weight
+		if val < 0 {
+			return &gen.shapes[idx]
+		}
+	}
+	return &gen.shapes[len(gen.shapes)-1]
+}
+
+func (gen *generator) key(shp *shape) string {
+	if !shp.zipf {
+		return fmt.Sprintf("%s-%d", shp.service, gen.rng.Intn(gen.opt.Keys))
+	}
+	rnk := int(gen.zipf.Uint64())
+	if gen.opt.ShiftEvery == 0 || rnk >= gen.opt.HotKeys {
+		return fmt.Sprintf("%s-%d", shp.service, rnk)
+	}
+	// The hottest ranks get other keys in each period, from the same key space.
+	per := int(gen.due / gen.opt.ShiftEvery)
+	return fmt.Sprintf("%s-%d", shp.service, (rnk+per*gen.opt.HotKeys)%gen.opt.Keys)
+}
+
+// body returns the body of a request, unique to its id so that a hash names the request.
+func (pln *plan) body(upl int) []byte {
+	switch pln.shape.kind {
+	case kindUpload:
+		rep := strings.Repeat(pln.id+"\n", upl/(len(pln.id)+1)+1)
+		return []byte(rep[:upl])
+	case kindNonIdempotent:
+		return []byte(`{"request":"` + pln.id + `"}`)
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/bench/load/options.go
@@ -0,0 +1,105 @@
+package load
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Defaults of Options.
+const (
+	DefaultRate           = 500.0 // requests a second
+	DefaultDuration       = 10 * time.Second
+	DefaultTimeout        = 5 * time.Second
+	DefaultKeys           = 100_000
+	DefaultZipf           = 1.1
+	DefaultHotKeys        = 54 // the hottest keys that change together, by the target of the project
+	DefaultMaxOutstanding = 20_000
+	DefaultAnswerBytes    = 200
+	DefaultUploadBytes    = 128 << 10
+)
+
+// Options describe one run.
+type Options struct {
+	Targets        []string      // base URLs of entry agents, used in turn
+	Standins       []string      // base URLs of the stand-ins, for their ledgers
+	LedgerFiles    []string      // ledger files of stand-ins that may have been killed
+	Mix            string        // rangsudhar or bassma
+	Rate           float64       // requests a second
+	Duration       time.Duration // of sending
+	Timeout        time.Duration // deadline of a request, sent as Siskinrill-Timeout
+	ClientDelay    time.Duration // one-way distance between callers and entry, added to each request twice
+	Keys           int           // keys of each service
+	Zipf           float64       // exponent of the popularity of keys, over 1
+	ShiftEvery     time.Duration // the hottest keys change this often, 0: never
+	HotKeys        int           // how many change
+	MaxOutstanding int           // requests over this are counted as not sent
+	AnswerBytes    int           // padding asked of the stand-in
+	UploadBytes    int           // length of an upload's body
+	ResendUnknown  bool          // resend an unknown non-idempotent request once with its Idempotency-Key
+	DirectShare    float64       // share of idempotent requests sent to a stand-in directly, for comparison
+	Only           string        // only requests of this kind: idempotent, non_idempotent, upload
+	Seed           uint64
+}
+
+// OptionError names an option that has no valid value.
+type OptionError struct {
+	option string
+	detail string
+}
+
+// Option returns the name of the option.
+func (oer *OptionError) Option() string { return oer.option }
+
+// Error names the option and its allowed range.
+func (oer *OptionError) Error() string { return fmt.Sprintf("%s: %s", oer.option, oer.detail) }
+
+func (opt *Options) setDefaults() {
+	if opt.Rate == 0 {
+		opt.Rate = DefaultRate
+	}
+	if opt.Duration == 0 {
+		opt.Duration = DefaultDuration
+	}
+	if opt.Timeout == 0 {
+		opt.Timeout = DefaultTimeout
+	}
+	if opt.Keys == 0 {
+		opt.Keys = DefaultKeys
+	}
+	if opt.Zipf == 0 {
+		opt.Zipf = DefaultZipf
+	}
+	if opt.HotKeys == 0 {
+		opt.HotKeys = DefaultHotKeys
+	}
+	if opt.MaxOutstanding == 0 {
+		opt.MaxOutstanding = DefaultMaxOutstanding
+	}
+	if opt.AnswerBytes == 0 {
+		opt.AnswerBytes = DefaultAnswerBytes
+	}
+	if opt.UploadBytes == 0 {
+		opt.UploadBytes = DefaultUploadBytes
+	}
+}
+
+func (opt *Options) check() error {
+	switch {
+	case len(opt.Targets) == 0:
+		return &OptionError{"targets", "at least one entry agent is needed"}
+	case opt.Rate < 0 || opt.Rate > 1e6:
+		return &OptionError{"rate", "must be over 0 and at most 1000000 requests a second"}
+	case opt.Zipf <= 1:
+		return &OptionError{"zipf", "must be over 1"}
+	case opt.Keys < opt.HotKeys:
+		return &OptionError{"keys", fmt.Sprintf("must be at least %d, the number of hot keys", opt.HotKeys)}
+	case opt.DirectShare < 0 || opt.DirectShare > 1:
+		return &OptionError{"direct_share", "must be from 0 to 1"}
+	case opt.DirectShare > 0 && len(opt.Standins) == 0:
+		return &OptionError{"direct_share", "needs the addresses of the stand-ins"}
+	case mixes[opt.Mix] == nil:
+		return &OptionError{"mix", "must be one of " + strings.Join(mixNames(), ", ")}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/load/run.go
@@ -0,0 +1,99 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Run sends requests for the configured time, waits for their answers and returns the judged report.
+func Run(ctx context.Context, opt Options) (*Report, error) {
+	opt.setDefaults()
+	if err := opt.check(); err != nil {
+		return nil, err
+	}
+	led := newLedgers(opt.Standins, opt.LedgerFiles)
+	if err := led.skipEarlier(ctx); err != nil {
+		return nil, err
+	}
+	run := newRunner(&opt)
+	run.sendAll(ctx)
+	rows, err := led.fetch(context.WithoutCancel(ctx))
+	if err != nil {
+		return nil, err
+	}
+	return newReport(&opt, run.start, run.calls, rows), nil
+}
+
+// runner sends at the intended times whatever the answers do (open loop).
+type runner struct {
+	opt         *Options
+	snd         *sender
+	gen         *generator
+	start       time.Time
+	outstanding atomic.Int64
+	grp         sync.WaitGroup
+	calls       []*call
+}
+
+func newRunner(opt *Options) *runner {
+	// The prefix keeps request ids of different runs apart in the same ledgers.
+	pre := strconv.FormatUint(rand.Uint64(), 36)
+	return &runner{opt: opt, snd: newSender(opt), gen: newGenerator(opt, pre)}
+}
+
+func (run *runner) sendAll(ctx context.Context) {
+	run.start = time.Now()
+	for num := 0; ctx.Err() == nil; num++ {
+		pln := run.gen.next()
+		if pln.due > run.opt.Duration {
+			break
+		}
+		time.Sleep(time.Until(run.start.Add(pln.due)))
+		run.dispatch(ctx, num, pln)
+	}
+	run.grp.Wait()
+}
+
+func (run *runner) dispatch(ctx context.Context, num int, pln *plan) {
+	cal := &call{plan: pln, begun: run.start.Add(pln.due)}
+	run.calls = append(run.calls, cal)
+	if run.outstanding.Load() >= int64(run.opt.MaxOutstanding) {
+		cal.outcome, cal.reason, cal.ended = outcomeNotSent, "max_outstanding", time.Now()
+		return
+	}
+	run.outstanding.Add(1)
+	run.grp.Add(1)
+	go func() {
+		defer run.grp.Done()
+		defer run.outstanding.Add(-1)
+		run.snd.send(ctx, cal, run.base(num, pln))
+		run.resend(ctx, num, cal)
+	}()
+}
+
+func (run *runner) base(num int, pln *plan) string {
+	if pln.direct {
+		return run.opt.Standins[num%len(run.opt.Standins)]
+	}
+	return run.opt.Targets[num%len(run.opt.Targets)]
+}
+
+// resend repeats an unknown non-idempotent request with its Idempotency-Key at another entry, as a caller would.
+func (run *runner) resend(ctx context.Context, num int, cal *call) {
+	if !run.opt.ResendUnknown || cal.plan.shape.kind != kindNonIdempotent {
+		return
+	}
+	if cal.outcome != outcomeUnknown && cal.outcome != outcomeNoAnswer {
+		return
+	}
+	cal.resends++
+	run.snd.send(ctx, cal, run.base(num+1, cal.plan))
+	if cal.outcome == outcomeNotRun {
+		// The resend did not run, but the first try may have.
+		cal.outcome = outcomeUnknown
+	}
+}
