Read the configuration directory and the process settings

Cause: operators need every error of their files at once, with file, line, key and allowed range. Change: a shared reader turns TOML into sections with positions; config/file merges the directory, checks it and prints differences; config/settings checks the settings of control, agent and stand-in processes. Conclusion: both formats are ready for the command line.

--- /dev/null
+++ b/internal/config/file/difference.go
@@ -0,0 +1,142 @@
+package file
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/siskinrill/siskinrill/internal/config/source"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// line is one key of an item as text.
+type line struct{ key, value string }
+
+// Difference returns what changes from one configuration to another as text, empty if nothing does: a line for each item with + (new), - (removed) or ~ (changed), and below it the keys.
+func Difference(old, cur *controlpb.Configuration) string {
+	bef, aft := items(old), items(cur)
+	var out strings.Builder
+	for _, nam := range names(bef, aft) {
+		itemDifference(&out, nam, bef[nam], aft[nam])
+	}
+	return out.String()
+}
+
+// Text returns a configuration in canonical order as TOML.
+func Text(cfg *controlpb.Configuration) string {
+	var out strings.Builder
+	its := items(cfg)
+	for num, nam := range names(its, nil) {
+		if num > 0 {
+			out.WriteString("\n")
+		}
+		fmt.Fprintf(&out, "[%s]\n", strings.Replace(nam, " ", ".", 1))
+		for _, lin := range its[nam] {
+			fmt.Fprintf(&out, "%s = %s\n", lin.key, lin.value)
+		}
+	}
+	return out.String()
+}
+
+func itemDifference(out *strings.Builder, nam string, bef, aft []line) {
+	switch {
+	case bef == nil:
+		fmt.Fprintf(out, "+ %s\n", nam)
+		for _, lin := range aft {
+			fmt.Fprintf(out, "+   %s = %s\n", lin.key, lin.value)
+		}
+	case aft == nil:
+		fmt.Fprintf(out, "- %s\n", nam)
+	default:
+		changed(out, nam, bef, aft)
+	}
+}
+
+// changed relies on items of one kind having the same keys in the same order.
+func changed(out *strings.Builder, nam string, bef, aft []line) {
+	headed := false
+	for i, lin := range aft {
+		if bef[i] == lin {
+			continue
+		}
+		if !headed {
+			fmt.Fprintf(out, "~ %s\n", nam)
+			headed = true
+		}
+		fmt.Fprintf(out, "-   %s = %s\n+   %s = %s\n", lin.key, bef[i].value, lin.key, lin.value)
+	}
+}
+
+func names(one, two map[string][]line) []string {
+	var out []string
+	for nam := range one {
+		out = append(out, nam)
+	}
+	for nam := range two {
+		if _, dup := one[nam]; !dup {
+			out = append(out, nam)
+		}
+	}
+	// Services come before the routes that name them.
+	sort.Slice(out, func(i, j int) bool {
+		svc, oth := strings.HasPrefix(out[i], "service "), strings.HasPrefix(out[j], "service ")
+		if svc != oth {
+			return svc
+		}
+		return out[i] < out[j]
+	})
+	return out
+}
+
+func items(cfg *controlpb.Configuration) map[string][]line {
+	out := map[string][]line{}
+	for _, svc := range cfg.GetServices() {
+		out["service "+svc.GetName()] = serviceLines(svc)
+	}
+	for _, rte := range cfg.GetRoutes() {
+		out["route "+rte.GetName()] = routeLines(rte)
+	}
+	return out
+}
+
+func serviceLines(svc *controlpb.Service) []line {
+	return []line{
+		{"partitions", whole(uint64(svc.GetPartitions()))},
+		{"queue_limit", whole(uint64(svc.GetQueueLimit()))},
+		{"ramp", duration(svc.GetRampMs(), time.Millisecond)},
+		{"max_attempts", whole(uint64(svc.GetMaxAttempts()))},
+		{"retry_budget_percent", whole(uint64(svc.GetRetryBudgetPercent()))},
+		{"retry_min_per_second", whole(uint64(svc.GetRetryMinPerSecond()))},
+		{"hedge_after", duration(svc.GetHedgeAfterMs(), time.Millisecond)},
+		{"hold", duration(svc.GetHoldMs(), time.Millisecond)},
+		{"idempotency_ttl", duration(svc.GetIdempotencyTtlS(), time.Second)},
+		{"max_outstanding_per_owner", whole(uint64(svc.GetMaxOutstandingPerOwner()))},
+	}
+}
+
+func routeLines(rte *controlpb.Route) []line {
+	return []line{
+		{"method", fmt.Sprintf("%q", rte.GetMethod())},
+		{"path", fmt.Sprintf("%q", rte.GetPath())},
+		{"service", fmt.Sprintf("%q", rte.GetService())},
+		{"kind", fmt.Sprintf("%q", kindText(rte.GetKind()))},
+		{"timeout", duration(rte.GetTimeoutMs(), time.Millisecond)},
+		{"max_body_bytes", whole(rte.GetMaxBodyBytes())},
+	}
+}
+
+func kindText(knd controlpb.RequestKind) string {
+	for nam, oth := range kinds {
+		if oth == knd {
+			return nam
+		}
+	}
+	return knd.String()
+}
+
+func whole(num uint64) string { return fmt.Sprintf("%d", num) }
+
+func duration(num uint32, unt time.Duration) string {
+	return fmt.Sprintf("%q", source.ShortDuration(time.Duration(num)*unt))
+}
--- /dev/null
+++ b/internal/config/file/doc.go
@@ -0,0 +1,2 @@
+// Package file reads the configuration directory: all *.toml files, merged in the order of their names.
+package file
--- /dev/null
+++ b/internal/config/file/load.go
@@ -0,0 +1,118 @@
+package file
+
+import (
+	"io/fs"
+	"os"
+	"path"
+	"sort"
+
+	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill/internal/config/source"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// Load reads a configuration directory; its number is 0, and an invalid one gives a *source.ProblemsError with every problem.
+func Load(dir string) (*controlpb.Configuration, error) {
+	inf, err := os.Stat(dir)
+	if err != nil {
+		return nil, errors.Wrap(err, "read configuration directory")
+	}
+	if !inf.IsDir() {
+		return nil, errors.Errorf("read configuration directory: %s is not a directory", dir)
+	}
+	return LoadFS(os.DirFS(dir))
+}
+
+// LoadFS reads the *.toml files at the root of a file system like Load.
+func LoadFS(fsy fs.FS) (*controlpb.Configuration, error) {
+	ents, err := fs.ReadDir(fsy, ".")
+	if err != nil {
+		return nil, errors.Wrap(err, "read configuration directory")
+	}
+	mrg := newMerger()
+	fnd := false
+	for _, ent := range ents {
+		if ent.IsDir() || path.Ext(ent.Name()) != ".toml" {
+			continue
+		}
+		fnd = true
+		dat, err := fs.ReadFile(fsy, ent.Name())
+		if err != nil {
+			return nil, errors.Wrap(err, "read configuration file")
+		}
+		mrg.add(ent.Name(), dat)
+	}
+	if !fnd {
+		return nil, errors.New("read configuration directory: it has no *.toml file")
+	}
+	return mrg.finish()
+}
+
+// Parse reads a set of files given by name, in the order of their names.
+func Parse(fils map[string][]byte) (*controlpb.Configuration, error) {
+	var nams []string
+	for nam := range fils {
+		nams = append(nams, nam)
+	}
+	sort.Strings(nams)
+	mrg := newMerger()
+	for _, nam := range nams {
+		mrg.add(nam, fils[nam])
+	}
+	return mrg.finish()
+}
+
+// Sort puts the services and routes in canonical order, which is by name.
+func Sort(cfg *controlpb.Configuration) {
+	sort.Slice(cfg.Services, func(i, j int) bool { return cfg.Services[i].GetName() < cfg.Services[j].GetName() })
+	sort.Slice(cfg.Routes, func(i, j int) bool { return cfg.Routes[i].GetName() < cfg.Routes[j].GetName() })
+}
+
+// merger collects the sections of all files.
+type merger struct {
+	checker  *source.Checker
+	sections map[string]*source.Section
+	config   *controlpb.Configuration
+}
+
+func newMerger() *merger {
+	return &merger{checker: &source.Checker{}, sections: map[string]*source.Section{}, config: &controlpb.Configuration{}}
+}
+
+func (mrg *merger) add(nam string, dat []byte) {
+	for _, sec := range source.Read(nam, dat, 2, mrg.checker) {
+		mrg.section(sec)
+	}
+}
+
+func (mrg *merger) section(sec *source.Section) {
+	knd := sec.Path()[0]
+	if knd != "service" && knd != "route" {
+		hint := source.Nearest(knd, []string{"service", "route"})
+		mrg.checker.Add(sec.Position(), sec.Name(), "unknown section%s; allowed: [service.NAME] and [route.NAME]", hint)
+		return
+	}
+	if old := mrg.sections[sec.Name()]; old != nil {
+		mrg.checker.Add(sec.Position(), sec.Name(), "is defined twice, first at %s", old.Position())
+		return
+	}
+	mrg.sections[sec.Name()] = sec
+	mrg.name(sec)
+	if knd == "service" {
+		mrg.config.Services = append(mrg.config.Services, mrg.service(sec))
+		return
+	}
+	mrg.config.Routes = append(mrg.config.Routes, mrg.route(sec))
+}
+
+// finish checks what spans sections and returns the merged configuration.
+func (mrg *merger) finish() (*controlpb.Configuration, error) {
+	Sort(mrg.config)
+	mrg.checkServices()
+	mrg.checkShapes()
+	if err := mrg.checker.Err(); err != nil {
+		return nil, err
+	}
+	return mrg.config, nil
+}
--- /dev/null
+++ b/internal/config/settings/settings.go
@@ -0,0 +1,254 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill/internal/config/source"
+)
+
+// Defaults and limits of the settings.
+const (
+	// DefaultAdmin is the admin address of the first process on a host.
+	DefaultAdmin = "127.0.0.1:8481"
+	// DefaultDrainTimeout bounds the drain of an agent that stops; the longest timeout of the example routes is 60 s.
+	DefaultDrainTimeout = 75 * time.Second
+	// DefaultStopTimeout bounds the handing over of leadership by a control process that stops.
+	DefaultStopTimeout = 5 * time.Second
+
+	maxStop = time.Hour
+)
+
+// Log is the section [log].
+type Log struct {
+	Level  string // error, warn, info or debug
+	Format string // text or json
+}
+
+// Admin is the section [admin].
+type Admin struct {
+	Listen string // IP:port
+	Token  string // needed for an address that is not loopback
+}
+
+// Place is where a process runs; each role's section holds it.
+type Place struct {
+	Name   string
+	Zone   string
+	Region string
+}
+
+// Control holds the settings of a control process.
+type Control struct {
+	Place
+	Listen         string            // IP:port of the gRPC listener, as others reach it
+	Data           string            // data directory
+	InitialMembers map[string]string // IP:port by name
+	MemberOrder    []string          // names of InitialMembers in the order of the file
+	StopTimeout    time.Duration
+	Admin          Admin
+	Log            Log
+}
+
+// Agent holds the settings of an agent.
+type Agent struct {
+	Place
+	CallerListen  string   // IP:port for callers' HTTP requests
+	PeerListen    string   // IP:port of the gRPC listener for other agents
+	BackendListen string   // IP:port for announcements of the backend server
+	Control       []string // IP:port of the control processes
+	DrainTimeout  time.Duration
+	Admin         Admin
+	Log           Log
+}
+
+// Standin holds the settings of a stand-in backend server.
+type Standin struct {
+	ID          string
+	Service     string
+	Listen      string // IP:port
+	Agent       string // IP:port of the agent's backend listener
+	Slots       uint32
+	Connections uint32
+	ChecksFence bool
+	ServiceTime time.Duration
+	HealthTime  time.Duration
+	Log         Log
+}
+
+// LoadControl reads the settings of a control process.
+func LoadControl(fil string) (Control, error) {
+	set := Control{StopTimeout: DefaultStopTimeout}
+	dat, err := read(fil)
+	if err != nil {
+		return set, err
+	}
+	return ParseControl(filepath.Base(fil), dat)
+}
+
+// ParseControl checks the settings of a control process; the error is a *source.ProblemsError.
+func ParseControl(fil string, dat []byte) (Control, error) {
+	set := Control{StopTimeout: DefaultStopTimeout}
+	var mbs []string
+	doc := newDocument(fil, dat, "control", "admin", "log")
+	doc.decode(
+		"control",
+		append(
+			doc.place(&set.Place),
+			address("listen", &set.Listen).Required(),
+			source.Text("data", &set.Data).Required(),
+			source.Texts("initial_members", &mbs).Required(),
+			source.Duration("stop_timeout", &set.StopTimeout, 0, maxStop),
+		)...,
+	)
+	doc.common(&set.Admin, &set.Log)
+	set.InitialMembers, set.MemberOrder = doc.members(mbs, set.Name, set.Listen)
+	doc.distinct(place{"control", "listen", set.Listen}, place{"admin", "listen", set.Admin.Listen})
+	return set, doc.checker.Err()
+}
+
+// LoadAgent reads the settings of an agent.
+func LoadAgent(fil string) (Agent, error) {
+	dat, err := read(fil)
+	if err != nil {
+		return Agent{}, err
+	}
+	return ParseAgent(filepath.Base(fil), dat)
+}
+
+// ParseAgent checks the settings of an agent; the error is a *source.ProblemsError.
+func ParseAgent(fil string, dat []byte) (Agent, error) {
+	set := Agent{DrainTimeout: DefaultDrainTimeout}
+	doc := newDocument(fil, dat, "agent", "admin", "log")
+	doc.decode(
+		"agent",
+		append(
+			doc.place(&set.Place),
+			address("caller_listen", &set.CallerListen).Required(),
+			address("peer_listen", &set.PeerListen).Required(),
+			address("backend_listen", &set.BackendListen).Required(),
+			addresses("control", &set.Control).Required(),
+			source.Duration("drain_timeout", &set.DrainTimeout, 0, maxStop),
+		)...,
+	)
+	doc.common(&set.Admin, &set.Log)
+	doc.distinct(
+		place{"agent", "caller_listen", set.CallerListen},
+		place{"agent", "peer_listen", set.PeerListen},
+		place{"agent", "backend_listen", set.BackendListen},
+		place{"admin", "listen", set.Admin.Listen},
+	)
+	return set, doc.checker.Err()
+}
+
+// LoadStandin reads the settings of a stand-in.
+func LoadStandin(fil string) (Standin, error) {
+	dat, err := read(fil)
+	if err != nil {
+		return Standin{}, err
+	}
+	return ParseStandin(filepath.Base(fil), dat)
+}
+
+// ParseStandin checks the settings of a stand-in; the error is a *source.ProblemsError.
+func ParseStandin(fil string, dat []byte) (Standin, error) {
+	set := Standin{Slots: 18, Connections: 120, ServiceTime: 2 * time.Millisecond, HealthTime: time.Millisecond}
+	doc := newDocument(fil, dat, "standin", "log")
+	doc.decode(
+		"standin",
+		source.Text("id", &set.ID).Required(),
+		source.Text("service", &set.Service).Required(),
+		address("listen", &set.Listen).Required(),
+		address("agent", &set.Agent).Required(),
+		source.Whole("slots", &set.Slots, 1, 10000),
+		source.Whole("connections", &set.Connections, 1, 100000),
+		source.Flag("checks_fence", &set.ChecksFence),
+		source.Duration("service_time", &set.ServiceTime, 0, time.Minute),
+		source.Duration("health_time", &set.HealthTime, 0, time.Minute),
+	)
+	doc.log(&set.Log)
+	doc.distinct(place{"standin", "listen", set.Listen}, place{"standin", "agent", set.Agent})
+	return set, doc.checker.Err()
+}
+
+func read(fil string) ([]byte, error) {
+	dat, err := os.ReadFile(fil)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return dat, nil
+}
+
+// document is a settings file being checked.
+type document struct {
+	sections map[string]*source.Section
+	checker  *source.Checker
+	file     string
+}
+
+func newDocument(fil string, dat []byte, alw ...string) *document {
+	doc := &document{sections: map[string]*source.Section{}, checker: &source.Checker{}, file: fil}
+	for _, sec := range source.Read(fil, dat, 1, doc.checker) {
+		doc.sections[sec.Name()] = sec
+		if !contains(alw, sec.Name()) {
+			hint := source.Nearest(sec.Name(), alw)
+			doc.checker.Add(sec.Position(), sec.Name(), "unknown section%s; allowed: [%s]", hint, strings.Join(alw, "], ["))
+		}
+	}
+	if doc.sections[alw[0]] == nil {
+		doc.checker.Add(source.NewPosition(fil, 0), alw[0], "section [%s] is missing", alw[0])
+	}
+	return doc
+}
+
+func (doc *document) decode(nam string, flds ...source.Field) {
+	if sec := doc.sections[nam]; sec != nil {
+		sec.Decode(doc.checker, flds...)
+	}
+}
+
+func (doc *document) place(plc *Place) []source.Field {
+	return []source.Field{
+		source.Text("name", &plc.Name).Required(),
+		source.Text("zone", &plc.Zone).Required(),
+		source.Text("region", &plc.Region).Required(),
+	}
+}
+
+func (doc *document) common(adm *Admin, log *Log) {
+	doc.log(log)
+	adm.Listen = DefaultAdmin
+	doc.decode("admin", address("listen", &adm.Listen), source.Text("token", &adm.Token))
+	if !Loopback(adm.Listen) && adm.Token == "" {
+		doc.checker.Add(doc.at("admin", "listen"), "admin.token", "is missing; an admin address that is not loopback needs one")
+	}
+}
+
+func (doc *document) log(log *Log) {
+	*log = Log{Level: "info", Format: "text"}
+	doc.decode(
+		"log",
+		source.Choice("level", &log.Level, "error", "warn", "info", "debug"),
+		source.Choice("format", &log.Format, "text", "json"),
+	)
+}
+
+func (doc *document) at(nam, key string) source.Position {
+	if sec := doc.sections[nam]; sec != nil {
+		return sec.At(key)
+	}
+	return source.NewPosition(doc.file, 0)
+}
+
+func contains(lst []string, nam string) bool {
+	for _, itm := range lst {
+		if itm == nam {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/config/source/field.go
@@ -0,0 +1,287 @@
+package source
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Field is one key that a section may hold, and where its value goes.
+type Field struct {
+	key      string
+	required bool
+	read     func(val Value) error
+}
+
+// Required returns a copy of the field that must be set.
+func (fld Field) Required() Field {
+	fld.required = true
+	return fld
+}
+
+// Checked returns a copy with a further check, made once the value is stored.
+func (fld Field) Checked(chk func() error) Field {
+	read := fld.read
+	fld.read = func(val Value) error {
+		if err := read(val); err != nil {
+			return err
+		}
+		return chk()
+	}
+	return fld
+}
+
+// Text returns a field for a non-empty string.
+func Text(key string, dst *string) Field {
+	return Field{key: key, read: func(val Value) error {
+		if err := val.want(unstable.String, "a string"); err != nil {
+			return err
+		}
+		if val.text == "" {
+			return errors.New("must not be empty")
+		}
+		*dst = val.text
+		return nil
+	}}
+}
+
+// Choice returns a field for one of several strings.
+func Choice(key string, dst *string, chs ...string) Field {
+	return Field{key: key, read: func(val Value) error {
+		if err := val.want(unstable.String, "a string"); err != nil {
+			return err
+		}
+		for _, cho := range chs {
+			if cho == val.text {
+				*dst = cho
+				return nil
+			}
+		}
+		return errors.Errorf("is %q; allowed: %s%s", val.text, strings.Join(chs, ", "), Nearest(val.text, chs))
+	}}
+}
+
+// Texts returns a field for an array of non-empty strings.
+func Texts(key string, dst *[]string) Field {
+	return Field{key: key, read: func(val Value) error {
+		if err := val.want(unstable.Array, "an array of strings"); err != nil {
+			return err
+		}
+		var out []string
+		for _, itm := range val.items {
+			if itm.kind != unstable.String || itm.text == "" {
+				return errors.New("must be an array of non-empty strings")
+			}
+			out = append(out, itm.text)
+		}
+		*dst = out
+		return nil
+	}}
+}
+
+// Flag returns a field for true or false.
+func Flag(key string, dst *bool) Field {
+	return Field{key: key, read: func(val Value) error {
+		if err := val.want(unstable.Bool, "true or false"); err != nil {
+			return err
+		}
+		*dst = val.text == "true"
+		return nil
+	}}
+}
+
+// Whole returns a field for a whole number in a range, both ends included.
+func Whole(key string, dst *uint32, low, high uint32) Field {
+	var big uint64
+	fld := Whole64(key, &big, uint64(low), uint64(high))
+	read := fld.read
+	fld.read = func(val Value) error {
+		if err := read(val); err != nil {
+			return err
+		}
+		*dst = uint32(big)
+		return nil
+	}
+	return fld
+}
+
+// Whole64 returns a field for a whole number in a range, both ends included.
+func Whole64(key string, dst *uint64, low, high uint64) Field {
+	return Field{key: key, read: func(val Value) error {
+		if err := val.want(unstable.Integer, "a whole number"); err != nil {
+			return err
+		}
+		var doc struct{ V int64 }
+		if err := toml.Unmarshal([]byte("V = "+val.text), &doc); err != nil {
+			return errors.Errorf("is %s; allowed: %d to %d", val.text, low, high)
+		}
+		if doc.V < 0 || uint64(doc.V) < low || uint64(doc.V) > high {
+			return errors.Errorf("is %d; allowed: %d to %d", doc.V, low, high)
+		}
+		*dst = uint64(doc.V)
+		return nil
+	}}
+}
+
+// Duration returns a field for a Go duration such as "250ms" in a range, both ends included.
+func Duration(key string, dst *time.Duration, low, high time.Duration) Field {
+	return Field{key: key, read: func(val Value) error {
+		if err := val.want(unstable.String, `a duration such as "250ms"`); err != nil {
+			return err
+		}
+		dur, err := time.ParseDuration(val.text)
+		if err != nil {
+			return errors.Errorf("is %q; must be a duration such as \"250ms\", allowed: %s to %s", val.text, ShortDuration(low), ShortDuration(high))
+		}
+		if dur < low || dur > high {
+			return errors.Errorf("is %s; allowed: %s to %s", val.text, ShortDuration(low), ShortDuration(high))
+		}
+		*dst = dur
+		return nil
+	}}
+}
+
+// Millis returns a field for a Go duration that is stored in whole milliseconds.
+func Millis(key string, dst *uint32, low, high time.Duration) Field {
+	return units(key, dst, low, high, time.Millisecond)
+}
+
+// Seconds returns a field for a Go duration that is stored in whole seconds.
+func Seconds(key string, dst *uint32, low, high time.Duration) Field {
+	return units(key, dst, low, high, time.Second)
+}
+
+func units(key string, dst *uint32, low, high, unt time.Duration) Field {
+	var dur time.Duration
+	fld := Duration(key, &dur, low, high)
+	read := fld.read
+	fld.read = func(val Value) error {
+		if err := read(val); err != nil {
+			return err
+		}
+		if dur%unt != 0 {
+			return errors.Errorf("is %s; must be a multiple of %s", val.text, ShortDuration(unt))
+		}
+		*dst = uint32(dur / unt)
+		return nil
+	}
+	return fld
+}
+
+// Decode stores the values of a section in the fields and records unknown, missing and wrong ones.
+func (sec *Section) Decode(chk *Checker, flds ...Field) {
+	for _, ent := range sec.entries {
+		fld, fnd := find(flds, ent.key)
+		nam := sec.Name() + "." + ent.key
+		if !fnd {
+			chk.Add(ent.position, nam, "unknown key%s", Nearest(ent.key, keys(flds)))
+			continue
+		}
+		if err := fld.read(ent.value); err != nil {
+			chk.Add(ent.position, nam, "%s", err.Error())
+		}
+	}
+	for _, fld := range flds {
+		if fld.required && !sec.Has(fld.key) {
+			chk.Add(sec.position, sec.Name()+"."+fld.key, "is missing")
+		}
+	}
+}
+
+func find(flds []Field, key string) (Field, bool) {
+	for _, fld := range flds {
+		if fld.key == key {
+			return fld, true
+		}
+	}
+	return Field{}, false
+}
+
+func keys(flds []Field) []string {
+	var out []string
+	for _, fld := range flds {
+		out = append(out, fld.key)
+	}
+	return out
+}
+
+func (val Value) want(knd unstable.Kind, what string) error {
+	if val.kind == knd {
+		return nil
+	}
+	return errors.Errorf("must be %s, not %s", what, kindText(val.kind))
+}
+
+func kindText(knd unstable.Kind) string {
+	switch knd {
+	case unstable.String:
+		return "a string"
+	case unstable.Integer:
+		return "a whole number"
+	case unstable.Float:
+		return "a float"
+	case unstable.Bool:
+		return "a boolean"
+	case unstable.Array:
+		return "an array"
+	case unstable.InlineTable:
+		return "a table"
+	default:
+		return "a date or time"
+	}
+}
+
+// ShortDuration returns a duration without trailing zero units, 5m in place of 5m0s.
+func ShortDuration(dur time.Duration) string {
+	txt := dur.String()
+	if strings.HasSuffix(txt, "m0s") {
+		txt = strings.TrimSuffix(txt, "0s")
+	}
+	if strings.HasSuffix(txt, "h0m") {
+		txt = strings.TrimSuffix(txt, "0m")
+	}
+	return txt
+}
+
+// Nearest returns "; did you mean NAME?" for the candidate that differs in at most a third of its length, or is a prefix of the name, or nothing.
+func Nearest(nam string, cands []string) string {
+	best, dist := "", len(nam)+1
+	for _, cnd := range cands {
+		dst := distance(nam, cnd)
+		if 3*dst > len(cnd) && !strings.HasPrefix(nam, cnd) {
+			continue
+		}
+		if dst < dist {
+			best, dist = cnd, dst
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return fmt.Sprintf("; did you mean %s?", best)
+}
+
+// distance returns the Levenshtein distance in bytes.
+func distance(one, two string) int {
+	row := make([]int, len(two)+1)
+	for i := range row {
+		row[i] = i
+	}
+	for i := range len(one) {
+		prev := row[0]
+		row[0] = i + 1
+		for j := range len(two) {
+			cost := prev
+			if one[i] != two[j] {
+				cost++
+			}
+			prev = row[j+1]
+			row[j+1] = min(cost, row[j]+1, row[j+1]+1)
+		}
+	}
+	return row[len(two)]
+}
