Add the admin API and the operator commands

Cause: operators need one place to ask any process and get the leader's answer. Measured: make fmt lint vet and go build ./... pass; siskinrill config chek ends with status 2. The API has not run against a control process yet.

--- /dev/null
+++ b/cmd/siskinrill/config.go
@@ -0,0 +1,9 @@
+package main
+
+import "github.com/spf13/cobra"
+
+func init() {
+	register("", func() *cobra.Command {
+		return group("config", "Check, apply or show the configuration")
+	})
+}
--- a/cmd/siskinrill/main.go
+++ b/cmd/siskinrill/main.go
@@ -1,4 +1,134 @@
-// Command siskinrill routes requests to servers that own keys exclusively.
+// Command siskinrill routes requests to backend servers that own keys exclusively.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	adminhttp "github.com/siskinrill/siskinrill/internal/admin/http"
+	"github.com/siskinrill/siskinrill/internal/config/settings"
+)
+
+// Exit statuses.
+const (
+	exitDone    = 0
+	exitRefused = 1
+	exitUsage   = 2
+)
+
+// refusedError marks an error of a command that was used rightly but refused or found something invalid.
+type refusedError struct{ err error }
+
+func (rfe *refusedError) Error() string { return rfe.err.Error() }
+
+func (rfe *refusedError) Unwrap() error { return rfe.err }
+
+// registered holds the constructors of the commands by the name of their parent, empty for the root.
+var registered = map[string][]func() *cobra.Command{}
+
+// register adds a command below a parent; each command's file calls it from init.
+func register(parent string, fn func() *cobra.Command) {
+	registered[parent] = append(registered[parent], fn)
+}
+
+// action runs a command's work; its errors lead to exit status 1, those of cobra itself to 2.
+func action(fn func(cmd *cobra.Command, args []string) error) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, args []string) error {
+		if err := fn(cmd, args); err != nil {
+			return &refusedError{err: err}
+		}
+		return nil
+	}
+}
+
+// group returns a command that only holds others.
+func group(nam, sht string) *cobra.Command {
+	return &cobra.Command{
+		Use: nam, Short: sht, Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return fmt.Errorf("%s needs a subcommand; see siskinrill %s --help", nam, nam)
+		},
+	}
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "siskinrill",
+		Short:         "Routes requests to backend servers that own keys exclusively",
+		Version:       version(),
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Args:          cobra.NoArgs,
+		RunE:          func(*cobra.Command, []string) error { return errors.New("a command is needed; see siskinrill --help") },
+	}
+	pfl := root.PersistentFlags()
+	pfl.String("admin", settings.DefaultAdmin, "IP:port of the admin API to ask, or to serve by dev")
+	pfl.String("token", os.Getenv("SISKINRILL_TOKEN"), "bearer token of the admin API, by default $SISKINRILL_TOKEN")
+	pfl.Bool("json", false, "print JSON")
+	attach(root, "")
+	return root
+}
+
+func attach(cmd *cobra.Command, parent string) {
+	for _, fn := range registered[parent] {
+		sub := fn()
+		attach(sub, sub.Name())
+		cmd.AddCommand(sub)
+	}
+}
+
+func version() string {
+	inf, fnd := debug.ReadBuildInfo()
+	if !fnd {
+		return "unknown"
+	}
+	out := inf.Main.Version
+	for _, set := range inf.Settings {
+		if set.Key == "vcs.revision" {
+			out += " " + set.Value
+		}
+	}
+	return out + " " + inf.GoVersion
+}
+
+// client returns a client of the admin API that --admin and --token name.
+func client(cmd *cobra.Command) *adminhttp.Client {
+	adr, _ := cmd.Flags().GetString("admin")
+	tok, _ := cmd.Flags().GetString("token")
+	return adminhttp.NewClient(adr, tok)
+}
+
+// asJSON reports whether --json is set.
+func asJSON(cmd *cobra.Command) bool {
+	out, _ := cmd.Flags().GetBool("json")
+	return out
+}
+
+// execute runs the command line and returns the exit status.
+func execute(ctx context.Context, args []string, root *cobra.Command) int {
+	root.SetArgs(args)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return exitDone
+	}
+	fmt.Fprintf(root.ErrOrStderr(), "siskinrill: %v\n", err)
+	var rfe *refusedError
+	if errors.As(err, &rfe) {
+		return exitRefused
+	}
+	return exitUsage
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	sts := execute(ctx, os.Args[1:], newRoot())
+	stop()
+	os.Exit(sts)
+}
--- /dev/null
+++ b/internal/admin/http/handler.go
@@ -0,0 +1,257 @@
+package http
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"sort"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// maxBodyBytes bounds the body of a request; a configuration of a thousand routes takes about 200 KB.
+const maxBodyBytes = 8 << 20
+
+// Options configures a Handler.
+type Options struct {
+	Role     string               // control, agent or dev
+	Name     string               // of the process
+	Token    string               // bearer token, empty for none
+	Operator *Operator            // finds the leader
+	Counters *siskinrill.Counters // shown by /debug/vars, may be nil
+	Ready    func() error         // tells why the process is not ready, nil for always ready
+}
+
+// Handler serves the admin API of one process.
+type Handler struct {
+	options Options
+	mux     *http.ServeMux
+}
+
+// New returns the handler of the admin API.
+func New(opt Options) *Handler {
+	hdl := &Handler{options: opt, mux: http.NewServeMux()}
+	hdl.mux.HandleFunc("GET /v1/status", hdl.status)
+	hdl.mux.HandleFunc("GET /v1/owner", hdl.owner)
+	hdl.mux.HandleFunc("GET /v1/config", hdl.show)
+	hdl.mux.HandleFunc("POST /v1/config", hdl.apply)
+	hdl.mux.HandleFunc("POST /v1/drain", hdl.drain)
+	hdl.mux.HandleFunc("GET /v1/members", hdl.members)
+	hdl.mux.HandleFunc("POST /v1/members", hdl.changeMembers)
+	hdl.mux.HandleFunc("GET /v1/ready", hdl.ready)
+	hdl.mux.HandleFunc("GET /debug/vars", hdl.vars)
+	return hdl
+}
+
+// ServeHTTP checks the token and answers a request.
+func (hdl *Handler) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
+	if !hdl.authorized(req) {
+		wri.Header().Set("WWW-Authenticate", "Bearer")
+		problem(wri, http.StatusUnauthorized, "unauthorized", "the bearer token is missing or wrong")
+		return
+	}
+	// A web page can send other content types to loopback without a preflight.
+	typ, _, _ := mime.ParseMediaType(req.Header.Get("Content-Type"))
+	if req.Method == http.MethodPost && typ != "application/json" {
+		problem(wri, http.StatusUnsupportedMediaType, "unsupported_media_type", "Content-Type must be application/json")
+		return
+	}
+	hdl.mux.ServeHTTP(wri, req)
+}
+
+func (hdl *Handler) authorized(req *http.Request) bool {
+	if hdl.options.Token == "" {
+		return true
+	}
+	got, fnd := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
+	return fnd && subtle.ConstantTimeCompare([]byte(got), []byte(hdl.options.Token)) == 1
+}
+
+func (hdl *Handler) status(wri http.ResponseWriter, req *http.Request) {
+	ans, err := hdl.options.Operator.Status(req.Context())
+	respond(wri, ans, err)
+}
+
+func (hdl *Handler) owner(wri http.ResponseWriter, req *http.Request) {
+	ask := &controlpb.OwnerRequest{Service: req.URL.Query().Get("service"), Key: req.URL.Query().Get("key")}
+	if ask.GetService() == "" || ask.GetKey() == "" {
+		problem(wri, http.StatusBadRequest, "bad_request", "service and key are needed")
+		return
+	}
+	ans, err := hdl.options.Operator.Owner(req.Context(), ask)
+	respond(wri, ans, err)
+}
+
+func (hdl *Handler) show(wri http.ResponseWriter, req *http.Request) {
+	ans, err := hdl.options.Operator.Show(req.Context())
+	respond(wri, ans, err)
+}
+
+func (hdl *Handler) apply(wri http.ResponseWriter, req *http.Request) {
+	var ask controlpb.ApplyRequest
+	if !decode(wri, req, &ask) {
+		return
+	}
+	ans, err := hdl.options.Operator.Apply(req.Context(), &ask)
+	if err == nil && !ans.GetRecord().GetAccepted() {
+		write(wri, http.StatusConflict, ans)
+		return
+	}
+	respond(wri, ans, err)
+}
+
+func (hdl *Handler) drain(wri http.ResponseWriter, req *http.Request) {
+	var ask controlpb.DrainRequest
+	if !decode(wri, req, &ask) {
+		return
+	}
+	ans, err := hdl.options.Operator.Drain(req.Context(), &ask)
+	respond(wri, ans, err)
+}
+
+func (hdl *Handler) members(wri http.ResponseWriter, req *http.Request) {
+	sta, err := hdl.options.Operator.Status(req.Context())
+	ans := &controlpb.StatusAnswer{
+		ClusterId: sta.GetClusterId(), Term: sta.GetTerm(), Commit: sta.GetCommit(), Members: sta.GetMembers(),
+	}
+	respond(wri, ans, err)
+}
+
+func (hdl *Handler) changeMembers(wri http.ResponseWriter, req *http.Request) {
+	var ask controlpb.MembersRequest
+	if !decode(wri, req, &ask) {
+		return
+	}
+	ans, err := hdl.options.Operator.ChangeMembers(req.Context(), &ask)
+	respond(wri, ans, err)
+}
+
+// Readiness is the answer of /v1/ready; reason is set while the process is not ready.
+type Readiness struct {
+	Ready  bool   `json:"ready"`
+	Role   string `json:"role"`
+	Name   string `json:"name"`
+	Reason string `json:"reason,omitempty"`
+}
+
+func (hdl *Handler) ready(wri http.ResponseWriter, _ *http.Request) {
+	rdy := Readiness{Ready: true, Role: hdl.options.Role, Name: hdl.options.Name}
+	cod := http.StatusOK
+	if hdl.options.Ready != nil {
+		if err := hdl.options.Ready(); err != nil {
+			rdy.Ready, rdy.Reason, cod = false, err.Error(), http.StatusServiceUnavailable
+		}
+	}
+	wri.Header().Set("Content-Type", "application/json")
+	wri.WriteHeader(cod)
+	_ = json.NewEncoder(wri).Encode(rdy)
+}
+
+// vars writes the published variables and this process's counters as one object; the counters are not published globally because dev has several sets.
+func (hdl *Handler) vars(wri http.ResponseWriter, _ *http.Request) {
+	all := map[string]string{}
+	expvar.Do(func(kev expvar.KeyValue) { all[kev.Key] = kev.Value.String() })
+	if hdl.options.Counters != nil {
+		for nam, vrb := range hdl.options.Counters.Vars() {
+			all[nam] = vrb.String()
+		}
+	}
+	var nams []string
+	for nam := range all {
+		nams = append(nams, nam)
+	}
+	sort.Strings(nams)
+	wri.Header().Set("Content-Type", "application/json")
+	for num, nam := range nams {
+		sep := ",\n"
+		if num == 0 {
+			sep = "{\n"
+		}
+		fmt.Fprintf(wri, "%s%q: %s", sep, nam, all[nam])
+	}
+	fmt.Fprintln(wri, "\n}")
+}
+
+func decode(wri http.ResponseWriter, req *http.Request, msg proto.Message) bool {
+	dat, err := io.ReadAll(http.MaxBytesReader(wri, req.Body, maxBodyBytes))
+	if err == nil {
+		err = protojson.Unmarshal(dat, msg)
+	}
+	if err != nil {
+		problem(wri, http.StatusBadRequest, "bad_request", err.Error())
+		return false
+	}
+	return true
+}
+
+func respond(wri http.ResponseWriter, msg proto.Message, err error) {
+	if err == nil {
+		write(wri, http.StatusOK, msg)
+		return
+	}
+	cod, rsn := httpStatus(err)
+	logrus.WithError(err).Debug("admin: Request failed.")
+	problem(wri, cod, rsn, status.Convert(err).Message())
+}
+
+// Marshal returns the JSON form of a message: snake case, zero values included.
+func Marshal(msg proto.Message) ([]byte, error) {
+	return protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true, Multiline: true}.Marshal(msg)
+}
+
+func write(wri http.ResponseWriter, cod int, msg proto.Message) {
+	dat, err := Marshal(msg)
+	if err != nil {
+		problem(wri, http.StatusInternalServerError, "internal", err.Error())
+		return
+	}
+	wri.Header().Set("Content-Type", "application/json")
+	wri.WriteHeader(cod)
+	_, _ = wri.Write(append(dat, '\n'))
+}
+
+// details is a problem document of RFC 9457.
+type details struct {
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Reason string `json:"reason"`
+	Detail string `json:"detail"`
+}
+
+func problem(wri http.ResponseWriter, cod int, rsn, det string) {
+	wri.Header().Set("Content-Type", "application/problem+json")
+	wri.WriteHeader(cod)
+	_ = json.NewEncoder(wri).Encode(details{Title: http.StatusText(cod), Status: cod, Reason: rsn, Detail: det})
+}
+
+func httpStatus(err error) (int, string) {
+	switch status.Code(err) {
+	case codes.InvalidArgument:
+		return http.StatusBadRequest, "bad_request"
+	case codes.NotFound:
+		return http.StatusNotFound, "not_found"
+	case codes.AlreadyExists, codes.Aborted:
+		return http.StatusConflict, "conflict"
+	case codes.FailedPrecondition:
+		if notLeader(err) {
+			return http.StatusServiceUnavailable, "no_leader"
+		}
+		return http.StatusConflict, "conflict"
+	case codes.Unavailable, codes.DeadlineExceeded, codes.Canceled:
+		return http.StatusServiceUnavailable, "no_leader"
+	default:
+		return http.StatusInternalServerError, "internal"
+	}
+}
--- /dev/null
+++ b/internal/admin/http/operator.go
@@ -0,0 +1,251 @@
+package http
+
+import (
+	"context"
+	"net/netip"
+	"regexp"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	// findTimeout bounds the search for the leader; an election takes up to 600 ms.
+	findTimeout = 4 * time.Second
+	// attemptTimeout bounds one call, so that an isolated control process does not use up the whole search.
+	attemptTimeout = 1500 * time.Millisecond
+	// findPause is the wait after a round in which no control process answered as leader.
+	findPause = 50 * time.Millisecond
+)
+
+// Operator calls the OperatorService of the control leader, which it finds from any control address.
+type Operator struct {
+	mutex     sync.Mutex
+	addresses []string
+	leader    string
+	conns     map[string]*grpc.ClientConn
+}
+
+// NewOperator returns a client that knows the IP:port of one or more control processes.
+func NewOperator(adrs ...string) *Operator {
+	return &Operator{addresses: append([]string{}, adrs...), conns: map[string]*grpc.ClientConn{}}
+}
+
+// Close closes all connections.
+func (opr *Operator) Close() {
+	opr.mutex.Lock()
+	defer opr.mutex.Unlock()
+	for _, con := range opr.conns {
+		_ = con.Close()
+	}
+	opr.conns = map[string]*grpc.ClientConn{}
+}
+
+// Status returns the leader's figures.
+func (opr *Operator) Status(ctx context.Context) (*controlpb.StatusAnswer, error) {
+	var ans *controlpb.StatusAnswer
+	err := opr.call(ctx, 0, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
+		ans, err = cli.Status(ctx, &controlpb.StatusRequest{})
+		return err
+	})
+	opr.learn(ans.GetMembers())
+	return ans, err
+}
+
+// Show returns the configuration.
+func (opr *Operator) Show(ctx context.Context) (*controlpb.ShowAnswer, error) {
+	var ans *controlpb.ShowAnswer
+	err := opr.call(ctx, 0, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
+		ans, err = cli.Show(ctx, &controlpb.ShowRequest{})
+		return err
+	})
+	return ans, err
+}
+
+// Owner returns the owner of a key.
+func (opr *Operator) Owner(ctx context.Context, req *controlpb.OwnerRequest) (*controlpb.OwnerAnswer, error) {
+	var ans *controlpb.OwnerAnswer
+	err := opr.call(ctx, 0, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
+		ans, err = cli.Owner(ctx, req)
+		return err
+	})
+	return ans, err
+}
+
+// Apply submits a configuration; its change id makes further attempts safe.
+func (opr *Operator) Apply(ctx context.Context, req *controlpb.ApplyRequest) (*controlpb.ApplyAnswer, error) {
+	var ans *controlpb.ApplyAnswer
+	wait := time.Duration(req.GetWaitMs()) * time.Millisecond
+	err := opr.call(ctx, wait, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
+		ans, err = cli.Apply(ctx, req)
+		return err
+	})
+	return ans, err
+}
+
+// Drain starts or undoes the drain of an upstream.
+func (opr *Operator) Drain(ctx context.Context, req *controlpb.DrainRequest) (*controlpb.DrainAnswer, error) {
+	var ans *controlpb.DrainAnswer
+	err := opr.call(ctx, 0, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
+		ans, err = cli.Drain(ctx, req)
+		return err
+	})
+	return ans, err
+}
+
+// ChangeMembers changes the membership of the control group, which may take as long as a new member needs to catch up.
+func (opr *Operator) ChangeMembers(ctx context.Context, req *controlpb.MembersRequest) (*controlpb.MembersAnswer, error) {
+	var ans *controlpb.MembersAnswer
+	err := opr.call(ctx, membersWait, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
+		ans, err = cli.ChangeMembers(ctx, req)
+		return err
+	})
+	return ans, err
+}
+
+// membersWait is how long a new member may take to catch up before the call ends.
+const membersWait = time.Minute
+
+// call runs fn against the leader; wait is how long the call itself may take beyond a plain answer.
+func (opr *Operator) call(ctx context.Context, wait time.Duration, fn func(context.Context, controlpb.OperatorServiceClient) error) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+findTimeout)
+	defer cancel()
+	last := errors.New("no control address is known")
+	for {
+		for _, adr := range opr.order() {
+			err := opr.attempt(ctx, adr, wait, fn)
+			if err == nil || !again(err) {
+				return err
+			}
+			last = err
+			if opr.redirected(adr, err) {
+				break
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(last, "no control leader answered")
+		case <-time.After(findPause):
+		}
+	}
+}
+
+func (opr *Operator) attempt(ctx context.Context, adr string, wait time.Duration, fn func(context.Context, controlpb.OperatorServiceClient) error) error {
+	con, err := opr.conn(adr)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+attemptTimeout)
+	defer cancel()
+	err = fn(ctx, controlpb.NewOperatorServiceClient(con))
+	if err == nil {
+		opr.setLeader(adr)
+	}
+	return err
+}
+
+// again reports whether another control process may answer where this one did not.
+func again(err error) bool {
+	switch status.Code(err) {
+	case codes.Unavailable, codes.DeadlineExceeded:
+		return true
+	case codes.FailedPrecondition:
+		return notLeader(err)
+	default:
+		return false
+	}
+}
+
+// notLeader reports whether the answer is a redirect, with or without the leader's address.
+func notLeader(err error) bool {
+	return leaderPattern.MatchString(status.Convert(err).Message())
+}
+
+var (
+	leaderPattern  = regexp.MustCompile(`(?i)leader`)
+	addressPattern = regexp.MustCompile(`[0-9A-Fa-f.:\[\]]+:[0-9]+`)
+)
+
+// redirectAddress returns the IP:port of the leader that a FAILED_PRECONDITION names, or nothing.
+func redirectAddress(err error) string {
+	sta := status.Convert(err)
+	for _, det := range sta.Details() {
+		if red, isRed := det.(*controlpb.Redirect); isRed {
+			return red.GetLeaderAddress()
+		}
+	}
+	adr := addressPattern.FindString(sta.Message())
+	if _, err := netip.ParseAddrPort(adr); err != nil {
+		return ""
+	}
+	return adr
+}
+
+// redirected notes the leader that an answer names, and reports whether it is another process.
+func (opr *Operator) redirected(adr string, err error) bool {
+	to := ""
+	if status.Code(err) == codes.FailedPrecondition {
+		to = redirectAddress(err)
+	}
+	opr.setLeader(to)
+	return to != "" && to != adr
+}
+
+func (opr *Operator) setLeader(adr string) {
+	opr.mutex.Lock()
+	defer opr.mutex.Unlock()
+	opr.leader = adr
+}
+
+// order returns the addresses to ask, the last known leader first.
+func (opr *Operator) order() []string {
+	opr.mutex.Lock()
+	defer opr.mutex.Unlock()
+	var out []string
+	if opr.leader != "" {
+		out = append(out, opr.leader)
+	}
+	for _, adr := range opr.addresses {
+		if adr != opr.leader {
+			out = append(out, adr)
+		}
+	}
+	return out
+}
+
+// learn adds members that joined since the process read its settings.
+func (opr *Operator) learn(mbs []*controlpb.MemberStatus) {
+	opr.mutex.Lock()
+	defer opr.mutex.Unlock()
+	for _, mbr := range mbs {
+		adr := mbr.GetMember().GetAddress()
+		known := adr == ""
+		for _, old := range opr.addresses {
+			known = known || old == adr
+		}
+		if !known {
+			opr.addresses = append(opr.addresses, adr)
+		}
+	}
+}
+
+func (opr *Operator) conn(adr string) (*grpc.ClientConn, error) {
+	opr.mutex.Lock()
+	defer opr.mutex.Unlock()
+	if con := opr.conns[adr]; con != nil {
+		return con, nil
+	}
+	con, err := grpc.NewClient("passthrough:///"+adr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return nil, errors.Wrap(err, "connect to control")
+	}
+	opr.conns[adr] = con
+	return con, nil
+}
