--- /dev/null
+++ b/internal/control/member/change.go
@@ -0,0 +1,285 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/control/raft"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	changeTimeout = 60 * time.Second      // of a change whose context has no deadline; a learner may need a snapshot
+	changePause   = 20 * time.Millisecond // between attempts of a step that must wait
+)
+
+// ChangeMembers adds, removes or replaces a member or hands over leadership, and returns once the change is committed.
+//
+// A change that ended halfway may be requested again: it continues where it ended. The error may be a *siskinrill.NotLeaderError, a *ChangeError, a *raft.MembersError, an *UnknownOutcomeError or a *StoppedError.
+func (grp *Group) ChangeMembers(ctx context.Context, req *controlpb.MembersRequest) (*controlpb.MembersAnswer, error) {
+	if !grp.changing.TryLock() {
+		return nil, &ChangeError{name: req.GetName(), reason: "another change is under way"}
+	}
+	defer grp.changing.Unlock()
+	ctx, cancel := deadline(ctx, changeTimeout)
+	defer cancel()
+	detail, err := grp.change(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	ans := &controlpb.MembersAnswer{Detail: detail}
+	err = grp.inspect(ctx, func() { ans.Members = grp.rft.Members() })
+	return ans, err
+}
+
+func (grp *Group) change(ctx context.Context, req *controlpb.MembersRequest) (string, error) {
+	switch req.GetAction() {
+	case controlpb.MemberAction_MEMBER_ACTION_ADD:
+		_, err := grp.add(ctx, req.GetName(), req.GetAddress(), req.GetLearner())
+		return "added " + req.GetName(), err
+	case controlpb.MemberAction_MEMBER_ACTION_REMOVE:
+		return "removed " + req.GetName(), grp.remove(ctx, req.GetName(), 0)
+	case controlpb.MemberAction_MEMBER_ACTION_REPLACE:
+		return grp.replace(ctx, req)
+	case controlpb.MemberAction_MEMBER_ACTION_TRANSFER:
+		return "leadership is with " + req.GetName(), grp.lead(ctx, req.GetName())
+	default:
+		return "", &ChangeError{name: req.GetName(), reason: fmt.Sprintf("action %d is not known", req.GetAction())}
+	}
+}
+
+// replace adds the new member, promotes it and then removes the old one, so that the number of voters never falls below what it was.
+func (grp *Group) replace(ctx context.Context, req *controlpb.MembersRequest) (string, error) {
+	old, err := grp.find(ctx, req.GetName())
+	if err != nil {
+		return "", err
+	}
+	mid, err := grp.add(ctx, "", req.GetAddress(), old.GetLearner())
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("replaced %s by member %d at %s", req.GetName(), mid, req.GetAddress()), grp.remove(ctx, req.GetName(), mid)
+}
+
+// add makes the process at an address a learner and, unless it stays one, a voter once it has caught up; it returns its member id.
+func (grp *Group) add(ctx context.Context, name, addr string, learner bool) (uint64, error) {
+	if err := grp.inspect(ctx, func() {}); err != nil {
+		return 0, err
+	}
+	ans, err := identify(ctx, addr)
+	if err != nil {
+		return 0, errors.Wrapf(err, "identify the process at %s", addr)
+	}
+	if name != "" && ans.GetName() != name {
+		return 0, &ChangeError{name: name, reason: fmt.Sprintf("the process at %s is %q", addr, ans.GetName())}
+	}
+	mid, err := grp.addLearner(ctx, ans, addr)
+	if err != nil || learner {
+		return mid, err
+	}
+	return mid, grp.commitMembers(ctx, func(mbs *controlpb.Members) bool { return promote(mbs, mid) })
+}
+
+func (grp *Group) addLearner(ctx context.Context, ans *controlpb.IdentifyAnswer, addr string) (uint64, error) {
+	mid, held := uint64(0), false
+	err := grp.commitMembers(ctx, func(mbs *controlpb.Members) bool {
+		for _, mem := range mbs.GetMembers() {
+			if mem.GetStoreId() == ans.GetStoreId() {
+				mid, held = mem.GetId(), true
+				return false
+			}
+		}
+		if ans.GetFormed() {
+			return false
+		}
+		mid = mbs.GetNextId()
+		mbs.NextId++
+		mbs.Members = append(mbs.Members, &controlpb.Member{Id: mid, Name: ans.GetName(), StoreId: ans.GetStoreId(), Address: addr, Learner: true})
+		return true
+	})
+	if err == nil && ans.GetFormed() && !held {
+		err = &ChangeError{name: ans.GetName(), reason: "its data directory belongs to cluster " + ans.GetClusterId()}
+	}
+	return mid, err
+}
+
+func promote(mbs *controlpb.Members, mid uint64) bool {
+	for _, mem := range mbs.GetMembers() {
+		if mem.GetId() == mid && mem.GetLearner() {
+			mem.Learner = false
+			return true
+		}
+	}
+	return false
+}
+
+// remove takes out the members of a name, except one id.
+func (grp *Group) remove(ctx context.Context, name string, except uint64) error {
+	if except == 0 {
+		if _, err := grp.find(ctx, name); err != nil {
+			return err
+		}
+	}
+	for {
+		more := false
+		err := grp.commitMembers(ctx, func(mbs *controlpb.Members) bool {
+			more = false
+			for pos, mem := range mbs.GetMembers() {
+				if mem.GetName() == name && mem.GetId() != except {
+					mbs.Members = append(mbs.Members[:pos], mbs.Members[pos+1:]...)
+					more = true
+					return true
+				}
+			}
+			return false
+		})
+		if err != nil || !more {
+			return err
+		}
+	}
+}
+
+func (grp *Group) find(ctx context.Context, name string) (*controlpb.Member, error) {
+	var fnd *controlpb.Member
+	err := grp.inspect(ctx, func() {
+		for _, mem := range grp.rft.Members().GetMembers() {
+			if mem.GetName() == name {
+				fnd = mem
+			}
+		}
+	})
+	if err == nil && fnd == nil {
+		err = &ChangeError{name: name, reason: "there is no such member"}
+	}
+	return fnd, err
+}
+
+// lead hands leadership over and returns once this process no longer leads.
+func (grp *Group) lead(ctx context.Context, name string) error {
+	mem, err := grp.find(ctx, name)
+	if err != nil {
+		return err
+	}
+	began := false
+	for {
+		done := false
+		err := grp.inspectAny(ctx, func() error {
+			switch {
+			case grp.rft.LeaderID() == mem.GetId():
+				done = true
+			case grp.rft.Role() != raft.Leader:
+				done = began && grp.rft.LeaderID() != 0
+				return grp.orNil(began)
+			case !grp.rft.Transferring():
+				began = true
+				return grp.rft.Transfer(mem.GetId())
+			}
+			return nil
+		})
+		if err != nil || done {
+			return err
+		}
+		if err := wait(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// orNil returns the error of a process that does not lead, nil while an expected election runs.
+func (grp *Group) orNil(expected bool) error {
+	if expected {
+		return nil
+	}
+	return grp.notLeader()
+}
+
+// commitMembers applies edit to a copy of the membership, proposes it and waits until it is committed; edit returns false when nothing is to change.
+func (grp *Group) commitMembers(ctx context.Context, edit func(*controlpb.Members) bool) error {
+	for {
+		prp, err := grp.proposeMembers(ctx, edit)
+		if err == nil {
+			return grp.await(ctx, prp)
+		}
+		var mbe *raft.MembersError
+		var tre *raft.TransferringError
+		if !(errors.As(err, &mbe) && mbe.Retry()) && !errors.As(err, &tre) {
+			return err
+		}
+		if werr := wait(ctx); werr != nil {
+			return errors.Wrap(werr, err.Error())
+		}
+	}
+}
+
+// proposeMembers returns a nil proposal when nothing is to change.
+func (grp *Group) proposeMembers(ctx context.Context, edit func(*controlpb.Members) bool) (*proposal, error) {
+	var prp *proposal
+	err := grp.inspectAny(ctx, func() error {
+		if grp.rft.Role() != raft.Leader {
+			return grp.notLeader()
+		}
+		mbs := proto.CloneOf(grp.rft.Members())
+		if !edit(mbs) {
+			return nil
+		}
+		idx, err := grp.rft.ProposeMembers(mbs)
+		if err != nil {
+			return err
+		}
+		prp = &proposal{index: idx, term: grp.rft.Term(), done: make(chan outcome, 1), given: make(chan struct{})}
+		close(prp.given)
+		grp.waiting[idx] = prp
+		return nil
+	})
+	return prp, err
+}
+
+func (grp *Group) await(ctx context.Context, prp *proposal) error {
+	if prp == nil {
+		return nil
+	}
+	select {
+	case out := <-prp.done:
+		return out.err
+	case <-grp.stopped:
+		_, err := grp.lateOutcome(prp)
+		return err
+	case <-ctx.Done():
+		return prp.unknown(ctx.Err())
+	}
+}
+
+// inspect runs fn in the loop of the leader.
+func (grp *Group) inspect(ctx context.Context, fn func()) error {
+	return grp.inspectAny(ctx, func() error {
+		if grp.rft.Role() != raft.Leader {
+			return grp.notLeader()
+		}
+		fn()
+		return nil
+	})
+}
+
+// inspectAny runs fn in the loop of any member.
+func (grp *Group) inspectAny(ctx context.Context, fn func() error) error {
+	err := error(siskinrill.NewNotLeaderError(""))
+	cerr := grp.call(ctx, func() {
+		if grp.rft != nil {
+			err = fn()
+		}
+	})
+	if cerr != nil {
+		return cerr
+	}
+	return err
+}
+
+func wait(ctx context.Context) error {
+	pause(ctx, changePause)
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/control/member/group.go
@@ -0,0 +1,209 @@
+package member
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/control/raft"
+	"github.com/siskinrill/siskinrill/internal/control/wal"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// Group is one control process's part of the replicated log; it implements siskinrill.Log.
+type Group struct {
+	opt       Options
+	wal       *wal.Log
+	inbox     chan arrival
+	proposals chan *proposal
+	confirms  chan *confirmation
+	calls     chan call
+	stopped   chan struct{}
+	changing  sync.Mutex
+
+	mu  sync.Mutex
+	pub published
+
+	// The fields below belong to the goroutine of Run.
+	rft      *raft.Raft
+	applied  uint64
+	snapshot uint64 // index of the newest snapshot
+	waiting  map[uint64]*proposal
+	rounds   []*confirmation
+	fresh    []*confirmation // wait for the round of this turn
+	peers    map[uint64]*peer
+	origins  map[uint64]origin
+	stopping bool
+	fault    error // of a formation that could not be stored, ends the loop
+	failure  error // why the loop ended, set before stopped is closed
+}
+
+var _ siskinrill.Log = (*Group)(nil)
+
+// New opens the data directory and restores the registry; the error may be a *wal.DamageError or a *wal.LockedError.
+func New(opt Options) (*Group, error) {
+	opt = opt.withDefaults()
+	lg, sta, err := wal.Open(wal.Options{Dir: opt.DataDir, FileSystem: opt.FileSystem})
+	if err != nil {
+		return nil, err
+	}
+	grp := &Group{
+		opt: opt, wal: lg,
+		inbox:     make(chan arrival, inboxLimit),
+		proposals: make(chan *proposal, requestLimit),
+		confirms:  make(chan *confirmation, requestLimit),
+		calls:     make(chan call, requestLimit),
+		stopped:   make(chan struct{}),
+		waiting:   map[uint64]*proposal{},
+		peers:     map[uint64]*peer{},
+		origins:   map[uint64]origin{},
+		pub:       newPublished(lg.StoreID()),
+	}
+	if err := grp.restore(sta); err != nil {
+		return nil, errors.Join(err, lg.Close())
+	}
+	return grp, nil
+}
+
+// restore rebuilds raft and the registry from the durable state.
+func (grp *Group) restore(sta *wal.State) error {
+	if snp := sta.Snapshot(); snp != nil {
+		if err := grp.opt.Registry.Restore(snp.GetData()); err != nil {
+			return errors.Wrap(err, "restore the registry")
+		}
+		grp.applied, grp.snapshot = snp.GetIndex(), snp.GetIndex()
+	}
+	if sta.Formation() == nil {
+		grp.logf("the data directory is new, store %s", grp.wal.StoreID())
+		return nil
+	}
+	return grp.start(sta.Formation(), raft.Initial{
+		HardState: sta.HardState(), Snapshot: sta.Snapshot(), Members: sta.Formation(), Entries: sta.Entries(),
+	})
+}
+
+// start creates the raft member under the id that the formation gives to this name and store.
+func (grp *Group) start(mbs *controlpb.Members, ini raft.Initial) error {
+	mid := uint64(0)
+	for _, mem := range mbs.GetMembers() {
+		if mem.GetName() == grp.opt.Name && mem.GetStoreId() == grp.wal.StoreID() {
+			mid = mem.GetId()
+		}
+	}
+	if mid == 0 {
+		return errors.Errorf("the data directory belongs to another member than %q", grp.opt.Name)
+	}
+	grp.rft = raft.New(raft.Options{ID: mid, Seed: grp.opt.Seed, ElectionTicks: grp.opt.ElectionTicks}, ini)
+	grp.mu.Lock()
+	grp.pub.clusterID = mbs.GetClusterId()
+	grp.mu.Unlock()
+	grp.logf("member %d of cluster %s at term %d, last entry %d", mid, mbs.GetClusterId(), grp.rft.Term(), grp.rft.LastIndex())
+	return nil
+}
+
+// Register adds the service for other control processes to a gRPC server, which must accept messages of MaxMessageBytes.
+func (grp *Group) Register(reg grpc.ServiceRegistrar) {
+	controlpb.RegisterMemberServiceServer(reg, &server{grp: grp})
+}
+
+// Run drives the log until the context ends, Stop is called, or the disk fails; it must be called once.
+func (grp *Group) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var wgr sync.WaitGroup
+	if grp.rft == nil && len(grp.opt.InitialMembers) > 0 && grp.opt.InitialMembers[0].Name == grp.opt.Name {
+		wgr.Go(func() { grp.form(ctx) })
+	}
+	err := grp.loop(ctx, &wgr)
+	grp.end(err)
+	cancel()
+	wgr.Wait()
+	if cerr := grp.wal.Close(); err == nil && cerr != nil {
+		err = errors.Wrap(cerr, "close the log")
+	}
+	return err
+}
+
+// end answers everything that still waits.
+func (grp *Group) end(err error) {
+	grp.failure = err
+	if err != nil {
+		grp.opt.Logger.Errorf("member: the log ends: %v", err)
+	}
+	close(grp.stopped)
+	cause := &StoppedError{cause: err}
+	grp.failWaiting(cause)
+	grp.failConfirms(cause)
+	grp.mu.Lock()
+	grp.pub.leave()
+	grp.mu.Unlock()
+}
+
+// Stop hands leadership over and ends Run; it returns when Run has ended its loop or with the context's error.
+func (grp *Group) Stop(ctx context.Context) error {
+	err := grp.call(ctx, grp.beginStop)
+	var spe *StoppedError
+	if errors.As(err, &spe) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	select {
+	case <-grp.stopped:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (grp *Group) beginStop() {
+	grp.stopping = true
+	if grp.rft == nil || grp.rft.Role() != raft.Leader {
+		return
+	}
+	if nxt := grp.rft.Successor(); nxt != 0 {
+		grp.logf("handing leadership to member %d", nxt)
+		_ = grp.rft.Transfer(nxt)
+	}
+}
+
+// call runs fn in the loop.
+func (grp *Group) call(ctx context.Context, fn func()) error {
+	cal := call{fn: fn, done: make(chan struct{})}
+	select {
+	case grp.calls <- cal:
+	case <-grp.stopped:
+		return &StoppedError{cause: grp.failure}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	// Not given up with the context, because fn may write variables of its caller; the loop reaches it after one sync at most.
+	select {
+	case <-cal.done:
+		return nil
+	case <-grp.stopped:
+		return &StoppedError{cause: grp.failure}
+	}
+}
+
+// call is a function to run in the loop.
+type call struct {
+	fn   func()
+	done chan struct{}
+}
+
+func (grp *Group) logf(format string, args ...any) {
+	grp.opt.Logger.Infof("member: "+format, args...)
+}
+
+// deadline bounds steps of formation and membership changes that have no deadline of their own.
+func deadline(ctx context.Context, dur time.Duration) (context.Context, context.CancelFunc) {
+	if _, set := ctx.Deadline(); set {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, dur)
+}
--- /dev/null
+++ b/internal/control/member/peer.go
@@ -0,0 +1,219 @@
+package member
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/siskinrill/siskinrill/internal/control/raft"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	reconnectPause = 50 * time.Millisecond  // after a failed stream
+	pingEvery      = 250 * time.Millisecond // while a stream is open
+	pingTimeout    = 250 * time.Millisecond // after which the connection counts as silent and is replaced
+	idleAfter      = 5 * time.Second        // without a message, after which the connection is closed
+	batchLimit     = 64                     // messages in one RaftBatch
+)
+
+var dialOptions = []grpc.DialOption{
+	grpc.WithTransportCredentials(insecure.NewCredentials()),
+	grpc.WithConnectParams(grpc.ConnectParams{
+		Backoff:           backoff.Config{BaseDelay: reconnectPause, Multiplier: 1.5, MaxDelay: pingEvery},
+		MinConnectTimeout: pingEvery,
+	}),
+}
+
+// peer sends messages to one member.
+type peer struct {
+	grp    *Group
+	org    origin
+	cid    string
+	queue  chan *controlpb.RaftMessage
+	cancel context.CancelFunc
+}
+
+// sendAll queues messages; one that does not fit is dropped, because raft sends again.
+func (grp *Group) sendAll(ctx context.Context, wgr *sync.WaitGroup, msgs []*controlpb.RaftMessage) {
+	for _, msg := range msgs {
+		per := grp.peerOf(ctx, wgr, msg.GetTo())
+		if per == nil {
+			continue
+		}
+		if msg.GetKind() == controlpb.RaftKind_RAFT_KIND_SNAPSHOT {
+			if msg = grp.withData(msg); msg == nil {
+				continue
+			}
+		}
+		select {
+		case per.queue <- msg:
+		default:
+		}
+	}
+}
+
+// withData adds the content of the snapshot file, nil if it has just been replaced by a newer one.
+func (grp *Group) withData(msg *controlpb.RaftMessage) *controlpb.RaftMessage {
+	snp, err := grp.wal.LoadSnapshot(msg.GetSnapshot().GetIndex())
+	if err != nil {
+		grp.opt.Logger.Warnf("member: the snapshot for member %d cannot be read: %v", msg.GetTo(), err)
+		return nil
+	}
+	cpy := proto.CloneOf(msg)
+	cpy.Snapshot = snp
+	return cpy
+}
+
+// peerOf returns the sender to a member, which is started on first use, nil if its address is not known.
+func (grp *Group) peerOf(ctx context.Context, wgr *sync.WaitGroup, mid uint64) *peer {
+	org, known := grp.originOf(mid)
+	per := grp.peers[mid]
+	if per != nil && per.org == org {
+		return per
+	}
+	if per != nil {
+		per.cancel()
+		delete(grp.peers, mid)
+	}
+	if !known {
+		return nil
+	}
+	pctx, cancel := context.WithCancel(ctx)
+	per = &peer{grp: grp, org: org, cid: grp.ClusterID(), queue: make(chan *controlpb.RaftMessage, queueLimit), cancel: cancel}
+	grp.peers[mid] = per
+	wgr.Go(func() { per.run(pctx) })
+	return per
+}
+
+func (grp *Group) originOf(mid uint64) (origin, bool) {
+	for _, mem := range grp.rft.Members().GetMembers() {
+		if mem.GetId() == mid {
+			return origin{storeID: mem.GetStoreId(), address: mem.GetAddress()}, true
+		}
+	}
+	org, known := grp.origins[mid]
+	return org, known && org.address != ""
+}
+
+// closePeers ends the senders to members that have left; only a leader can tell that.
+func (grp *Group) closePeers() {
+	if grp.rft.Role() != raft.Leader || len(grp.peers) < len(grp.rft.Members().GetMembers()) {
+		return
+	}
+	for mid, per := range grp.peers {
+		if _, known := grp.rft.Progress(mid); !known {
+			per.cancel()
+			delete(grp.peers, mid)
+			delete(grp.origins, mid)
+		}
+	}
+}
+
+// run opens a stream whenever there is a message to send.
+func (per *peer) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case msg := <-per.queue:
+			if err := per.session(ctx, msg); err != nil {
+				per.grp.opt.Logger.Debugf("member: the stream to %s ended: %v", per.org.address, err)
+				pause(ctx, reconnectPause)
+				per.discard()
+			}
+		}
+	}
+}
+
+// discard drops what was queued for a broken stream; by now raft has newer messages.
+func (per *peer) discard() {
+	for {
+		select {
+		case <-per.queue:
+		default:
+			return
+		}
+	}
+}
+
+// session sends over one connection until it fails or is idle.
+func (per *peer) session(ctx context.Context, msg *controlpb.RaftMessage) error {
+	cnn, err := dial(per.org.address)
+	if err != nil {
+		return err
+	}
+	defer cnn.Close()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	cln := controlpb.NewMemberServiceClient(cnn)
+	var wgr sync.WaitGroup
+	defer wgr.Wait()
+	defer cancel(nil)
+	wgr.Go(func() { cancel(per.ping(ctx, cln)) })
+	stm, err := cln.Exchange(metadata.AppendToOutgoingContext(ctx,
+		metaToStore, per.org.storeID, metaFromStore, per.grp.wal.StoreID(), metaFromAddress, per.grp.opt.Address))
+	if err != nil {
+		return err
+	}
+	return per.send(ctx, stm, msg)
+}
+
+func (per *peer) send(ctx context.Context, stm grpc.ClientStreamingClient[controlpb.RaftBatch, controlpb.RaftBatchAnswer], msg *controlpb.RaftMessage) error {
+	idle := time.NewTimer(idleAfter)
+	defer idle.Stop()
+	for {
+		err := stm.Send(per.batch(msg))
+		if err == io.EOF {
+			_, err = stm.CloseAndRecv()
+		}
+		if err != nil {
+			return err
+		}
+		idle.Reset(idleAfter)
+		select {
+		case msg = <-per.queue:
+		case <-idle.C:
+			return nil
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// batch adds what else is queued.
+func (per *peer) batch(msg *controlpb.RaftMessage) *controlpb.RaftBatch {
+	bat := &controlpb.RaftBatch{ClusterId: per.cid, Messages: []*controlpb.RaftMessage{msg}}
+	for len(bat.Messages) < batchLimit {
+		select {
+		case nxt := <-per.queue:
+			bat.Messages = append(bat.Messages, nxt)
+		default:
+			return bat
+		}
+	}
+	return bat
+}
+
+// ping returns an error once the connection no longer answers, which a stream of one direction does not notice.
+func (per *peer) ping(ctx context.Context, cln controlpb.MemberServiceClient) error {
+	for {
+		pause(ctx, pingEvery)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		pctx, cancel := context.WithTimeout(ctx, pingTimeout)
+		_, err := cln.Identify(pctx, &controlpb.IdentifyRequest{})
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/member/propose.go
@@ -0,0 +1,209 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/control/raft"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// outcome ends a proposal.
+type outcome struct {
+	res *siskinrill.Result
+	err error
+}
+
+// proposal is a command on its way through the log.
+type proposal struct {
+	data  []byte
+	index uint64
+	term  uint64
+	done  chan outcome
+	given chan struct{} // closed once index and term are set
+}
+
+// confirmation is a caller that waits for a heartbeat round.
+type confirmation struct {
+	round uint64
+	index uint64 // must be applied
+	done  chan error
+}
+
+// Propose appends a command and returns the registry's result once it is applied here.
+//
+// The error is a *siskinrill.NotLeaderError or an *OverloadError when the command was not appended, an *UnknownOutcomeError when its fate is not known, or a *StoppedError.
+func (grp *Group) Propose(ctx context.Context, cmd *controlpb.Command) (*siskinrill.Result, error) {
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the command")
+	}
+	prp := &proposal{data: data, done: make(chan outcome, 1), given: make(chan struct{})}
+	select {
+	case grp.proposals <- prp:
+	case <-grp.stopped:
+		return nil, &StoppedError{cause: grp.failure}
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case out := <-prp.done:
+		return out.res, out.err
+	case <-grp.stopped:
+		return grp.lateOutcome(prp)
+	case <-ctx.Done():
+		return nil, prp.unknown(ctx.Err())
+	}
+}
+
+// lateOutcome prefers an outcome that was reached before the loop ended.
+func (grp *Group) lateOutcome(prp *proposal) (*siskinrill.Result, error) {
+	select {
+	case out := <-prp.done:
+		return out.res, out.err
+	default:
+		return nil, prp.unknown(&StoppedError{cause: grp.failure})
+	}
+}
+
+func (prp *proposal) unknown(cause error) *UnknownOutcomeError {
+	select {
+	case <-prp.given:
+		return &UnknownOutcomeError{index: prp.index, term: prp.term, cause: cause}
+	default:
+		return &UnknownOutcomeError{cause: cause}
+	}
+}
+
+// propose appends in the loop.
+func (grp *Group) propose(prp *proposal) {
+	if grp.rft == nil || grp.stopping {
+		prp.done <- outcome{err: grp.notLeader()}
+		return
+	}
+	if num := len(grp.waiting); num >= waitingLimit {
+		prp.done <- outcome{err: &OverloadError{waiting: num}}
+		return
+	}
+	idx, err := grp.rft.Propose(prp.data)
+	if err != nil {
+		prp.done <- outcome{err: grp.notLeader()}
+		return
+	}
+	prp.index, prp.term = idx, grp.rft.Term()
+	close(prp.given)
+	grp.waiting[idx] = prp
+}
+
+// failWaiting tells proposers that the fate of their commands is not known here.
+func (grp *Group) failWaiting(cause error) {
+	for idx, prp := range grp.waiting {
+		prp.done <- outcome{err: &UnknownOutcomeError{index: prp.index, term: prp.term, cause: cause}}
+		delete(grp.waiting, idx)
+	}
+}
+
+// notLeader names the leader as far as it is known, and no address for a leader that hands over.
+func (grp *Group) notLeader() error {
+	if grp.rft == nil || grp.rft.Role() == raft.Leader {
+		return siskinrill.NewNotLeaderError("")
+	}
+	return siskinrill.NewNotLeaderError(grp.addressOf(grp.rft.LeaderID()))
+}
+
+// Confirm returns once a majority has answered a heartbeat round that began after the call, and all that was committed before the call is applied.
+//
+// The error is a *siskinrill.NotLeaderError, a *StoppedError or the context's.
+func (grp *Group) Confirm(ctx context.Context) error {
+	cfm := &confirmation{done: make(chan error, 1)}
+	select {
+	case grp.confirms <- cfm:
+	case <-grp.stopped:
+		return &StoppedError{cause: grp.failure}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case err := <-cfm.done:
+		return err
+	case <-grp.stopped:
+		return &StoppedError{cause: grp.failure}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// beginRound starts one heartbeat round for all callers of this turn.
+func (grp *Group) beginRound() {
+	if len(grp.fresh) == 0 {
+		return
+	}
+	rnd, err := grp.rft.StartRound()
+	if err != nil {
+		grp.failConfirms(grp.notLeader())
+		return
+	}
+	for _, cfm := range grp.fresh {
+		cfm.round = rnd
+		// A new leader knows what is committed once its own first entry is.
+		cfm.index = max(grp.rft.Commit(), grp.rft.TermStart())
+	}
+	grp.rounds, grp.fresh = append(grp.rounds, grp.fresh...), nil
+}
+
+func (grp *Group) resolveConfirms() {
+	if len(grp.rounds) == 0 {
+		return
+	}
+	rnd := grp.rft.ConfirmedRound()
+	kept := grp.rounds[:0]
+	for _, cfm := range grp.rounds {
+		if cfm.round <= rnd && cfm.index <= grp.applied {
+			cfm.done <- nil
+			continue
+		}
+		kept = append(kept, cfm)
+	}
+	clear(grp.rounds[len(kept):])
+	grp.rounds = kept
+}
+
+func (grp *Group) failConfirms(err error) {
+	for _, cfm := range append(grp.rounds, grp.fresh...) {
+		cfm.done <- err
+	}
+	grp.rounds, grp.fresh = nil, nil
+}
+
+// published is what other goroutines see of the loop's state.
+type published struct {
+	storeID    string
+	clusterID  string
+	leadership siskinrill.Leadership
+	changed    chan struct{}
+	members    []*controlpb.MemberStatus
+	commit     uint64
+}
+
+func newPublished(sid string) published {
+	return published{storeID: sid, changed: make(chan struct{})}
+}
+
+// set replaces the leadership and wakes those that wait for a change.
+func (pub *published) set(ldr siskinrill.Leadership) {
+	old := pub.leadership
+	if old.Term() == ldr.Term() && old.Leading() == ldr.Leading() && old.Address() == ldr.Address() {
+		return
+	}
+	pub.leadership = ldr
+	close(pub.changed)
+	pub.changed = make(chan struct{})
+}
+
+func (pub *published) leave() {
+	pub.set(siskinrill.NewLeadership(pub.leadership.Term(), false, "", time.Time{}))
+}
--- /dev/null
+++ b/internal/control/member/publish.go
@@ -0,0 +1,79 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/control/raft"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// Leadership returns the current state of leadership and a channel that is closed when it changes.
+func (grp *Group) Leadership() (siskinrill.Leadership, <-chan struct{}) {
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	return grp.pub.leadership, grp.pub.changed
+}
+
+// Members returns the applied members, at the leader with their progress.
+func (grp *Group) Members() []*controlpb.MemberStatus {
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	return slices.Clone(grp.pub.members)
+}
+
+// ClusterID returns the id of the cluster, empty while the process belongs to none.
+func (grp *Group) ClusterID() string {
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	return grp.pub.clusterID
+}
+
+// Commit returns the newest committed index that is known here.
+func (grp *Group) Commit() uint64 {
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	return grp.pub.commit
+}
+
+// publish copies the loop's state for other goroutines.
+func (grp *Group) publish() {
+	leading := grp.rft.Role() == raft.Leader && grp.applied >= grp.rft.TermStart() && !grp.stopping
+	ldr := siskinrill.NewLeadership(grp.rft.Term(), leading, grp.addressOf(grp.rft.LeaderID()), time.Now())
+	mbs := grp.statuses()
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	if leading != grp.pub.leadership.Leading() {
+		grp.logf("leading: %t, term %d", leading, grp.rft.Term())
+	}
+	grp.pub.members, grp.pub.commit = mbs, grp.rft.Commit()
+	grp.pub.set(ldr)
+}
+
+func (grp *Group) statuses() []*controlpb.MemberStatus {
+	var out []*controlpb.MemberStatus
+	for _, mem := range grp.rft.MembersAt(grp.applied).GetMembers() {
+		sta := &controlpb.MemberStatus{Member: mem, Leader: mem.GetId() == grp.rft.LeaderID()}
+		if prg, known := grp.rft.Progress(mem.GetId()); known {
+			sta.Match = prg.Match()
+			sta.Lag = grp.rft.LastIndex() - min(prg.Match(), grp.rft.LastIndex())
+			sta.SilentMs = int64(prg.Quiet()) * grp.opt.Tick.Milliseconds()
+		}
+		out = append(out, sta)
+	}
+	return out
+}
+
+// addressOf returns the address of a member, from the membership or else from its own messages.
+func (grp *Group) addressOf(mid uint64) string {
+	if mid == grp.rft.ID() {
+		return grp.opt.Address
+	}
+	for _, mem := range grp.rft.Members().GetMembers() {
+		if mem.GetId() == mid {
+			return mem.GetAddress()
+		}
+	}
+	return grp.origins[mid].address
+}
--- /dev/null
+++ b/internal/control/raft/election.go
@@ -0,0 +1,113 @@
+package raft
+
+import "github.com/siskinrill/siskinrill/internal/wire/controlpb"
+
+func (rft *Raft) becomeFollower(trm, ldr uint64) {
+	if trm > rft.term {
+		rft.term, rft.vote = trm, 0
+	}
+	rft.role, rft.leader = Follower, ldr
+	rft.votes, rft.progress = nil, nil
+	rft.transferee = 0
+	rft.resetTimeout()
+}
+
+func (rft *Raft) resetTimeout() {
+	rft.elapsed = 0
+	rft.timeout = rft.opt.ElectionTicks + rft.rnd.IntN(rft.opt.ElectionTicks+1)
+}
+
+// campaign asks for pre-votes, or at once for votes when the leader handed over.
+func (rft *Raft) campaign(transfer bool) {
+	if !isVoter(rft.Members(), rft.opt.ID) {
+		return
+	}
+	rft.resetTimeout()
+	if transfer || rft.flw.noPreVote {
+		rft.becomeCandidate(transfer)
+		return
+	}
+	rft.role, rft.leader = PreCandidate, 0
+	rft.votes = map[uint64]bool{rft.opt.ID: true}
+	if rft.won() {
+		rft.becomeCandidate(false)
+		return
+	}
+	rft.requestVotes(controlpb.RaftKind_RAFT_KIND_PRE_VOTE, rft.term+1, false)
+}
+
+func (rft *Raft) becomeCandidate(transfer bool) {
+	rft.role, rft.leader = Candidate, 0
+	rft.term++
+	rft.vote = rft.opt.ID
+	rft.votes = map[uint64]bool{rft.opt.ID: true}
+	rft.resetTimeout()
+	if rft.won() {
+		rft.becomeLeader()
+		return
+	}
+	rft.requestVotes(controlpb.RaftKind_RAFT_KIND_VOTE, rft.term, transfer)
+}
+
+func (rft *Raft) requestVotes(knd controlpb.RaftKind, trm uint64, transfer bool) {
+	for _, mem := range rft.Members().GetMembers() {
+		if mem.GetLearner() || mem.GetId() == rft.opt.ID {
+			continue
+		}
+		rft.send(&controlpb.RaftMessage{
+			Kind: knd, To: mem.GetId(), Term: trm, Transfer: transfer,
+			LogIndex: rft.log.last(), LogTerm: rft.log.lastTerm(),
+		})
+	}
+}
+
+// sticky reports whether this member has heard from a leader within the shortest election timeout, so that votes would only disturb.
+func (rft *Raft) sticky() bool {
+	return rft.role == Leader || (rft.leader != 0 && rft.elapsed < rft.opt.ElectionTicks)
+}
+
+func (rft *Raft) stepPreVote(msg *controlpb.RaftMessage) {
+	ans := &controlpb.RaftMessage{Kind: controlpb.RaftKind_RAFT_KIND_PRE_VOTE_ANSWER, To: msg.GetFrom(), Term: msg.GetTerm()}
+	if msg.GetTerm() <= rft.term || rft.sticky() || !rft.log.upToDate(msg.GetLogIndex(), msg.GetLogTerm()) {
+		ans.Term, ans.Reject = rft.term, true
+	}
+	rft.send(ans)
+}
+
+func (rft *Raft) stepVote(msg *controlpb.RaftMessage) {
+	free := rft.vote == 0 || rft.vote == msg.GetFrom()
+	grant := free && rft.leader == 0 && rft.log.upToDate(msg.GetLogIndex(), msg.GetLogTerm())
+	if grant {
+		rft.vote = msg.GetFrom()
+		rft.resetTimeout()
+	}
+	rft.send(&controlpb.RaftMessage{Kind: controlpb.RaftKind_RAFT_KIND_VOTE_ANSWER, To: msg.GetFrom(), Reject: !grant})
+}
+
+func (rft *Raft) stepVoteAnswer(msg *controlpb.RaftMessage) {
+	if _, done := rft.votes[msg.GetFrom()]; done {
+		return
+	}
+	rft.votes[msg.GetFrom()] = !msg.GetReject()
+	switch {
+	case rft.won() && rft.role == PreCandidate:
+		rft.becomeCandidate(false)
+	case rft.won():
+		rft.becomeLeader()
+	case rft.lost():
+		rft.becomeFollower(rft.term, 0)
+	}
+}
+
+func (rft *Raft) won() bool  { return rft.countVotes(true) >= quorum(rft.Members()) }
+func (rft *Raft) lost() bool { return rft.countVotes(false) >= quorum(rft.Members()) }
+
+func (rft *Raft) countVotes(granted bool) int {
+	num := 0
+	for mid, grt := range rft.votes {
+		if grt == granted && isVoter(rft.Members(), mid) {
+			num++
+		}
+	}
+	return num
+}
--- /dev/null
+++ b/internal/control/raft/log.go
@@ -0,0 +1,160 @@
+package raft
+
+import (
+	"slices"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// configuration is the membership as of the entry that holds it.
+type configuration struct {
+	index   uint64
+	members *controlpb.Members
+}
+
+// entryLog holds the entries after a base in memory; the entries after stable are not yet durable.
+type entryLog struct {
+	baseIndex uint64
+	baseTerm  uint64
+	entries   []*controlpb.Entry
+	stable    uint64
+	commit    uint64
+	applied   uint64
+	snapshot  *controlpb.Snapshot // metadata of the newest snapshot
+	configs   []configuration     // oldest first, never empty
+}
+
+func (elg *entryLog) last() uint64 { return elg.baseIndex + uint64(len(elg.entries)) }
+
+func (elg *entryLog) lastTerm() uint64 {
+	trm, _ := elg.term(elg.last())
+	return trm
+}
+
+// term returns the term of an entry, false if it is compacted or not yet appended.
+func (elg *entryLog) term(idx uint64) (uint64, bool) {
+	switch {
+	case idx == elg.baseIndex:
+		return elg.baseTerm, true
+	case idx < elg.baseIndex || idx > elg.last():
+		return 0, false
+	default:
+		return elg.entries[idx-elg.baseIndex-1].GetTerm(), true
+	}
+}
+
+func (elg *entryLog) matches(idx, trm uint64) bool {
+	own, kept := elg.term(idx)
+	return kept && own == trm
+}
+
+// upToDate reports whether a log that ends at idx and trm holds at least what this one holds (thesis 3.6.1).
+func (elg *entryLog) upToDate(idx, trm uint64) bool {
+	own := elg.lastTerm()
+	return trm > own || (trm == own && idx >= elg.last())
+}
+
+// slice returns the entries lo to hi inclusive, at least one and then as many as fit the limits.
+func (elg *entryLog) slice(lo, hi uint64, maxEntries int, maxBytes int) []*controlpb.Entry {
+	if lo > hi {
+		return nil
+	}
+	ents := elg.entries[lo-elg.baseIndex-1 : hi-elg.baseIndex]
+	size := 0
+	for pos, ent := range ents {
+		size += len(ent.GetData()) + entryOverhead
+		if pos > 0 && (pos >= maxEntries || size > maxBytes) {
+			return slices.Clone(ents[:pos])
+		}
+	}
+	return slices.Clone(ents)
+}
+
+// append adds entries that follow the last one.
+func (elg *entryLog) append(ents ...*controlpb.Entry) {
+	for _, ent := range ents {
+		elg.entries = append(elg.entries, ent)
+		if ent.GetKind() == controlpb.EntryKind_ENTRY_KIND_MEMBERS {
+			elg.configs = append(elg.configs, configuration{index: ent.GetIndex(), members: decodeMembers(ent)})
+		}
+	}
+}
+
+// merge adds the leader's entries and removes a conflicting suffix; it reports whether the membership may have changed.
+func (elg *entryLog) merge(ents []*controlpb.Entry) bool {
+	for pos, ent := range ents {
+		idx := ent.GetIndex()
+		if idx <= elg.baseIndex || elg.matches(idx, ent.GetTerm()) {
+			continue
+		}
+		before := elg.configs[len(elg.configs)-1].index
+		elg.truncate(idx)
+		elg.append(ents[pos:]...)
+		return before != elg.configs[len(elg.configs)-1].index
+	}
+	return false
+}
+
+// truncate removes the entries from idx on and the memberships they hold.
+func (elg *entryLog) truncate(idx uint64) {
+	if idx > elg.last() {
+		return
+	}
+	if idx <= elg.commit {
+		panic("raft: truncation of a committed entry")
+	}
+	elg.entries = slices.Clone(elg.entries[:idx-elg.baseIndex-1])
+	elg.stable = min(elg.stable, idx-1)
+	for elg.configs[len(elg.configs)-1].index >= idx {
+		elg.configs = elg.configs[:len(elg.configs)-1]
+	}
+}
+
+// restore replaces the log by a snapshot.
+func (elg *entryLog) restore(snp *controlpb.Snapshot) {
+	elg.baseIndex, elg.baseTerm = snp.GetIndex(), snp.GetTerm()
+	elg.entries = nil
+	elg.stable, elg.commit = snp.GetIndex(), snp.GetIndex()
+	elg.snapshot = metadata(snp)
+	elg.configs = []configuration{{index: snp.GetIndex(), members: snp.GetMembers()}}
+}
+
+// compact forgets the entries up to idx.
+func (elg *entryLog) compact(idx uint64) {
+	if idx <= elg.baseIndex {
+		return
+	}
+	trm, _ := elg.term(idx)
+	elg.entries = slices.Clone(elg.entries[idx-elg.baseIndex:])
+	elg.baseIndex, elg.baseTerm = idx, trm
+	for len(elg.configs) > 1 && elg.configs[1].index <= idx {
+		elg.configs = elg.configs[1:]
+	}
+}
+
+// membersAt returns the membership in force at an index.
+func (elg *entryLog) membersAt(idx uint64) *controlpb.Members {
+	for pos := len(elg.configs) - 1; pos > 0; pos-- {
+		if elg.configs[pos].index <= idx {
+			return elg.configs[pos].members
+		}
+	}
+	return elg.configs[0].members
+}
+
+// conflict returns the last index up to idx whose term is at most trm, and its term; a compacted index ends the search.
+func (elg *entryLog) conflict(idx, trm uint64) (uint64, uint64) {
+	idx = min(idx, elg.last())
+	for idx > elg.baseIndex {
+		own, _ := elg.term(idx)
+		if own <= trm {
+			return idx, own
+		}
+		idx--
+	}
+	return idx, elg.baseTerm
+}
+
+func metadata(snp *controlpb.Snapshot) *controlpb.Snapshot {
+	return &controlpb.Snapshot{Index: snp.GetIndex(), Term: snp.GetTerm(), Members: snp.GetMembers()}
+}
--- /dev/null
+++ b/internal/control/raft/members.go
@@ -0,0 +1,171 @@
+package raft
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// EncodeMembers returns the data of an entry that sets the membership.
+func EncodeMembers(mbs *controlpb.Members) []byte {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(mbs)
+	if err != nil {
+		panic(fmt.Sprintf("raft: membership does not encode: %v", err))
+	}
+	return data
+}
+
+// decodeMembers returns the membership of an entry; checksums guard it on disk and gRPC on the network, so a failure is a fault of the program.
+func decodeMembers(ent *controlpb.Entry) *controlpb.Members {
+	mbs := &controlpb.Members{}
+	if err := proto.Unmarshal(ent.GetData(), mbs); err != nil {
+		panic(fmt.Sprintf("raft: membership of entry %d does not decode: %v", ent.GetIndex(), err))
+	}
+	return mbs
+}
+
+func isVoter(mbs *controlpb.Members, mid uint64) bool {
+	mem := findMember(mbs, mid)
+	return mem != nil && !mem.GetLearner()
+}
+
+func findMember(mbs *controlpb.Members, mid uint64) *controlpb.Member {
+	for _, mem := range mbs.GetMembers() {
+		if mem.GetId() == mid {
+			return mem
+		}
+	}
+	return nil
+}
+
+// quorum returns the size of a majority of the voters.
+func quorum(mbs *controlpb.Members) int {
+	num := 0
+	for _, mem := range mbs.GetMembers() {
+		if !mem.GetLearner() {
+			num++
+		}
+	}
+	return num/2 + 1
+}
+
+// ProposeMembers appends a membership, which is in force at once, and returns its index.
+//
+// It may differ from the current one by one new learner, one learner that becomes a voter, or one member that leaves. The error is a *NotLeaderError, a *TransferringError or a *MembersError.
+func (rft *Raft) ProposeMembers(mbs *controlpb.Members) (uint64, error) {
+	if err := rft.accepting(); err != nil {
+		return 0, err
+	}
+	if rft.MembersIndex() > rft.log.commit {
+		return 0, &MembersError{reason: "the previous change is not committed", retry: true}
+	}
+	if rft.log.commit < rft.termStart {
+		return 0, &MembersError{reason: "no entry of this term is committed", retry: true}
+	}
+	if err := rft.checkChange(mbs); err != nil {
+		return 0, err
+	}
+	idx := rft.appendOwn(controlpb.EntryKind_ENTRY_KIND_MEMBERS, EncodeMembers(mbs))
+	rft.syncProgress()
+	return idx, nil
+}
+
+// checkChange makes sure that old and new majorities overlap and that a new voter holds what is committed.
+func (rft *Raft) checkChange(mbs *controlpb.Members) error {
+	cur := rft.Members()
+	changes := 0
+	for _, mem := range cur.GetMembers() {
+		if findMember(mbs, mem.GetId()) == nil {
+			changes++
+		}
+	}
+	for _, mem := range mbs.GetMembers() {
+		old := findMember(cur, mem.GetId())
+		switch {
+		case old == nil && !mem.GetLearner():
+			return &MembersError{reason: "a new member must be a learner first"}
+		case old == nil:
+			changes++
+		case old.GetLearner() == mem.GetLearner():
+		case mem.GetLearner():
+			return &MembersError{reason: "a voter cannot become a learner"}
+		case !rft.caughtUp(mem.GetId()):
+			return &MembersError{reason: "the learner has not caught up", retry: true}
+		default:
+			changes++
+		}
+	}
+	if changes != 1 {
+		return &MembersError{reason: fmt.Sprintf("%d members differ, one may", changes)}
+	}
+	if quorum(mbs) == 1 && !hasVoter(mbs) {
+		return &MembersError{reason: "no voter would be left"}
+	}
+	return nil
+}
+
+func hasVoter(mbs *controlpb.Members) bool {
+	for _, mem := range mbs.GetMembers() {
+		if !mem.GetLearner() {
+			return true
+		}
+	}
+	return false
+}
+
+// caughtUp reports whether a learner has synced all that was committed one tick ago; an exact match would never be reached under constant load.
+func (rft *Raft) caughtUp(mid uint64) bool {
+	return rft.flw.promoteUnsynced || rft.progress[mid].match >= rft.tickCommit
+}
+
+// Transfer starts handing leadership to a voter; it is given up after the shortest election timeout.
+func (rft *Raft) Transfer(mid uint64) error {
+	if err := rft.accepting(); err != nil {
+		return err
+	}
+	if mid == rft.opt.ID || !isVoter(rft.Members(), mid) {
+		return &MembersError{reason: fmt.Sprintf("member %d is not another voter", mid)}
+	}
+	rft.transferee = mid
+	rft.transferBy = rft.now + uint64(rft.opt.ElectionTicks)
+	rft.handOver(mid)
+	return nil
+}
+
+// Transferring reports whether leadership is being handed over.
+func (rft *Raft) Transferring() bool { return rft.transferee != 0 }
+
+// handOver tells the next leader to campaign once it holds the whole log.
+func (rft *Raft) handOver(mid uint64) {
+	if rft.transferee == mid && rft.progress[mid].match == rft.log.last() {
+		rft.sendEarly(&controlpb.RaftMessage{Kind: controlpb.RaftKind_RAFT_KIND_TIMEOUT_NOW, To: mid})
+	}
+}
+
+// Successor returns the voter with the longest synced log besides this member, 0 if there is none.
+func (rft *Raft) Successor() uint64 {
+	best, match := uint64(0), uint64(0)
+	for _, mem := range rft.Members().GetMembers() {
+		prg := rft.progress[mem.GetId()]
+		if mem.GetLearner() || mem.GetId() == rft.opt.ID || prg == nil {
+			continue
+		}
+		if best == 0 || prg.match > match {
+			best, match = mem.GetId(), prg.match
+		}
+	}
+	return best
+}
+
+// leaveIfRemoved ends the leadership of a leader whose removal is committed.
+func (rft *Raft) leaveIfRemoved() {
+	if rft.role != Leader || isVoter(rft.Members(), rft.opt.ID) || rft.log.commit < rft.MembersIndex() {
+		return
+	}
+	if nxt := rft.Successor(); nxt != 0 {
+		rft.send(&controlpb.RaftMessage{Kind: controlpb.RaftKind_RAFT_KIND_TIMEOUT_NOW, To: nxt})
+	}
+	rft.becomeFollower(rft.term, 0)
+}
--- /dev/null
+++ b/internal/control/raft/step.go
@@ -0,0 +1,141 @@
+package raft
+
+import "github.com/siskinrill/siskinrill/internal/wire/controlpb"
+
+// Step takes a message from another member; messages to another id are ignored.
+func (rft *Raft) Step(msg *controlpb.RaftMessage) {
+	if msg.GetTo() != rft.opt.ID || msg.GetFrom() == rft.opt.ID {
+		return
+	}
+	switch {
+	case msg.GetTerm() > rft.term:
+		if !rft.stepNewerTerm(msg) {
+			return
+		}
+	case msg.GetTerm() < rft.term:
+		rft.stepOlderTerm(msg)
+		return
+	}
+	rft.stepTerm(msg)
+}
+
+// stepNewerTerm adopts the term of a message; it reports whether the message is to be handled further.
+func (rft *Raft) stepNewerTerm(msg *controlpb.RaftMessage) bool {
+	switch msg.GetKind() {
+	case controlpb.RaftKind_RAFT_KIND_PRE_VOTE:
+		return true
+	case controlpb.RaftKind_RAFT_KIND_PRE_VOTE_ANSWER:
+		if !msg.GetReject() {
+			// A granted pre-vote carries the term that the campaign would have.
+			return msg.GetTerm() == rft.term+1
+		}
+	case controlpb.RaftKind_RAFT_KIND_VOTE:
+		if rft.sticky() && !msg.GetTransfer() {
+			return false
+		}
+	}
+	ldr := uint64(0)
+	if fromLeader(msg) {
+		ldr = msg.GetFrom()
+	}
+	rft.becomeFollower(msg.GetTerm(), ldr)
+	return true
+}
+
+// stepOlderTerm tells a deposed leader or a candidate that lags the current term.
+func (rft *Raft) stepOlderTerm(msg *controlpb.RaftMessage) {
+	switch {
+	case fromLeader(msg):
+		rft.send(&controlpb.RaftMessage{Kind: controlpb.RaftKind_RAFT_KIND_APPEND_ANSWER, To: msg.GetFrom(), Reject: true})
+	case msg.GetKind() == controlpb.RaftKind_RAFT_KIND_PRE_VOTE:
+		rft.stepPreVote(msg)
+	}
+}
+
+func fromLeader(msg *controlpb.RaftMessage) bool {
+	switch msg.GetKind() {
+	case controlpb.RaftKind_RAFT_KIND_APPEND, controlpb.RaftKind_RAFT_KIND_HEARTBEAT, controlpb.RaftKind_RAFT_KIND_SNAPSHOT:
+		return true
+	default:
+		return false
+	}
+}
+
+func (rft *Raft) stepTerm(msg *controlpb.RaftMessage) {
+	switch msg.GetKind() {
+	case controlpb.RaftKind_RAFT_KIND_PRE_VOTE:
+		rft.stepPreVote(msg)
+	case controlpb.RaftKind_RAFT_KIND_VOTE:
+		rft.stepVote(msg)
+	case controlpb.RaftKind_RAFT_KIND_PRE_VOTE_ANSWER:
+		if rft.role == PreCandidate {
+			rft.stepVoteAnswer(msg)
+		}
+	case controlpb.RaftKind_RAFT_KIND_VOTE_ANSWER:
+		if rft.role == Candidate {
+			rft.stepVoteAnswer(msg)
+		}
+	case controlpb.RaftKind_RAFT_KIND_APPEND_ANSWER, controlpb.RaftKind_RAFT_KIND_HEARTBEAT_ANSWER:
+		rft.stepAnswer(msg)
+	case controlpb.RaftKind_RAFT_KIND_TIMEOUT_NOW:
+		if rft.role == Follower {
+			rft.campaign(true)
+		}
+	default:
+		rft.stepLeaderMessage(msg)
+	}
+}
+
+// stepLeaderMessage handles appends, heartbeats and snapshots of the leader of this term.
+func (rft *Raft) stepLeaderMessage(msg *controlpb.RaftMessage) {
+	if rft.role == Leader {
+		return
+	}
+	if rft.role != Follower || rft.leader == 0 {
+		rft.becomeFollower(rft.term, msg.GetFrom())
+	}
+	rft.elapsed = 0
+	switch msg.GetKind() {
+	case controlpb.RaftKind_RAFT_KIND_APPEND:
+		rft.stepAppend(msg)
+	case controlpb.RaftKind_RAFT_KIND_SNAPSHOT:
+		rft.stepSnapshot(msg.GetSnapshot(), msg.GetFrom())
+	default:
+		rft.commitTo(msg.GetCommit())
+		rft.send(&controlpb.RaftMessage{Kind: controlpb.RaftKind_RAFT_KIND_HEARTBEAT_ANSWER, To: msg.GetFrom(), Round: msg.GetRound()})
+	}
+}
+
+func (rft *Raft) stepAppend(msg *controlpb.RaftMessage) {
+	ans := &controlpb.RaftMessage{Kind: controlpb.RaftKind_RAFT_KIND_APPEND_ANSWER, To: msg.GetFrom()}
+	prev := msg.GetLogIndex()
+	switch {
+	case prev < rft.log.baseIndex:
+		// All before the base is committed and therefore equal to the leader's.
+		ans.LogIndex = rft.log.commit
+	case rft.log.matches(prev, msg.GetLogTerm()):
+		rft.log.merge(msg.GetEntries())
+		ans.LogIndex = prev + uint64(len(msg.GetEntries()))
+		rft.commitTo(min(msg.GetCommit(), ans.GetLogIndex()))
+	default:
+		ans.Reject, ans.LogIndex = true, prev
+		ans.RejectHint, ans.LogTerm = rft.log.conflict(prev, msg.GetLogTerm())
+	}
+	rft.send(ans)
+}
+
+func (rft *Raft) commitTo(idx uint64) {
+	rft.log.commit = max(rft.log.commit, min(idx, rft.log.last()))
+}
+
+func (rft *Raft) stepSnapshot(snp *controlpb.Snapshot, from uint64) {
+	switch {
+	case snp.GetIndex() <= rft.log.commit:
+	case rft.log.matches(snp.GetIndex(), snp.GetTerm()):
+		rft.commitTo(snp.GetIndex())
+	default:
+		rft.log.restore(snp)
+		rft.installed = snp
+	}
+	rft.send(&controlpb.RaftMessage{Kind: controlpb.RaftKind_RAFT_KIND_APPEND_ANSWER, To: from, LogIndex: rft.log.commit})
+}
--- /dev/null
+++ b/internal/control/wal/open.go
@@ -0,0 +1,221 @@
+package wal
+
+import (
+	"fmt"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	lockName       = "lock"
+	storeIDName    = "store_id"
+	segmentSuffix  = ".wal"
+	snapshotSuffix = ".snap"
+	temporary      = ".tmp"
+)
+
+// Open locks the data directory and reads its state, or creates both in an empty directory.
+//
+// The error is a *LockedError while another process uses the directory, and a *DamageError when a file does not hold what was synced.
+func Open(opt Options) (*Log, *State, error) {
+	if opt.FileSystem == nil {
+		opt.FileSystem = Disk{}
+	}
+	if opt.SegmentBytes == 0 {
+		opt.SegmentBytes = defaultSegmentBytes
+	}
+	if err := opt.FileSystem.MkdirAll(opt.Dir); err != nil {
+		return nil, nil, errors.Wrap(err, "create the data directory")
+	}
+	path := filepath.Join(opt.Dir, lockName)
+	lck, err := opt.FileSystem.Lock(path)
+	if err != nil {
+		return nil, nil, &LockedError{file: path, cause: err}
+	}
+	lg := &Log{opt: opt, lock: lck, hardState: &controlpb.HardState{}}
+	sta, err := lg.open()
+	if err != nil {
+		_ = lg.Close()
+		return nil, nil, err
+	}
+	return lg, sta, nil
+}
+
+func (lg *Log) open() (*State, error) {
+	names, err := lg.opt.FileSystem.ReadDir(lg.opt.Dir)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the data directory")
+	}
+	if err := lg.removeTemporary(names); err != nil {
+		return nil, err
+	}
+	rpl := &replay{sta: &State{hardState: &controlpb.HardState{}}}
+	if err := lg.readStoreID(); err != nil {
+		return nil, err
+	}
+	if err := lg.readSnapshots(rpl.sta, names); err != nil {
+		return nil, err
+	}
+	if err := lg.readSegments(rpl, names); err != nil {
+		return nil, err
+	}
+	lg.hardState, lg.formation = rpl.sta.hardState, rpl.sta.formation
+	if lg.storeID == "" {
+		return rpl.sta, lg.create(rpl.sta)
+	}
+	return rpl.sta, lg.resume(rpl)
+}
+
+// create makes an empty directory, or one whose creation was interrupted, into a store; the store id is written last.
+func (lg *Log) create(sta *State) error {
+	if !sta.blank() {
+		return &DamageError{file: filepath.Join(lg.opt.Dir, storeIDName), reason: "the file is missing"}
+	}
+	if err := lg.opt.FileSystem.SyncDir(filepath.Dir(lg.opt.Dir)); err != nil {
+		return errors.Wrap(err, "sync the parent of the data directory")
+	}
+	lg.segments = nil
+	if err := lg.roll(); err != nil {
+		return err
+	}
+	sid := uuid.NewString()
+	if err := lg.replaceFile(storeIDName, []byte(sid+"\n")); err != nil {
+		return err
+	}
+	lg.storeID = sid
+	return nil
+}
+
+// resume opens the last segment for writing.
+func (lg *Log) resume(rpl *replay) error {
+	if len(lg.segments) == 0 {
+		return &DamageError{file: lg.segmentPath(1), reason: "the store has no segment"}
+	}
+	path := lg.segmentPath(lg.segments[len(lg.segments)-1].number)
+	fil, err := lg.opt.FileSystem.Append(path)
+	if err != nil {
+		return errors.Wrap(err, "open the last segment")
+	}
+	lg.file = fil
+	reset, err := rpl.join(lg.opt.Dir)
+	if err != nil || !reset {
+		return err
+	}
+	return lg.Append(Batch{Reset: rpl.sta.snapshot})
+}
+
+func (lg *Log) readStoreID() error {
+	path := filepath.Join(lg.opt.Dir, storeIDName)
+	data, err := lg.opt.FileSystem.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "read the store id")
+	}
+	sid, err := uuid.Parse(strings.TrimSuffix(string(data), "\n"))
+	if err != nil {
+		return &DamageError{file: path, reason: err.Error()}
+	}
+	lg.storeID = sid.String()
+	return nil
+}
+
+func (lg *Log) readSegments(rpl *replay, names []string) error {
+	nums := numbers(names, segmentSuffix)
+	for pos, num := range nums {
+		path := lg.segmentPath(num)
+		if pos > 0 && num != nums[pos-1]+1 {
+			return &DamageError{file: lg.segmentPath(nums[pos-1] + 1), reason: "the segment is missing"}
+		}
+		data, err := lg.opt.FileSystem.ReadFile(path)
+		if err != nil {
+			return errors.Wrap(err, "read a segment")
+		}
+		valid, err := rpl.segment(path, data, num, pos == len(nums)-1)
+		if err != nil {
+			return err
+		}
+		if valid == 0 && (pos > 0 || lg.storeID == "") {
+			return lg.dropSegment(path)
+		}
+		if valid == 0 {
+			return &DamageError{file: path, reason: "the header of the first segment is missing"}
+		}
+		lg.segments, lg.size = append(lg.segments, segment{number: num, last: rpl.last}), valid
+		if valid < int64(len(data)) {
+			if err := lg.opt.FileSystem.Truncate(path, valid); err != nil {
+				return errors.Wrap(err, "truncate the torn tail")
+			}
+		}
+	}
+	return nil
+}
+
+// dropSegment removes a last segment whose header was never synced; nothing can have been stored in it.
+func (lg *Log) dropSegment(path string) error {
+	if err := lg.opt.FileSystem.Remove(path); err != nil {
+		return errors.Wrap(err, "remove an unfinished segment")
+	}
+	return errors.Wrap(lg.opt.FileSystem.SyncDir(lg.opt.Dir), "sync the data directory")
+}
+
+func (lg *Log) removeTemporary(names []string) error {
+	for _, nam := range names {
+		if !strings.HasSuffix(nam, temporary) {
+			continue
+		}
+		if err := lg.opt.FileSystem.Remove(filepath.Join(lg.opt.Dir, nam)); err != nil {
+			return errors.Wrap(err, "remove a temporary file")
+		}
+	}
+	return nil
+}
+
+// numbers returns the numbers of the files with a suffix, in the order of the names.
+func numbers(names []string, suffix string) []uint64 {
+	var nums []uint64
+	for _, nam := range names {
+		stem, found := strings.CutSuffix(nam, suffix)
+		if !found {
+			continue
+		}
+		if num, err := strconv.ParseUint(stem, 10, 64); err == nil && num > 0 {
+			nums = append(nums, num)
+		}
+	}
+	return nums
+}
+
+// replaceFile writes a file under a temporary name, syncs it, renames it and syncs the directory.
+func (lg *Log) replaceFile(name string, data []byte) error {
+	fsy, path := lg.opt.FileSystem, filepath.Join(lg.opt.Dir, name)
+	tmp := path + temporary
+	fil, err := fsy.Create(tmp)
+	if err != nil {
+		return lg.fail("creation", tmp, err)
+	}
+	_, err = fil.Write(data)
+	if err == nil {
+		err = fil.Sync()
+	}
+	if err = errors.Join(err, fil.Close()); err != nil {
+		return lg.fail("write", tmp, err)
+	}
+	if err := fsy.Rename(tmp, path); err != nil {
+		return lg.fail("rename", path, err)
+	}
+	if err := fsy.SyncDir(lg.opt.Dir); err != nil {
+		return lg.fail("sync", lg.opt.Dir, err)
+	}
+	return nil
+}
+
+func snapshotName(idx uint64) string { return fmt.Sprintf("%020d%s", idx, snapshotSuffix) }
--- /dev/null
+++ b/internal/control/wal/replay.go
@@ -0,0 +1,139 @@
+package wal
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// State is the durable state of a member.
+type State struct {
+	hardState *controlpb.HardState
+	formation *controlpb.Members
+	snapshot  *controlpb.Snapshot
+	entries   []*controlpb.Entry
+}
+
+// HardState returns term, vote and commit index, never nil.
+func (sta *State) HardState() *controlpb.HardState { return sta.hardState }
+
+// Formation returns the membership recorded when the directory joined a cluster, nil before.
+func (sta *State) Formation() *controlpb.Members { return sta.formation }
+
+// Snapshot returns the newest snapshot, nil for none.
+func (sta *State) Snapshot() *controlpb.Snapshot { return sta.snapshot }
+
+// Entries returns the kept entries without gaps.
+func (sta *State) Entries() []*controlpb.Entry { return sta.entries }
+
+func (sta *State) blank() bool {
+	return sta.formation == nil && sta.snapshot == nil && len(sta.entries) == 0 && proto.Size(sta.hardState) == 0
+}
+
+// replay rebuilds the state from segments in order.
+type replay struct {
+	sta   *State
+	first uint64 // lowest index that entries may have
+	last  uint64 // highest entry index in the current segment
+}
+
+// segment applies one segment and returns the length of its valid part.
+func (rpl *replay) segment(path string, data []byte, number uint64, final bool) (int64, error) {
+	off := 0
+	rpl.last = 0
+	for off < len(data) {
+		payload, ok := readRecord(data[off:])
+		if !ok {
+			if final && !validAfter(data[off:]) {
+				break
+			}
+			return 0, &DamageError{file: path, offset: int64(off), reason: "record is incomplete or its checksum is wrong"}
+		}
+		if err := rpl.record(payload, off == 0, number); err != nil {
+			return 0, &DamageError{file: path, offset: int64(off), reason: err.Error()}
+		}
+		off += recordHeader + len(payload)
+	}
+	return int64(off), nil
+}
+
+func (rpl *replay) record(payload []byte, begin bool, number uint64) error {
+	return readItems(payload, func(kind byte, data []byte) error {
+		if (kind == itemSegment) != begin {
+			return errors.New("segment header is missing or misplaced")
+		}
+		begin = false
+		return rpl.item(kind, data, number)
+	})
+}
+
+func (rpl *replay) item(kind byte, data []byte, number uint64) error {
+	switch kind {
+	case itemHardState:
+		rpl.sta.hardState = &controlpb.HardState{}
+		return proto.Unmarshal(data, rpl.sta.hardState)
+	case itemFormation:
+		rpl.sta.formation = &controlpb.Members{}
+		return proto.Unmarshal(data, rpl.sta.formation)
+	}
+	ent, err := decodeEntry(data)
+	if err != nil {
+		return err
+	}
+	switch kind {
+	case itemSegment:
+		if ent.GetIndex() != number {
+			return errors.Errorf("segment holds number %d", ent.GetIndex())
+		}
+		return nil
+	case itemReset:
+		rpl.sta.entries, rpl.first = nil, ent.GetIndex()+1
+		return nil
+	case itemEntry:
+		return rpl.entry(ent)
+	default:
+		return errors.Errorf("item kind %d is not known", kind)
+	}
+}
+
+func (rpl *replay) entry(ent *controlpb.Entry) error {
+	idx := ent.GetIndex()
+	rpl.last = max(rpl.last, idx)
+	ents := rpl.sta.entries
+	if len(ents) == 0 {
+		if idx == 0 || (rpl.first != 0 && idx != rpl.first) {
+			return errors.Errorf("entry %d does not follow index %d", idx, rpl.first-1)
+		}
+		rpl.first, rpl.sta.entries = idx, append(ents, ent)
+		return nil
+	}
+	if end := rpl.first + uint64(len(ents)); idx < rpl.first || idx > end {
+		return errors.Errorf("entry %d does not follow entries %d to %d", idx, rpl.first, end-1)
+	}
+	rpl.sta.entries = append(ents[:idx-rpl.first], ent)
+	return nil
+}
+
+// join drops entries that the snapshot replaces; it reports whether the segments must record that.
+func (rpl *replay) join(dir string) (bool, error) {
+	snp, ents := rpl.sta.snapshot, rpl.sta.entries
+	idx := snp.GetIndex()
+	first, last := rpl.first, rpl.first+uint64(len(ents))-1
+	if first > idx+1 {
+		// Entries were removed or replaced under a snapshot that is no longer there.
+		reason := fmt.Sprintf("entries begin at %d and no snapshot reaches %d", first, first-1)
+		return false, &DamageError{file: filepath.Join(dir, snapshotName(first-1)), reason: reason}
+	}
+	if len(ents) == 0 {
+		return idx > 0 && first != idx+1, nil
+	}
+	if idx > last || (idx >= first && ents[idx-first].GetTerm() != snp.GetTerm()) {
+		rpl.sta.entries = nil
+		return true, nil
+	}
+	return false, nil
+}
--- /dev/null
+++ b/internal/control/wal/snapshot.go
@@ -0,0 +1,81 @@
+package wal
+
+import (
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// SaveSnapshot makes a snapshot durable and then removes older ones; a *WriteError makes the log unusable.
+func (lg *Log) SaveSnapshot(snp *controlpb.Snapshot) error {
+	if lg.failure != nil {
+		return lg.failure
+	}
+	name := snapshotName(snp.GetIndex())
+	data, err := proto.MarshalOptions{}.MarshalAppend(newRecord(nil), snp)
+	if err == nil {
+		err = sealRecord(data)
+	}
+	if err != nil {
+		return lg.fail("encoding", name, err)
+	}
+	if err := lg.replaceFile(name, data); err != nil {
+		return err
+	}
+	return lg.removeSnapshots(snp.GetIndex())
+}
+
+func (lg *Log) removeSnapshots(before uint64) error {
+	names, err := lg.opt.FileSystem.ReadDir(lg.opt.Dir)
+	if err != nil {
+		return lg.fail("listing", lg.opt.Dir, err)
+	}
+	for _, idx := range numbers(names, snapshotSuffix) {
+		if idx >= before {
+			continue
+		}
+		path := filepath.Join(lg.opt.Dir, snapshotName(idx))
+		if err := lg.opt.FileSystem.Remove(path); err != nil {
+			return lg.fail("removal", path, err)
+		}
+	}
+	return nil
+}
+
+// LoadSnapshot reads the snapshot of an index with its data.
+func (lg *Log) LoadSnapshot(idx uint64) (*controlpb.Snapshot, error) {
+	path := filepath.Join(lg.opt.Dir, snapshotName(idx))
+	data, err := lg.opt.FileSystem.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read a snapshot")
+	}
+	payload, ok := readRecord(data)
+	if !ok || len(payload)+recordHeader != len(data) {
+		return nil, &DamageError{file: path, reason: "record is incomplete or its checksum is wrong"}
+	}
+	snp := &controlpb.Snapshot{}
+	if err := proto.Unmarshal(payload, snp); err != nil {
+		return nil, &DamageError{file: path, reason: err.Error()}
+	}
+	if snp.GetIndex() != idx {
+		return nil, &DamageError{file: path, reason: "the index differs from the name"}
+	}
+	return snp, nil
+}
+
+// readSnapshots loads the newest snapshot; the rename makes every named snapshot whole, so an invalid one is damage.
+func (lg *Log) readSnapshots(sta *State, names []string) error {
+	nums := numbers(names, snapshotSuffix)
+	if len(nums) == 0 {
+		return nil
+	}
+	snp, err := lg.LoadSnapshot(nums[len(nums)-1])
+	if err != nil {
+		return err
+	}
+	sta.snapshot = snp
+	return nil
+}
--- /dev/null
+++ b/internal/control/wal/wal.go
@@ -0,0 +1,222 @@
+package wal
+
+import (
+	"fmt"
+	"io"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// defaultSegmentBytes keeps about 20,000 entries of 200 bytes in one file, so that few files exist at a time.
+const defaultSegmentBytes = 4 << 20
+
+// Options are the settings of a log.
+type Options struct {
+	Dir          string     // data directory, created when missing
+	FileSystem   FileSystem // the host's file system when nil
+	SegmentBytes int64      // size after which a new segment begins; 4 MiB
+}
+
+// segment is one file of records.
+type segment struct {
+	number uint64
+	last   uint64 // highest entry index in it
+}
+
+// Log is the durable state of one member; it is not safe for concurrent use.
+type Log struct {
+	opt       Options
+	lock      io.Closer
+	storeID   string
+	file      File
+	size      int64
+	segments  []segment // oldest first; the last one is open
+	hardState *controlpb.HardState
+	formation *controlpb.Members
+	buffer    []byte
+	written   int64
+	failure   error
+}
+
+// Batch is what one Append makes durable.
+type Batch struct {
+	HardState *controlpb.HardState // nil when unchanged
+	Reset     *controlpb.Snapshot  // installed snapshot that replaces all entries, nil for none
+	Entries   []*controlpb.Entry   // replace stored entries from the first index on
+}
+
+// StoreID returns the random id of the data directory.
+func (lg *Log) StoreID() string { return lg.storeID }
+
+// Written returns the bytes of the records written since Open.
+func (lg *Log) Written() int64 { return lg.written }
+
+// Append makes a batch durable with one write and one sync; after any *WriteError the log is unusable.
+func (lg *Log) Append(bat Batch) error {
+	if bat.HardState != nil {
+		lg.hardState = bat.HardState
+	}
+	return lg.write(func(buf []byte) ([]byte, error) { return encodeBatch(buf, bat, &lg.segments[len(lg.segments)-1]) })
+}
+
+func encodeBatch(buf []byte, bat Batch, seg *segment) ([]byte, error) {
+	var err error
+	if bat.HardState != nil {
+		if buf, err = addItem(buf, itemHardState, bat.HardState); err != nil {
+			return nil, err
+		}
+	}
+	if bat.Reset != nil {
+		mrk := &controlpb.Entry{Index: bat.Reset.GetIndex(), Term: bat.Reset.GetTerm()}
+		if buf, err = addItem(buf, itemReset, mrk); err != nil {
+			return nil, err
+		}
+	}
+	for _, ent := range bat.Entries {
+		seg.last = max(seg.last, ent.GetIndex())
+		if buf, err = addItem(buf, itemEntry, ent); err != nil {
+			return nil, err
+		}
+	}
+	return buf, nil
+}
+
+// Form records in one step that the directory belongs to a cluster, and the first batch of its log; the error is a *FormedError when it already belongs to one.
+func (lg *Log) Form(mbs *controlpb.Members, bat Batch) error {
+	if lg.formation != nil {
+		return &FormedError{clusterID: lg.formation.GetClusterId()}
+	}
+	lg.formation = mbs
+	if bat.HardState != nil {
+		lg.hardState = bat.HardState
+	}
+	return lg.write(func(buf []byte) ([]byte, error) {
+		buf, err := addItem(buf, itemFormation, mbs)
+		if err != nil {
+			return nil, err
+		}
+		return encodeBatch(buf, bat, &lg.segments[len(lg.segments)-1])
+	})
+}
+
+// write appends one record and syncs it.
+func (lg *Log) write(fill func([]byte) ([]byte, error)) error {
+	if lg.failure != nil {
+		return lg.failure
+	}
+	if lg.size >= lg.opt.SegmentBytes {
+		if err := lg.roll(); err != nil {
+			return err
+		}
+	}
+	return lg.writeRecord(fill)
+}
+
+func (lg *Log) writeRecord(fill func([]byte) ([]byte, error)) error {
+	path := lg.segmentPath(lg.segments[len(lg.segments)-1].number)
+	buf, err := fill(newRecord(lg.buffer))
+	if err != nil {
+		return lg.fail("encoding", path, err)
+	}
+	if len(buf) == recordHeader {
+		return nil
+	}
+	if err := sealRecord(buf); err != nil {
+		return lg.fail("encoding", path, err)
+	}
+	lg.buffer = buf
+	if _, err := lg.file.Write(buf); err != nil {
+		return lg.fail("write", path, err)
+	}
+	if err := lg.file.Sync(); err != nil {
+		return lg.fail("sync", path, err)
+	}
+	lg.size += int64(len(buf))
+	lg.written += int64(len(buf))
+	return nil
+}
+
+// fail makes the log unusable.
+func (lg *Log) fail(operation, file string, cause error) error {
+	if lg.failure == nil {
+		lg.failure = &WriteError{operation: operation, file: file, cause: cause}
+	}
+	return lg.failure
+}
+
+// roll begins the next segment, which repeats hard state and formation so that older ones can be removed.
+func (lg *Log) roll() error {
+	if lg.file != nil {
+		if err := lg.file.Close(); err != nil {
+			return lg.fail("close", lg.opt.Dir, err)
+		}
+	}
+	num := uint64(1)
+	if len(lg.segments) > 0 {
+		num = lg.segments[len(lg.segments)-1].number + 1
+	}
+	path := lg.segmentPath(num)
+	fil, err := lg.opt.FileSystem.Create(path)
+	if err != nil {
+		return lg.fail("creation", path, err)
+	}
+	lg.file, lg.size = fil, 0
+	lg.segments = append(lg.segments, segment{number: num})
+	if err := lg.writeRecord(lg.header(num)); err != nil {
+		return err
+	}
+	if err := lg.opt.FileSystem.SyncDir(lg.opt.Dir); err != nil {
+		return lg.fail("sync", lg.opt.Dir, err)
+	}
+	return nil
+}
+
+func (lg *Log) header(num uint64) func([]byte) ([]byte, error) {
+	return func(buf []byte) ([]byte, error) {
+		buf, err := addItem(buf, itemSegment, &controlpb.Entry{Index: num})
+		if err == nil {
+			buf, err = addItem(buf, itemHardState, lg.hardState)
+		}
+		if err == nil && lg.formation != nil {
+			buf, err = addItem(buf, itemFormation, lg.formation)
+		}
+		return buf, err
+	}
+}
+
+// Compact removes the oldest segments whose entries all lie at or below idx, which a durable snapshot must cover.
+func (lg *Log) Compact(idx uint64) error {
+	if lg.failure != nil {
+		return lg.failure
+	}
+	for len(lg.segments) > 1 && lg.segments[0].last <= idx {
+		path := lg.segmentPath(lg.segments[0].number)
+		if err := lg.opt.FileSystem.Remove(path); err != nil {
+			return lg.fail("removal", path, err)
+		}
+		lg.segments = lg.segments[1:]
+		// Each removal is synced before the next, because a gap between segments counts as damage.
+		if err := lg.opt.FileSystem.SyncDir(lg.opt.Dir); err != nil {
+			return lg.fail("sync", lg.opt.Dir, err)
+		}
+	}
+	return nil
+}
+
+// Close releases the files; what was appended is already durable.
+func (lg *Log) Close() error {
+	var err error
+	if lg.file != nil {
+		err = lg.file.Close()
+	}
+	if lg.failure == nil {
+		lg.failure = errors.New("the log is closed")
+	}
+	return errors.Join(err, lg.lock.Close())
+}
+
+func (lg *Log) segmentPath(num uint64) string {
+	return filepath.Join(lg.opt.Dir, fmt.Sprintf("%08d.wal", num))
+}
