--- /dev/null
+++ b/internal/control/agent/commands.go
@@ -0,0 +1,128 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// retryEvery is the pause before a proposal that failed in this term is tried again.
+const retryEvery = 50 * time.Millisecond
+
+// handle acts on one message of the agent; commands are proposed by another goroutine, so that renewals never wait for a commit.
+func (stm *stream) handle(msg *controlpb.AgentMessage) {
+	switch knd := msg.GetKind().(type) {
+	case *controlpb.AgentMessage_Renew:
+		stm.term.renew(stm, knd.Renew)
+	case *controlpb.AgentMessage_Load:
+		stm.term.loads.report(stm.session, knd.Load, time.Now())
+	case *controlpb.AgentMessage_Released:
+		rel := &controlpb.Released{Session: stm.session, Shards: knd.Released.GetShards()}
+		stm.enqueue(&controlpb.Command{Kind: &controlpb.Command_Released{Released: rel}})
+	case *controlpb.AgentMessage_SetUpstream:
+		stm.enqueueUpstream(knd.SetUpstream)
+	case *controlpb.AgentMessage_Drain:
+		stm.leave(knd.Drain)
+	}
+}
+
+func (stm *stream) enqueueUpstream(ups *controlpb.Upstream) {
+	cpy := proto.Clone(ups).(*controlpb.Upstream)
+	if cpy.GetState() == controlpb.UpstreamState_UPSTREAM_STATE_SERVING && stm.term.leaving(stm.session) {
+		cpy.State = controlpb.UpstreamState_UPSTREAM_STATE_DRAINING
+	}
+	set := &controlpb.SetUpstream{Session: stm.session, Upstream: cpy}
+	stm.enqueue(&controlpb.Command{Kind: &controlpb.Command_SetUpstream{SetUpstream: set}})
+}
+
+// leave marks the session's upstream as draining, or as serving again.
+func (stm *stream) leave(drn bool) {
+	stm.term.mut.Lock()
+	if lea := stm.term.leases[stm.session]; lea != nil {
+		lea.leaving = drn
+	}
+	stm.term.mut.Unlock()
+	ups := stm.term.sessions.upstreamOf(stm.session)
+	was, now := controlpb.UpstreamState_UPSTREAM_STATE_DRAINING, controlpb.UpstreamState_UPSTREAM_STATE_SERVING
+	if drn {
+		was, now = now, was
+	}
+	if ups.GetState() == was {
+		ups.State = now
+		set := &controlpb.SetUpstream{Session: stm.session, Upstream: ups}
+		stm.enqueue(&controlpb.Command{Kind: &controlpb.Command_SetUpstream{SetUpstream: set}})
+	}
+}
+
+func (trm *term) leaving(num uint64) bool {
+	trm.mut.Lock()
+	defer trm.mut.Unlock()
+	lea := trm.leases[num]
+	return lea != nil && lea.leaving
+}
+
+// upstreamOf returns a copy of a session's upstream, nil if there is none.
+func (ses *Sessions) upstreamOf(num uint64) *controlpb.Upstream {
+	var ups *controlpb.Upstream
+	ses.registry.View(func(stt *controlpb.RegistryState) {
+		if nod := findNode(stt, num); nod.GetUpstream() != nil {
+			ups = proto.Clone(nod.GetUpstream()).(*controlpb.Upstream)
+		}
+	})
+	return ups
+}
+
+// enqueue has a command proposed; an agent that sends more than can be proposed is disconnected and reports anew.
+func (stm *stream) enqueue(cmd *controlpb.Command) {
+	select {
+	case stm.commands <- cmd:
+	default:
+		stm.close()
+	}
+}
+
+// work proposes the agent's commands in their order.
+func (stm *stream) work() {
+	for {
+		select {
+		case cmd := <-stm.commands:
+			stm.propose(cmd)
+		case <-stm.done:
+			return
+		case <-stm.term.ctx.Done():
+			return
+		}
+	}
+}
+
+// propose repeats a command until it is committed or the term is over; commands of agents may be applied twice.
+func (stm *stream) propose(cmd *controlpb.Command) {
+	for {
+		_, err := stm.term.sessions.log.Propose(stm.term.ctx, cmd)
+		if err == nil {
+			stm.term.kick()
+			return
+		}
+		var nle *siskinrill.NotLeaderError
+		if errors.As(err, &nle) || !stm.pause() {
+			return
+		}
+		logrus.Debugf("sessions: a command of session %d is proposed again: %v", stm.session, err)
+	}
+}
+
+func (stm *stream) pause() bool {
+	tmr := time.NewTimer(retryEvery)
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+		return true
+	case <-stm.term.ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/control/agent/figures.go
@@ -0,0 +1,71 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// Figure is what the leader knows of a session beside the registry.
+type Figure struct {
+	Session  uint64
+	Version  uint64  // newest log index that the agent has applied
+	Config   uint64  // configuration number in force at the agent
+	Requests float64 // a second
+	Busy     float64 // slots in use on average
+	InFlight uint32
+	Queued   uint32
+	Limit    uint32
+	Refusals map[string]uint64 // in the last report
+}
+
+// Figures returns the figures by session, nil while this process does not lead.
+func (ses *Sessions) Figures() map[uint64]Figure {
+	trm := ses.current()
+	if trm == nil {
+		return nil
+	}
+	trm.mut.Lock()
+	defer trm.mut.Unlock()
+	trm.loads.mut.Lock()
+	defer trm.loads.mut.Unlock()
+	out := make(map[uint64]Figure, len(trm.leases))
+	for num, lea := range trm.leases {
+		out[num] = trm.figure(lea)
+	}
+	return out
+}
+
+func (trm *term) figure(lea *lease) Figure {
+	fgr := Figure{Session: lea.session, Version: lea.version, Config: lea.config}
+	rep := trm.loads.reports[lea.session]
+	if rep == nil || time.Since(rep.at) > neverReported {
+		return fgr
+	}
+	fgr.Requests, fgr.Busy = rep.requests, rep.busy
+	fgr.InFlight, fgr.Queued, fgr.Limit = rep.last.GetInFlight(), rep.last.GetQueued(), rep.last.GetLimit()
+	fgr.Refusals = rep.last.GetRefusals()
+	return fgr
+}
+
+// Lagging returns the names of the agents that may hold a lease and have not told that a configuration number is in force, in order; false while this process does not lead.
+func (ses *Sessions) Lagging(num uint64) ([]string, bool) {
+	trm := ses.current()
+	if trm == nil {
+		return nil, false
+	}
+	trm.sync(time.Now())
+	trm.mut.Lock()
+	defer trm.mut.Unlock()
+	var out []string
+	for _, lea := range trm.leases {
+		if !lea.heard || lea.config < num {
+			out = append(out, lea.name)
+		}
+	}
+	slices.Sort(out)
+	return out, true
+}
+
+var _ controlpb.SessionServiceServer = (*Sessions)(nil)
--- /dev/null
+++ b/internal/control/agent/hub.go
@@ -0,0 +1,179 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// targetsFirst bounds how long other streams wait until the new owners have been told.
+const targetsFirst = 5 * time.Millisecond
+
+// message is a control message that is encoded once for all streams that need it.
+type message struct {
+	plain  *controlpb.ControlMessage
+	to     uint64
+	shared bool
+
+	once sync.Once
+	prep *grpc.PreparedMsg
+}
+
+func (msg *message) sendTo(srv server) error {
+	if !msg.shared {
+		return srv.Send(msg.plain)
+	}
+	msg.once.Do(func() {
+		prp := &grpc.PreparedMsg{}
+		if prp.Encode(srv, msg.plain) == nil {
+			msg.prep = prp
+		}
+	})
+	if msg.prep == nil {
+		return srv.Send(msg.plain)
+	}
+	return srv.SendMsg(msg.prep)
+}
+
+// hub holds the differences and the snapshot that streams share, until the next change.
+type hub struct {
+	sessions *Sessions
+
+	mut      sync.Mutex
+	version  uint64
+	byFrom   map[uint64]*message
+	snapshot *message
+}
+
+func newHub(ses *Sessions) *hub {
+	return &hub{sessions: ses, byFrom: map[uint64]*message{}}
+}
+
+// reset drops the shared messages after a change and returns the difference since the previous one, nil when it is not kept.
+func (hub *hub) reset() *controlpb.Difference {
+	hub.mut.Lock()
+	defer hub.mut.Unlock()
+	dif, ok := hub.sessions.registry.Since(hub.version)
+	clear(hub.byFrom)
+	hub.snapshot = nil
+	if !ok {
+		hub.version = hub.sessions.registry.Tables().GetVersion()
+		return nil
+	}
+	hub.version = dif.GetTo()
+	return dif
+}
+
+// newest returns the version of the newest change.
+func (hub *hub) newest() uint64 {
+	hub.mut.Lock()
+	defer hub.mut.Unlock()
+	return hub.version
+}
+
+// after returns the message that brings an agent up to date from a version, nil when it is. Version 0 means that the agent has no tables.
+func (hub *hub) after(ver uint64) *message {
+	hub.mut.Lock()
+	defer hub.mut.Unlock()
+	if ver == 0 {
+		return hub.tables()
+	}
+	if msg, ok := hub.byFrom[ver]; ok {
+		return msg
+	}
+	dif, ok := hub.sessions.registry.Since(ver)
+	if !ok {
+		return hub.tables()
+	}
+	var msg *message
+	if len(dif.GetChanges()) > 0 {
+		msg = &message{
+			plain: &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Difference{Difference: dif}},
+			to:    dif.GetTo(), shared: true,
+		}
+	}
+	hub.byFrom[ver] = msg
+	return msg
+}
+
+func (hub *hub) tables() *message {
+	if hub.snapshot == nil {
+		snp := hub.sessions.registry.Tables()
+		snp.Members = members(hub.sessions.log.Members())
+		hub.snapshot = &message{
+			plain: &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Snapshot{Snapshot: snp}},
+			to:    snp.GetVersion(), shared: true,
+		}
+	}
+	return hub.snapshot
+}
+
+func members(sts []*controlpb.MemberStatus) *controlpb.Members {
+	mbs := &controlpb.Members{}
+	for _, mst := range sts {
+		mbs.Members = append(mbs.Members, mst.GetMember())
+	}
+	return mbs
+}
+
+// watchLoop has changes sent to all streams as they are applied, to the new owners first.
+func (trm *term) watchLoop() {
+	for {
+		changed := trm.sessions.registry.Changed()
+		trm.sync(time.Now())
+		trm.broadcast(trm.hub.reset())
+		select {
+		case <-changed:
+		case <-trm.ctx.Done():
+			return
+		}
+	}
+}
+
+func (trm *term) broadcast(dif *controlpb.Difference) {
+	owners := map[uint64]bool{}
+	for _, chg := range dif.GetChanges() {
+		if own := chg.GetSetShard().GetOwner(); own != 0 {
+			owners[own] = true
+		}
+	}
+	streams := trm.streams()
+	tmr := time.NewTimer(targetsFirst)
+	defer tmr.Stop()
+	var first []*stream
+	for _, stm := range streams {
+		if owners[stm.session] {
+			first = append(first, stm)
+			stm.tell()
+		}
+	}
+	awaitTold(first, tmr.C)
+	for _, stm := range streams {
+		if !owners[stm.session] {
+			stm.signal()
+		}
+	}
+}
+
+// tell wakes the writer and clears its sign of having sent the tables.
+func (stm *stream) tell() {
+	select {
+	case <-stm.told:
+	default:
+	}
+	stm.signal()
+}
+
+func awaitTold(streams []*stream, end <-chan time.Time) {
+	for _, stm := range streams {
+		select {
+		case <-stm.told:
+		case <-stm.written:
+		case <-end:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/agent/loads.go
@@ -0,0 +1,177 @@
+package agent
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	// smoothing is the time constant of load figures.
+	smoothing = 5 * time.Second
+	// hotAge is how long a hot key is kept after the last report that named it.
+	hotAge = 3 * time.Second
+	// hotFloor leaves out keys under this share of an upstream's mean load, far below what the policy isolates.
+	hotFloor = 0.05
+	// maxHotKeys bounds the hot keys given to the policy for a service.
+	maxHotKeys = 1024
+	// neverReported is the age of the report of an upstream that has sent none.
+	neverReported = time.Hour
+)
+
+// figure is a load smoothed over reports, in requests a second.
+type figure struct {
+	value float64
+	at    time.Time
+	token uint64
+}
+
+func (fig *figure) update(rate float64, now time.Time) {
+	if fig.at.IsZero() {
+		fig.value = rate
+	} else {
+		fig.value += (rate - fig.value) * (1 - decay(now.Sub(fig.at)))
+	}
+	fig.at = now
+}
+
+// settle lets a figure sink when a report of its owner did not name the shard; after a new grant it starts from the earlier owner's value.
+func (fig *figure) settle(tok uint64, reported, now time.Time) {
+	if fig.token != tok {
+		fig.token = tok
+		if !fig.at.IsZero() {
+			fig.at = now
+		}
+		return
+	}
+	if !fig.at.IsZero() && reported.After(fig.at) {
+		fig.value *= decay(reported.Sub(fig.at))
+		fig.at = reported
+	}
+}
+
+func decay(dur time.Duration) float64 { return math.Exp(-float64(dur) / float64(smoothing)) }
+
+// report is the newest load report of a session.
+type report struct {
+	at       time.Time
+	interval time.Duration
+	requests float64 // a second
+	busy     float64 // slots in use on average
+	last     *controlpb.LoadReport
+	hot      map[hotName]*figure
+}
+
+type hotName struct{ service, key string }
+
+// serviceLoads are the figures of one service.
+type serviceLoads struct {
+	partitions []figure
+	overrides  map[string]*figure
+}
+
+// loads keeps the figures that agents report; they are not durable.
+type loads struct {
+	mut      sync.Mutex
+	services map[string]*serviceLoads
+	reports  map[uint64]*report
+}
+
+func newLoads() *loads {
+	return &loads{services: map[string]*serviceLoads{}, reports: map[uint64]*report{}}
+}
+
+func (lds *loads) forget(ses uint64) {
+	lds.mut.Lock()
+	defer lds.mut.Unlock()
+	delete(lds.reports, ses)
+}
+
+// report takes in a load report at its receipt.
+func (lds *loads) report(ses uint64, msg *controlpb.LoadReport, now time.Time) {
+	lds.mut.Lock()
+	defer lds.mut.Unlock()
+	secs := max(float64(msg.GetIntervalMs())/1000, 0.001)
+	rep := lds.reports[ses]
+	if rep == nil {
+		rep = &report{hot: map[hotName]*figure{}}
+		lds.reports[ses] = rep
+	}
+	rep.at, rep.last = now, msg
+	rep.interval = time.Duration(msg.GetIntervalMs()) * time.Millisecond
+	rep.requests = float64(msg.GetRequests()) / secs
+	rep.busy = float64(msg.GetBusyMs()) / 1000 / secs
+	for _, shl := range msg.GetShards() {
+		lds.shard(shl.GetShard()).update(float64(shl.GetRequests())/secs, now)
+	}
+	rep.updateHot(msg.GetHotKeys(), secs, now)
+}
+
+func (rep *report) updateHot(keys []*controlpb.ShardLoad, secs float64, now time.Time) {
+	for _, shl := range keys {
+		nam := hotName{service: shl.GetShard().GetService(), key: shl.GetShard().GetKey()}
+		fig := rep.hot[nam]
+		if fig == nil {
+			fig = &figure{}
+			rep.hot[nam] = fig
+		}
+		fig.update(float64(shl.GetRequests())/secs, now)
+	}
+	for nam, fig := range rep.hot {
+		if now.Sub(fig.at) > hotAge {
+			delete(rep.hot, nam)
+		}
+	}
+}
+
+// shard returns the figure of a shard; one of an unknown service or partition is not kept.
+func (lds *loads) shard(ref *controlpb.ShardRef) *figure {
+	svc := lds.services[ref.GetService()]
+	if svc == nil {
+		return &figure{}
+	}
+	if ref.GetKey() != "" {
+		if fig := svc.overrides[ref.GetKey()]; fig != nil {
+			return fig
+		}
+		return &figure{}
+	}
+	if int(ref.GetPartition()) >= len(svc.partitions) {
+		return &figure{}
+	}
+	return &svc.partitions[ref.GetPartition()]
+}
+
+// service returns the figures of a service with a number of partitions.
+func (lds *loads) service(name string, partitions int) *serviceLoads {
+	svc := lds.services[name]
+	if svc == nil || len(svc.partitions) != partitions {
+		svc = &serviceLoads{partitions: make([]figure, partitions), overrides: map[string]*figure{}}
+		lds.services[name] = svc
+	}
+	return svc
+}
+
+// hottest returns the keys that stand out, highest first, for which owner returns the reporting session's partition.
+func (lds *loads) hottest(svc string, floor float64, partitions uint32, now time.Time) []siskinrill.HotKey {
+	var out []siskinrill.HotKey
+	for ses, rep := range lds.reports {
+		for nam, fig := range rep.hot {
+			if nam.service != svc || fig.value < floor || now.Sub(fig.at) > hotAge {
+				continue
+			}
+			out = append(out, siskinrill.HotKey{
+				Key: nam.key, Partition: siskinrill.Partition(svc, nam.key, partitions), Owner: ses, Load: fig.value,
+			})
+		}
+	}
+	slices.SortFunc(out, func(one, two siskinrill.HotKey) int {
+		return cmp.Or(cmp.Compare(two.Load, one.Load), cmp.Compare(one.Key, two.Key))
+	})
+	return out[:min(len(out), maxHotKeys)]
+}
--- /dev/null
+++ b/internal/control/agent/send.go
@@ -0,0 +1,137 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+func (stm *stream) signal() {
+	select {
+	case stm.wake <- struct{}{}:
+	default:
+	}
+}
+
+// grant has renewals up to a sequence answered.
+func (stm *stream) grant(seq uint64) {
+	stm.mut.Lock()
+	stm.granted = max(stm.granted, seq)
+	stm.mut.Unlock()
+	stm.signal()
+}
+
+func (stm *stream) tellDrain(drn bool) {
+	stm.mut.Lock()
+	stm.drain = &drn
+	stm.mut.Unlock()
+	stm.signal()
+}
+
+func (stm *stream) tellMembers(mbs *controlpb.Members) {
+	stm.mut.Lock()
+	stm.members = mbs
+	stm.mut.Unlock()
+	stm.signal()
+}
+
+func (stm *stream) expire(rsn string) { stm.finish(expired(rsn)) }
+
+// finish has a last message sent, after which the stream ends.
+func (stm *stream) finish(msg *controlpb.ControlMessage) {
+	stm.mut.Lock()
+	if stm.last == nil {
+		stm.last = msg
+	}
+	stm.mut.Unlock()
+	stm.signal()
+}
+
+// write sends what is due until the last message or an error.
+func (stm *stream) write() {
+	defer close(stm.written)
+	stm.signal()
+	for {
+		select {
+		case <-stm.wake:
+		case <-stm.done:
+			return
+		}
+		if !stm.flush() {
+			return
+		}
+	}
+}
+
+// flush sends the answers and differences that are due, false when the stream is over.
+func (stm *stream) flush() bool {
+	stm.mut.Lock()
+	last, seq, drn, mbs := stm.last, stm.granted, stm.drain, stm.members
+	stm.drain, stm.members = nil, nil
+	stm.mut.Unlock()
+	if last != nil {
+		_ = stm.send(&message{plain: last})
+		return false
+	}
+	if seq > stm.answered && !stm.sendGrant(seq) {
+		return false
+	}
+	if drn != nil {
+		msg := &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Drain{Drain: *drn}}
+		if stm.send(&message{plain: msg}) != nil {
+			return false
+		}
+	}
+	return stm.sendTables() && (mbs == nil || stm.sendMembers(mbs))
+}
+
+func (stm *stream) sendGrant(seq uint64) bool {
+	stm.answered = seq
+	ans := &controlpb.RenewAnswer{Sequence: seq, Version: stm.term.hub.newest()}
+	return stm.send(&message{plain: &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_RenewAnswer{RenewAnswer: ans}}}) == nil
+}
+
+// sendTables brings the agent up to date by a difference or a snapshot.
+func (stm *stream) sendTables() bool {
+	msg := stm.term.hub.after(stm.version)
+	if msg != nil && stm.send(msg) != nil {
+		return false
+	}
+	if msg != nil {
+		stm.mut.Lock()
+		stm.version = msg.to
+		stm.mut.Unlock()
+	}
+	select {
+	case stm.told <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+func (stm *stream) sendMembers(mbs *controlpb.Members) bool {
+	dif := &controlpb.Difference{
+		From: stm.version, To: stm.version,
+		Changes: []*controlpb.Change{{Kind: &controlpb.Change_Members{Members: mbs}}},
+	}
+	return stm.send(&message{plain: &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Difference{Difference: dif}}}) == nil
+}
+
+func (stm *stream) send(msg *message) error {
+	stm.setSending(time.Now())
+	defer stm.setSending(time.Time{})
+	return msg.sendTo(stm.server)
+}
+
+func (stm *stream) setSending(tim time.Time) {
+	stm.mut.Lock()
+	defer stm.mut.Unlock()
+	stm.sending = tim
+}
+
+// blocked reports whether one send has been under way for longer than a time.
+func (stm *stream) blocked(now time.Time, limit time.Duration) bool {
+	stm.mut.Lock()
+	defer stm.mut.Unlock()
+	return !stm.sending.IsZero() && now.Sub(stm.sending) > limit
+}
--- /dev/null
+++ b/internal/control/agent/sessions.go
@@ -0,0 +1,115 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// helloTimeout bounds the wait for the first message of a stream.
+const helloTimeout = 5 * time.Second
+
+// Sessions serves the sessions of agents while this process leads, and redirects agents otherwise.
+type Sessions struct {
+	controlpb.UnimplementedSessionServiceServer
+
+	options  Options
+	log      siskinrill.Log
+	registry siskinrill.Registry
+	policy   siskinrill.Policy
+	started  time.Time
+	hooks    hooks
+
+	mut  sync.Mutex
+	term *term // nil while this process does not lead
+}
+
+// New returns sessions that serve once Run is called; the policy is used by one goroutine at a time.
+func New(opt Options, log siskinrill.Log, reg siskinrill.Registry, pol siskinrill.Policy) *Sessions {
+	return &Sessions{options: opt.withDefaults(), log: log, registry: reg, policy: pol, started: time.Now()}
+}
+
+// Register adds the session service to a gRPC server.
+func (ses *Sessions) Register(reg grpc.ServiceRegistrar) {
+	controlpb.RegisterSessionServiceServer(reg, ses)
+}
+
+// Run serves one term of leadership after the other until the context ends.
+func (ses *Sessions) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		ldr, changed := ses.log.Leadership()
+		if !ldr.Leading() {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		ses.lead(ctx, ldr)
+	}
+	return ctx.Err()
+}
+
+// lead serves one term and returns once all of its goroutines and proposals have ended, so that no proposal of this term can follow a later one.
+func (ses *Sessions) lead(ctx context.Context, ldr siskinrill.Leadership) {
+	logrus.Infof("sessions: serving term %d", ldr.Term())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	trm := newTerm(ctx, ses, ldr)
+	ses.setTerm(trm)
+	trm.start()
+	ses.awaitLoss(ctx, ldr.Term())
+	ses.setTerm(nil)
+	cancel()
+	trm.stop()
+	logrus.Infof("sessions: term %d is over", ldr.Term())
+}
+
+func (ses *Sessions) setTerm(trm *term) {
+	ses.mut.Lock()
+	defer ses.mut.Unlock()
+	ses.term = trm
+}
+
+func (ses *Sessions) current() *term {
+	ses.mut.Lock()
+	defer ses.mut.Unlock()
+	return ses.term
+}
+
+// awaitLoss returns once this process no longer leads the term.
+func (ses *Sessions) awaitLoss(ctx context.Context, trm uint64) {
+	for {
+		ldr, changed := ses.log.Leadership()
+		if !ldr.Leading() || ldr.Term() != trm {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (ses *Sessions) redirect(rsn string) *controlpb.ControlMessage {
+	ldr, _ := ses.log.Leadership()
+	return &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Redirect{
+		Redirect: &controlpb.Redirect{LeaderAddress: ldr.Address(), Reason: rsn},
+	}}
+}
+
+// Connect serves the stream of one agent until either side ends it, the session is over or leadership is lost.
+func (ses *Sessions) Connect(srv grpc.BidiStreamingServer[controlpb.AgentMessage, controlpb.ControlMessage]) error {
+	trm := ses.current()
+	if trm == nil {
+		return srv.Send(ses.redirect("not_leader"))
+	}
+	return newStream(trm, srv).serve()
+}
--- /dev/null
+++ b/internal/control/agent/term.go
@@ -0,0 +1,185 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// term is the state of one term of leadership, all of it in memory and rebuilt by the next leader.
+type term struct {
+	ctx      context.Context
+	sessions *Sessions
+	since    time.Time
+	base     uint64 // registry index at the start of the term
+	group    sync.WaitGroup
+	hub      *hub
+	loads    *loads
+	kicked   chan struct{} // a tick is wanted at once
+	queued   chan struct{} // a renewal waits
+
+	mut      sync.Mutex
+	leases   map[uint64]*lease
+	waiting  []renewal
+	configs  []acceptance // newest last
+	expiring bool         // a proposal to expire sessions is under way
+	planning bool         // a proposal of assignments is under way
+	over     bool         // nothing may be spawned any more
+	drains   map[string]bool
+	members  *controlpb.Members
+}
+
+// acceptance tells until when sessions may be behind a configuration.
+type acceptance struct {
+	number   uint64
+	deadline time.Time
+}
+
+func newTerm(ctx context.Context, ses *Sessions, ldr siskinrill.Leadership) *term {
+	trm := &term{
+		ctx: ctx, sessions: ses, since: ldr.Since(), base: ses.registry.Index(),
+		hub: newHub(ses), loads: newLoads(), leases: map[uint64]*lease{}, drains: map[string]bool{},
+		kicked: make(chan struct{}, 1), queued: make(chan struct{}, 1),
+	}
+	trm.sync(trm.firstSeen())
+	return trm
+}
+
+// firstSeen returns when the sessions that an earlier leader served count as renewed.
+func (trm *term) firstSeen() time.Time {
+	if trm.sessions.hooks.skipWait {
+		return trm.since.Add(-trm.sessions.options.Wait + trm.sessions.options.Tick)
+	}
+	return trm.since
+}
+
+func (trm *term) start() {
+	trm.spawn(trm.confirmLoop)
+	trm.spawn(trm.watchLoop)
+	trm.spawn(trm.tickLoop)
+}
+
+// spawn runs fn in a goroutine that the end of the term waits for, false once the term is over.
+func (trm *term) spawn(fn func()) bool {
+	trm.mut.Lock()
+	defer trm.mut.Unlock()
+	return trm.spawnLocked(fn)
+}
+
+func (trm *term) spawnLocked(fn func()) bool {
+	if trm.over {
+		return false
+	}
+	trm.group.Go(fn)
+	return true
+}
+
+// stop returns once all goroutines of the term have ended; its context must have ended before.
+func (trm *term) stop() {
+	trm.mut.Lock()
+	trm.over = true
+	trm.mut.Unlock()
+	trm.group.Wait()
+}
+
+// sync makes the leases match the registry's nodes; a node without a lease counts as renewed at seen.
+func (trm *term) sync(seen time.Time) {
+	trm.mut.Lock()
+	defer trm.mut.Unlock()
+	live := make(map[uint64]bool, len(trm.leases))
+	trm.sessions.registry.View(func(stt *controlpb.RegistryState) {
+		for _, nod := range stt.GetNodes() {
+			live[nod.GetSession()] = true
+			trm.syncNode(nod, seen)
+		}
+		trm.syncConfig(stt.GetConfiguration().GetNumber())
+		trm.syncDrains(stt.GetDrains())
+	})
+	for num, lea := range trm.leases {
+		if !live[num] {
+			delete(trm.leases, num)
+			trm.loads.forget(num)
+			lea.end("expired")
+		}
+	}
+}
+
+func (trm *term) syncNode(nod *controlpb.Node, seen time.Time) {
+	lea := trm.leases[nod.GetSession()]
+	if lea == nil {
+		lea = &lease{session: nod.GetSession(), last: seen}
+		trm.leases[nod.GetSession()] = lea
+	}
+	lea.name = nod.GetName()
+	ups := nod.GetUpstream()
+	lea.upstream = ups.GetId()
+	if ups.GetSinceIndex() != lea.announced {
+		lea.announced, lea.announcedAt = ups.GetSinceIndex(), seen
+		if lea.announced <= trm.base {
+			lea.announcedAt = time.Time{}
+		}
+	}
+}
+
+// syncConfig notes a new configuration. One that an earlier leader accepted may be overdue already, and the time of its acceptance is not known here, so agents get no more than a second for it.
+func (trm *term) syncConfig(num uint64) {
+	if cnt := len(trm.configs); cnt > 0 && trm.configs[cnt-1].number >= num {
+		return
+	}
+	acc := acceptance{number: num, deadline: time.Now().Add(trm.sessions.options.ConfigLag)}
+	if len(trm.configs) == 0 {
+		acc.deadline = trm.since.Add(time.Second)
+	}
+	trm.configs = append(trm.configs, acc)
+}
+
+// overdue reports whether a session that has a configuration in force is too far behind.
+func (trm *term) overdue(num uint64, now time.Time) bool {
+	for len(trm.configs) > 1 && now.After(trm.configs[1].deadline) {
+		trm.configs = trm.configs[1:]
+	}
+	for _, acc := range trm.configs {
+		if num < acc.number && now.After(acc.deadline) {
+			return true
+		}
+	}
+	return false
+}
+
+// syncDrains tells the agents of upstreams whose drain an operator has set or undone.
+func (trm *term) syncDrains(drains []string) {
+	cur := make(map[string]bool, len(drains))
+	for _, ups := range drains {
+		cur[ups] = true
+	}
+	trm.drains = cur
+	for _, lea := range trm.leases {
+		if lea.stream != nil && cur[lea.upstream] != lea.drainTold {
+			lea.drainTold = cur[lea.upstream]
+			lea.stream.tellDrain(lea.drainTold)
+		}
+	}
+}
+
+func (trm *term) kick() {
+	select {
+	case trm.kicked <- struct{}{}:
+	default:
+	}
+}
+
+// streams returns the streams of all sessions.
+func (trm *term) streams() []*stream {
+	trm.mut.Lock()
+	defer trm.mut.Unlock()
+	out := make([]*stream, 0, len(trm.leases))
+	for _, lea := range trm.leases {
+		if lea.stream != nil {
+			out = append(out, lea.stream)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/control/agent/tick.go
@@ -0,0 +1,128 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// lateTick is the delay of a tick after which this process was starved. It expires nothing then, because renewals may wait unread.
+const lateTick = 300 * time.Millisecond
+
+// tickLoop runs the policy on each tick, and at once after an expiry or a command of an agent.
+func (trm *term) tickLoop() {
+	tck := time.NewTicker(trm.sessions.options.Tick)
+	defer tck.Stop()
+	tbl := &siskinrill.Tables{}
+	last := time.Now()
+	for {
+		select {
+		case <-tck.C:
+			now := time.Now()
+			if now.Sub(last) < trm.sessions.options.Tick+lateTick {
+				trm.expire()
+			}
+			last = now
+			trm.closeBlocked(now)
+			trm.tellMembers()
+		case <-trm.kicked:
+		case <-trm.ctx.Done():
+			return
+		}
+		trm.plan(tbl)
+	}
+}
+
+// plan proposes what the policy decides, one proposal at a time.
+func (trm *term) plan(tbl *siskinrill.Tables) {
+	if !trm.begin() {
+		return
+	}
+	trm.fill(tbl, time.Now())
+	asg := trm.sessions.policy.Plan(time.Since(trm.sessions.started), tbl)
+	if len(asg) == 0 {
+		trm.finished()
+		return
+	}
+	trm.spawn(func() {
+		defer trm.finished()
+		trm.propose(asg)
+	})
+}
+
+func (trm *term) begin() bool {
+	trm.mut.Lock()
+	defer trm.mut.Unlock()
+	if trm.planning {
+		return false
+	}
+	trm.planning = true
+	return true
+}
+
+func (trm *term) finished() {
+	trm.mut.Lock()
+	defer trm.mut.Unlock()
+	trm.planning = false
+}
+
+func (trm *term) propose(asg []*controlpb.Assignment) {
+	cmd := &controlpb.Command{Kind: &controlpb.Command_Assign{Assign: &controlpb.Assign{Assignments: asg}}}
+	res, err := trm.sessions.log.Propose(trm.ctx, cmd)
+	if err != nil {
+		logrus.Debugf("sessions: assignments are not committed: %v", err)
+		return
+	}
+	logrus.Debugf("sessions: %d assignments at index %d, %d skipped", len(asg), res.Index(), res.Skipped())
+	if trm.sessions.hooks.skipReleases {
+		trm.releaseForOwners()
+	}
+}
+
+// releaseForOwners is reached only through a hook of the tests.
+func (trm *term) releaseForOwners() {
+	var cmds []*controlpb.Command
+	trm.sessions.registry.View(func(stt *controlpb.RegistryState) {
+		for _, tab := range stt.GetTables() {
+			for _, shd := range append(append([]*controlpb.Shard(nil), tab.GetMoving()...), tab.GetOverrides()...) {
+				if shd.GetPhase() != controlpb.Phase_PHASE_RELEASING {
+					continue
+				}
+				ref := &controlpb.ShardRef{Service: shd.GetService(), Partition: shd.GetPartition(), Key: shd.GetKey(), Token: shd.GetToken()}
+				rel := &controlpb.Released{Session: shd.GetOwner(), Shards: []*controlpb.ShardRef{ref}}
+				cmds = append(cmds, &controlpb.Command{Kind: &controlpb.Command_Released{Released: rel}})
+			}
+		}
+	})
+	for _, cmd := range cmds {
+		_, _ = trm.sessions.log.Propose(trm.ctx, cmd)
+	}
+}
+
+// closeBlocked ends streams whose agent takes no message, so that it connects anew.
+func (trm *term) closeBlocked(now time.Time) {
+	for _, stm := range trm.streams() {
+		if stm.blocked(now, trm.sessions.options.SendTimeout) {
+			stm.close()
+		}
+	}
+}
+
+// tellMembers tells agents when the members of the control group or their addresses change.
+func (trm *term) tellMembers() {
+	cur := members(trm.sessions.log.Members())
+	trm.mut.Lock()
+	old := trm.members
+	trm.members = cur
+	trm.mut.Unlock()
+	if old == nil || proto.Equal(old, cur) {
+		return
+	}
+	for _, stm := range trm.streams() {
+		stm.tellMembers(cur)
+	}
+}
--- /dev/null
+++ b/internal/control/assign/fill.go
@@ -0,0 +1,119 @@
+package assign
+
+import (
+	"math"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// fullShare is the share of the level at which an upstream counts as filled by load.
+const fullShare = 0.97
+
+// greet marks upstreams that are seen for the first time and have less than their share as joining.
+func (wrk *work) greet() {
+	for pos := range wrk.ups {
+		ups := &wrk.ups[pos]
+		filling, ok := wrk.mem.seen[ups.session]
+		if !ok {
+			filling = true
+		}
+		ups.joining = filling && ups.eligible && !wrk.filled(ups, ups.full/wrk.fulls)
+		wrk.mem.seen[ups.session] = ups.joining
+	}
+	for ses := range wrk.mem.seen {
+		if _, ok := wrk.index[ses]; !ok {
+			delete(wrk.mem.seen, ses)
+		}
+	}
+}
+
+// filled reports whether an upstream has the whole number of partitions in a share, or the load; taking no more than that keeps the moves at the least possible.
+func (wrk *work) filled(ups *upstream, share float64) bool {
+	return ups.count >= int(math.Floor(share*float64(len(wrk.svc.Partitions)))) ||
+		!ups.stale && ups.load >= fullShare*wrk.level*ups.full
+}
+
+// fill moves rows from the fullest upstreams to joining ones, up to the share of their current weight.
+func (wrk *work) fill() {
+	for wrk.budget() > 0 {
+		tgt := wrk.neediest()
+		if tgt == none || !wrk.fillOne(tgt) {
+			return
+		}
+	}
+}
+
+func (wrk *work) neediest() int32 {
+	best := none
+	for pos := range wrk.ups {
+		ups := &wrk.ups[pos]
+		if !ups.joining || wrk.filled(ups, ups.weight/wrk.weights) {
+			continue
+		}
+		if best == none || ups.score() < wrk.ups[best].score() {
+			best = int32(pos)
+		}
+	}
+	return best
+}
+
+// fillOne moves one row to a joining upstream from the fullest donor that has one to give.
+func (wrk *work) fillOne(tgt int32) bool {
+	ups := &wrk.ups[tgt]
+	want := math.Floor(ups.weight/wrk.weights*float64(len(wrk.svc.Partitions))) - float64(ups.count)
+	ideal := (wrk.level*ups.weight - ups.load) / max(want, 1)
+	for {
+		dnr := wrk.highest(func(cnd *upstream) bool { return !cnd.joining && cnd.eligible })
+		if dnr == none {
+			break
+		}
+		if rwo := wrk.closest(dnr, tgt, ideal); rwo != nil {
+			wrk.place(controlpb.AssignmentKind_ASSIGNMENT_KIND_MOVE, rwo, tgt)
+			wrk.pause(rwo.source)
+			wrk.unstick()
+			return true
+		}
+		wrk.ups[dnr].stuck = true
+	}
+	wrk.unstick()
+	return false
+}
+
+func (wrk *work) unstick() {
+	for pos := range wrk.ups {
+		wrk.ups[pos].stuck = false
+	}
+}
+
+// highest returns the upstream with the highest score that is not stuck and passes a test.
+func (wrk *work) highest(test func(ups *upstream) bool) int32 {
+	best := none
+	for pos := range wrk.ups {
+		ups := &wrk.ups[pos]
+		if ups.stuck || !test(ups) {
+			continue
+		}
+		if best == none || ups.score() > wrk.ups[best].score() {
+			best = int32(pos)
+		}
+	}
+	return best
+}
+
+// closest returns the partition of a donor whose load is closest to the ideal and whose move leaves the target under the donor's present score.
+func (wrk *work) closest(dnr, tgt int32, ideal float64) *row {
+	var best *row
+	for _, pos := range wrk.rowsOf(dnr) {
+		rwo := &wrk.rows[pos]
+		if !wrk.movable(rwo, dnr) || rwo.source.Key != "" {
+			continue
+		}
+		if (wrk.ups[tgt].load+rwo.load)/wrk.ups[tgt].weight > wrk.ups[dnr].score() {
+			continue
+		}
+		if best == nil || math.Abs(rwo.load-ideal) < math.Abs(best.load-ideal) {
+			best = rwo
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/control/assign/grant.go
@@ -0,0 +1,70 @@
+package assign
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// grant gives orphans to the least loaded upstreams, the heaviest first so that several at once come out balanced.
+func (wrk *work) grant() {
+	var orphans []int32
+	for pos := range wrk.rows {
+		src := wrk.rows[pos].source
+		if src.Phase == controlpb.Phase_PHASE_ORPHAN {
+			orphans = append(orphans, int32(pos))
+		}
+	}
+	wrk.sortByLoad(orphans)
+	for _, pos := range orphans[:min(len(orphans), wrk.limits.RowsPerTick)] {
+		rwo := &wrk.rows[pos]
+		wrk.place(controlpb.AssignmentKind_ASSIGNMENT_KIND_GRANT, rwo, wrk.leastLoaded(rwo.load))
+	}
+}
+
+func (wrk *work) sortByLoad(rows []int32) {
+	slices.SortStableFunc(rows, func(one, two int32) int {
+		return cmp.Compare(wrk.rows[two].load, wrk.rows[one].load)
+	})
+}
+
+// leastLoaded returns the eligible upstream that is lowest once it has a further load. Among those within half of that load, the one in the least loaded zone is taken.
+func (wrk *work) leastLoaded(load float64) int32 {
+	low := -1.0
+	for pos := range wrk.ups {
+		ups := &wrk.ups[pos]
+		if scr := (ups.load + load) / ups.weight; ups.eligible && (low < 0 || scr < low) {
+			low = scr
+		}
+	}
+	best, bestZone, bestScore := none, 0.0, 0.0
+	for pos := range wrk.ups {
+		ups := &wrk.ups[pos]
+		scr := (ups.load + load) / ups.weight
+		if !ups.eligible || scr > low+load/ups.weight/2 {
+			continue
+		}
+		zon := wrk.zoneLoad[ups.zone] / wrk.zoneSlots[ups.zone]
+		if best == none || zon < bestZone || zon == bestZone && scr < bestScore {
+			best, bestZone, bestScore = int32(pos), zon, scr
+		}
+	}
+	return best
+}
+
+// drain moves everything away from draining upstreams; a planned stop must not wait for the limits of balance.
+func (wrk *work) drain() {
+	var rows []int32
+	for pos := range wrk.rows {
+		rwo := &wrk.rows[pos]
+		if rwo.owner != none && rwo.source.Phase == controlpb.Phase_PHASE_OWNED && !wrk.ups[rwo.owner].eligible {
+			rows = append(rows, int32(pos))
+		}
+	}
+	wrk.sortByLoad(rows)
+	for _, pos := range rows[:min(len(rows), wrk.limits.RowsPerTick)] {
+		rwo := &wrk.rows[pos]
+		wrk.place(controlpb.AssignmentKind_ASSIGNMENT_KIND_MOVE, rwo, wrk.leastLoaded(rwo.load))
+	}
+}
--- /dev/null
+++ b/internal/control/assign/policy.go
@@ -0,0 +1,130 @@
+package assign
+
+import (
+	"time"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// Limits are the settings of the policy; zero values mean the defaults.
+type Limits struct {
+	InFlightDivisor int           // fill and balance keep at most partitions/InFlightDivisor rows in flight, at least 1; default 8
+	BalancePerTick  int           // moves that balance starts in a tick; default 8
+	RowsPerTick     int           // grants and drains in a tick, which bounds the size of a log entry; default 4,096
+	Pause           time.Duration // between two moves of the same row by fill or balance; default 30 s
+	HighFactor      float64       // balance starts when the highest upstream is over this multiple of the mean; default 1.10
+	HighFor         time.Duration // and has been for this long; default 3 s
+	LowFactor       float64       // balance lowers upstreams to this multiple of the mean; default 1.04
+	StaleAfter      time.Duration // an older load report counts as the mean of the service; default 5 s
+	HotShare        float64       // a key over this share of an upstream's mean load gets an override; default 0.25
+	ColdShare       float64       // an override under this share is retired; default 0.10
+	ColdFor         time.Duration // once it has been for this long; default 30 s
+	Window          time.Duration // over which load figures are smoothed, to tell imbalance from noise; default 5 s
+}
+
+func (lim Limits) withDefaults() Limits {
+	lim.InFlightDivisor = defaultInt(lim.InFlightDivisor, 8)
+	lim.BalancePerTick = defaultInt(lim.BalancePerTick, 8)
+	lim.RowsPerTick = defaultInt(lim.RowsPerTick, 4096)
+	lim.Pause = defaultTime(lim.Pause, 30*time.Second)
+	lim.HighFactor = defaultShare(lim.HighFactor, 1.10)
+	lim.HighFor = defaultTime(lim.HighFor, 3*time.Second)
+	lim.LowFactor = defaultShare(lim.LowFactor, 1.04)
+	lim.StaleAfter = defaultTime(lim.StaleAfter, 5*time.Second)
+	lim.HotShare = defaultShare(lim.HotShare, 0.25)
+	lim.ColdShare = defaultShare(lim.ColdShare, 0.10)
+	lim.ColdFor = defaultTime(lim.ColdFor, 30*time.Second)
+	lim.Window = defaultTime(lim.Window, 5*time.Second)
+	return lim
+}
+
+func defaultInt(val, def int) int {
+	if val == 0 {
+		return def
+	}
+	return val
+}
+
+func defaultTime(val, def time.Duration) time.Duration {
+	if val == 0 {
+		return def
+	}
+	return val
+}
+
+func defaultShare(val, def float64) float64 {
+	if val == 0 {
+		return def
+	}
+	return val
+}
+
+// Policy decides on ownership; it remembers recent moves and how long a state has lasted, and is used by one goroutine.
+type Policy struct {
+	limits Limits
+	memory map[string]*memory
+}
+
+var _ siskinrill.Policy = (*Policy)(nil)
+
+// New returns a policy with an empty memory.
+func New(lim Limits) *Policy {
+	return &Policy{limits: lim.withDefaults(), memory: map[string]*memory{}}
+}
+
+// memory is what the policy keeps between ticks for one service.
+type memory struct {
+	moved     []time.Duration          // end of the pause of each partition
+	movedKeys map[string]time.Duration // end of the pause of each override
+	cold      map[string]time.Duration // since when an override has been cold
+	seen      map[uint64]bool          // sessions, true while one is being filled
+	high      time.Duration            // since when the highest upstream has been too high, negative: it is not
+	spare     work                     // buffers of the previous tick
+}
+
+// Plan returns the assignments of one tick; now is the time since the policy started.
+func (pol *Policy) Plan(now time.Duration, tbl *siskinrill.Tables) []*controlpb.Assignment {
+	var out []*controlpb.Assignment
+	known := map[string]bool{}
+	for pos := range tbl.Services {
+		svc := &tbl.Services[pos]
+		known[svc.Service.GetName()] = true
+		out = append(out, pol.planService(now, svc)...)
+	}
+	for name := range pol.memory {
+		if !known[name] {
+			delete(pol.memory, name)
+		}
+	}
+	return out
+}
+
+func (pol *Policy) planService(now time.Duration, svc *siskinrill.ServiceRows) []*controlpb.Assignment {
+	mem := pol.recall(svc)
+	wrk := &mem.spare
+	wrk.build(now, pol.limits, svc, mem)
+	if wrk.eligible == 0 {
+		return nil
+	}
+	wrk.grant()
+	wrk.drain()
+	wrk.fill()
+	wrk.retire()
+	wrk.isolate()
+	wrk.balance()
+	return wrk.out
+}
+
+func (pol *Policy) recall(svc *siskinrill.ServiceRows) *memory {
+	name := svc.Service.GetName()
+	mem := pol.memory[name]
+	if mem == nil || len(mem.moved) != len(svc.Partitions) {
+		mem = &memory{
+			moved: make([]time.Duration, len(svc.Partitions)), movedKeys: map[string]time.Duration{},
+			cold: map[string]time.Duration{}, seen: map[uint64]bool{}, high: -1,
+		}
+		pol.memory[name] = mem
+	}
+	return mem
+}
--- /dev/null
+++ b/internal/control/assign/work.go
@@ -0,0 +1,299 @@
+package assign
+
+import (
+	"slices"
+	"time"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// none marks a row without a planned owner.
+const none = int32(-1)
+
+// coldShare is the weight of an upstream whose ramp has just begun; the owner's concurrency limit starts at the same share.
+const coldShare = 0.25
+
+// countShare is the load that each row counts for beside its own, as a share of the mean row, so that rows without traffic are spread too.
+const countShare = 0.05
+
+// upstream is the planned state of one upstream during a tick.
+type upstream struct {
+	session  uint64
+	zone     int32
+	weight   float64 // slots, less while its ramp lasts
+	full     float64 // slots
+	load     float64 // of the rows planned for it
+	count    int     // partitions planned for it
+	eligible bool    // may receive rows
+	stale    bool    // its load report is too old
+	joining  bool    // is being filled
+	stuck    bool    // no move of its rows improves the balance in this tick
+}
+
+func (ups *upstream) score() float64 { return ups.load / ups.weight }
+
+// row is a partition or override during a tick.
+type row struct {
+	source *siskinrill.ShardRow
+	owner  int32 // planned owner, index of upstreams
+	load   float64
+}
+
+// work is the state of one service during a tick; its buffers are reused.
+type work struct {
+	now       time.Duration
+	limits    Limits
+	svc       *siskinrill.ServiceRows
+	mem       *memory
+	ups       []upstream
+	index     map[uint64]int32
+	zones     map[string]int32
+	zoneLoad  []float64
+	zoneSlots []float64
+	rows      []row   // partitions, then overrides
+	byOwner   []int32 // rows sorted by owner
+	starts    []int32 // start of each owner's rows in byOwner
+	eligible  int
+	weights   float64 // of eligible upstreams
+	fulls     float64
+	total     float64
+	level     float64 // load per weight that the best assignment would give to all but the hottest rows
+	inFlight  int
+	out       []*controlpb.Assignment
+}
+
+func (wrk *work) build(now time.Duration, lim Limits, svc *siskinrill.ServiceRows, mem *memory) {
+	wrk.now, wrk.limits, wrk.svc, wrk.mem = now, lim, svc, mem
+	wrk.out, wrk.inFlight = nil, 0
+	wrk.buildUpstreams()
+	wrk.buildRows()
+	wrk.estimate()
+	wrk.sum()
+	wrk.bucket()
+	wrk.findLevel()
+	wrk.greet()
+}
+
+func (wrk *work) buildUpstreams() {
+	wrk.ups = wrk.ups[:0]
+	wrk.index, wrk.zones = map[uint64]int32{}, map[string]int32{}
+	wrk.eligible, wrk.weights, wrk.fulls = 0, 0, 0
+	for pos := range wrk.svc.Upstreams {
+		src := &wrk.svc.Upstreams[pos]
+		zon, ok := wrk.zones[src.Zone]
+		if !ok {
+			zon = int32(len(wrk.zones))
+			wrk.zones[src.Zone] = zon
+		}
+		ups := upstream{session: src.Session, zone: zon, full: float64(max(src.Slots, 1))}
+		ups.weight = ups.full * ramp(src.Age, wrk.svc.Service.GetRampMs())
+		ups.eligible = src.State == controlpb.UpstreamState_UPSTREAM_STATE_SERVING
+		ups.stale = src.ReportAge > wrk.limits.StaleAfter
+		if ups.eligible {
+			wrk.eligible++
+			wrk.weights += ups.weight
+			wrk.fulls += ups.full
+		}
+		wrk.index[src.Session] = int32(len(wrk.ups))
+		wrk.ups = append(wrk.ups, ups)
+	}
+}
+
+// ramp returns the share of its slots that an upstream of an age can use.
+func ramp(age time.Duration, rampMs uint32) float64 {
+	end := time.Duration(rampMs) * time.Millisecond
+	if end == 0 || age >= end {
+		return 1
+	}
+	return coldShare + (1-coldShare)*float64(age)/float64(end)
+}
+
+func (wrk *work) buildRows() {
+	wrk.rows = wrk.rows[:0]
+	for pos := range wrk.svc.Partitions {
+		wrk.addRow(&wrk.svc.Partitions[pos])
+	}
+	for pos := range wrk.svc.Overrides {
+		wrk.addRow(&wrk.svc.Overrides[pos])
+	}
+}
+
+func (wrk *work) addRow(src *siskinrill.ShardRow) {
+	own := none
+	ses := src.Owner
+	if src.Phase == controlpb.Phase_PHASE_RELEASING {
+		wrk.inFlight++
+		ses = src.Target
+	}
+	if pos, ok := wrk.index[ses]; ok && ses != 0 {
+		own = pos
+	}
+	wrk.rows = append(wrk.rows, row{source: src, owner: own, load: src.Load})
+}
+
+// estimate replaces the loads of rows whose owner's report is stale, so that such an upstream counts as the mean.
+func (wrk *work) estimate() {
+	known, weight := 0.0, 0.0
+	counts := make([]int, len(wrk.ups))
+	for pos := range wrk.rows {
+		if own := wrk.rows[pos].owner; own != none {
+			counts[own]++
+			if !wrk.ups[own].stale {
+				known += wrk.rows[pos].load
+			}
+		}
+	}
+	for pos := range wrk.ups {
+		if !wrk.ups[pos].stale && counts[pos] > 0 {
+			weight += wrk.ups[pos].weight
+		}
+	}
+	if weight == 0 {
+		return
+	}
+	for pos := range wrk.rows {
+		rwo := &wrk.rows[pos]
+		if own := rwo.owner; own != none && wrk.ups[own].stale {
+			rwo.load = known / weight * wrk.ups[own].weight / float64(counts[own])
+		}
+	}
+}
+
+// sum adds the rows up for each upstream and zone, after each row's load got its share for being counted at all.
+func (wrk *work) sum() {
+	wrk.total = 0
+	for pos := range wrk.rows {
+		wrk.total += wrk.rows[pos].load
+	}
+	extra := 1.0
+	if wrk.total > 0 {
+		extra = countShare * wrk.total / float64(len(wrk.rows))
+	}
+	wrk.zoneLoad = resized(wrk.zoneLoad, len(wrk.zones))
+	wrk.zoneSlots = resized(wrk.zoneSlots, len(wrk.zones))
+	for pos := range wrk.ups {
+		if wrk.ups[pos].eligible {
+			wrk.zoneSlots[wrk.ups[pos].zone] += wrk.ups[pos].weight
+		}
+	}
+	wrk.total = 0
+	for pos := range wrk.rows {
+		rwo := &wrk.rows[pos]
+		rwo.load += extra
+		wrk.total += rwo.load
+		if rwo.owner != none {
+			wrk.add(rwo.owner, rwo, 1)
+		}
+	}
+}
+
+func resized(buf []float64, cnt int) []float64 {
+	buf = slices.Grow(buf[:0], cnt)[:cnt]
+	clear(buf)
+	return buf
+}
+
+// add counts a row for an upstream, or takes it off with a sign of -1.
+func (wrk *work) add(own int32, rwo *row, sign int) {
+	ups := &wrk.ups[own]
+	ups.load += float64(sign) * rwo.load
+	wrk.zoneLoad[ups.zone] += float64(sign) * rwo.load
+	if rwo.source.Key == "" {
+		ups.count += sign
+	}
+}
+
+// bucket sorts the rows by their owner at the start of the tick.
+func (wrk *work) bucket() {
+	wrk.starts = slices.Grow(wrk.starts[:0], len(wrk.ups)+2)[:len(wrk.ups)+2]
+	clear(wrk.starts)
+	for pos := range wrk.rows {
+		wrk.starts[wrk.rows[pos].owner+2]++
+	}
+	for pos := 1; pos < len(wrk.starts); pos++ {
+		wrk.starts[pos] += wrk.starts[pos-1]
+	}
+	wrk.byOwner = slices.Grow(wrk.byOwner[:0], len(wrk.rows))[:len(wrk.rows)]
+	for pos := range wrk.rows {
+		own := wrk.rows[pos].owner + 1
+		wrk.byOwner[wrk.starts[own]] = int32(pos)
+		wrk.starts[own]++
+	}
+}
+
+// rowsOf returns the rows that an upstream had at the start of the tick; bucket has advanced each start to its end.
+func (wrk *work) rowsOf(own int32) []int32 {
+	return wrk.byOwner[wrk.starts[own]:wrk.starts[own+1]]
+}
+
+// findLevel leaves out rows that alone are over the mean, since no assignment can lower an upstream under its hottest row.
+func (wrk *work) findLevel() {
+	wrk.level = 0
+	if wrk.eligible == 0 {
+		return
+	}
+	var big []float64
+	mean := wrk.total / float64(wrk.eligible)
+	for pos := range wrk.rows {
+		if wrk.rows[pos].load > mean {
+			big = append(big, wrk.rows[pos].load)
+		}
+	}
+	slices.Sort(big)
+	rest, cnt := wrk.total, wrk.eligible
+	for pos := len(big) - 1; pos >= 0 && cnt > 1 && big[pos] > rest/float64(cnt); pos-- {
+		rest -= big[pos]
+		cnt--
+	}
+	wrk.level = rest / (wrk.weights * float64(cnt) / float64(wrk.eligible))
+}
+
+// mean returns the load that an upstream of mean weight should have.
+func (wrk *work) mean() float64 { return wrk.level * wrk.weights / float64(wrk.eligible) }
+
+// budget returns how many further rows fill and balance may put in flight.
+func (wrk *work) budget() int {
+	return max(len(wrk.svc.Partitions)/wrk.limits.InFlightDivisor, 1) - wrk.inFlight
+}
+
+// paused reports whether a row was moved too recently to be moved again.
+func (wrk *work) paused(src *siskinrill.ShardRow) bool {
+	if src.Key != "" {
+		return wrk.now < wrk.mem.movedKeys[src.Key]
+	}
+	return wrk.now < wrk.mem.moved[src.Partition]
+}
+
+func (wrk *work) pause(src *siskinrill.ShardRow) {
+	if src.Key != "" {
+		wrk.mem.movedKeys[src.Key] = wrk.now + wrk.limits.Pause
+		return
+	}
+	wrk.mem.moved[src.Partition] = wrk.now + wrk.limits.Pause
+}
+
+// movable reports whether a row is owned, is still planned for its owner and is not paused.
+func (wrk *work) movable(rwo *row, own int32) bool {
+	return rwo.owner == own && rwo.source.Phase == controlpb.Phase_PHASE_OWNED && !wrk.paused(rwo.source)
+}
+
+// place plans a row for an upstream.
+func (wrk *work) place(knd controlpb.AssignmentKind, rwo *row, tgt int32) {
+	if rwo.owner != none {
+		wrk.add(rwo.owner, rwo, -1)
+	}
+	rwo.owner = tgt
+	wrk.add(tgt, rwo, 1)
+	if knd == controlpb.AssignmentKind_ASSIGNMENT_KIND_MOVE {
+		wrk.inFlight++
+	}
+	wrk.emit(knd, rwo.source, wrk.ups[tgt].session)
+}
+
+func (wrk *work) emit(knd controlpb.AssignmentKind, src *siskinrill.ShardRow, tgt uint64) {
+	wrk.out = append(wrk.out, &controlpb.Assignment{
+		Kind: knd, Target: tgt,
+		Shard: &controlpb.ShardRef{Service: wrk.svc.Service.GetName(), Partition: src.Partition, Key: src.Key, Token: src.Token},
+	})
+}
--- /dev/null
+++ b/internal/control/operator/apply.go
@@ -0,0 +1,62 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/siskinrill/siskinrill/internal/control/registry"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// pollEvery is the pause between two looks at what agents have in force; they tell it every 250 ms.
+const pollEvery = 25 * time.Millisecond
+
+// Apply proposes a configuration change and, if asked, waits until every session has it in force.
+func (svc *Service) Apply(ctx context.Context, req *controlpb.ApplyRequest) (*controlpb.ApplyAnswer, error) {
+	if req.GetChangeId() == "" || req.GetConfiguration() == nil {
+		return nil, status.Error(codes.InvalidArgument, "change_id and configuration are needed")
+	}
+	cmd := &controlpb.Command{Kind: &controlpb.Command_ApplyConfiguration{ApplyConfiguration: &controlpb.ApplyConfiguration{
+		ChangeId: req.GetChangeId(), Configuration: req.GetConfiguration(), Operator: req.GetOperator(),
+	}}}
+	res, err := svc.log.Propose(ctx, cmd)
+	if err != nil {
+		return nil, svc.fault(err)
+	}
+	rec := res.Record()
+	if rec == nil {
+		return nil, status.Error(codes.Internal, "the registry gave no answer to the change")
+	}
+	if rec.GetContentHash() != registry.ContentHash(req.GetConfiguration()) || rec.GetNumber() != req.GetConfiguration().GetNumber() {
+		return nil, status.Errorf(codes.AlreadyExists, "change_id_reused: %s was used for another change", req.GetChangeId())
+	}
+	ans := &controlpb.ApplyAnswer{Record: rec}
+	if !rec.GetAccepted() {
+		return ans, nil
+	}
+	return svc.await(ctx, ans, time.Duration(req.GetWaitMs())*time.Millisecond)
+}
+
+// await fills in who lags, once nobody does or the time is over.
+func (svc *Service) await(ctx context.Context, ans *controlpb.ApplyAnswer, wait time.Duration) (*controlpb.ApplyAnswer, error) {
+	end := time.Now().Add(wait)
+	tck := time.NewTicker(pollEvery)
+	defer tck.Stop()
+	for {
+		lagging, leading := svc.sessions.Lagging(ans.GetRecord().GetNumber())
+		ans.Lagging = lagging
+		ans.InForce = leading && len(lagging) == 0
+		if ans.GetInForce() || !time.Now().Before(end) {
+			return ans, nil
+		}
+		select {
+		case <-tck.C:
+		case <-ctx.Done():
+			// The change is accepted already, which the caller must hear rather than an error.
+			return ans, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/operator/service.go
@@ -0,0 +1,91 @@
+package operator
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/control/agent"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// Service implements the gRPC service for operators.
+type Service struct {
+	controlpb.UnimplementedOperatorServiceServer
+
+	log      siskinrill.Log
+	registry siskinrill.Registry
+	sessions *agent.Sessions
+}
+
+var _ controlpb.OperatorServiceServer = (*Service)(nil)
+
+// New returns the service of one control process.
+func New(log siskinrill.Log, reg siskinrill.Registry, ses *agent.Sessions) *Service {
+	return &Service{log: log, registry: reg, sessions: ses}
+}
+
+// Register adds the operator service to a gRPC server.
+func (svc *Service) Register(reg grpc.ServiceRegistrar) {
+	controlpb.RegisterOperatorServiceServer(reg, svc)
+}
+
+// fault turns an error of the log into a status. A process that does not lead returns FAILED_PRECONDITION with the message "leader=IP:PORT", empty after the sign while no leader is known, and a Redirect as detail.
+func (svc *Service) fault(err error) error {
+	var nle *siskinrill.NotLeaderError
+	switch {
+	case errors.As(err, &nle):
+		return notLeader(nle.Address())
+	case errors.Is(err, context.DeadlineExceeded):
+		return status.Errorf(codes.DeadlineExceeded, "outcome unknown: %v", err)
+	case errors.Is(err, context.Canceled):
+		return status.Errorf(codes.Canceled, "outcome unknown: %v", err)
+	}
+	if sts, ok := status.FromError(err); ok {
+		return sts.Err()
+	}
+	return status.Errorf(codes.Unavailable, "outcome unknown: %v", err)
+}
+
+func notLeader(addr string) error {
+	sts := status.New(codes.FailedPrecondition, "leader="+addr)
+	detailed, err := sts.WithDetails(&controlpb.Redirect{LeaderAddress: addr, Reason: "not_leader"})
+	if err != nil {
+		return sts.Err()
+	}
+	return detailed.Err()
+}
+
+// confirm lets a read continue once this process is confirmed as the leader.
+func (svc *Service) confirm(ctx context.Context) error {
+	if err := svc.log.Confirm(ctx); err != nil {
+		return svc.fault(err)
+	}
+	return nil
+}
+
+// Show returns the current configuration.
+func (svc *Service) Show(ctx context.Context, _ *controlpb.ShowRequest) (*controlpb.ShowAnswer, error) {
+	if err := svc.confirm(ctx); err != nil {
+		return nil, err
+	}
+	ans := &controlpb.ShowAnswer{}
+	svc.registry.View(func(stt *controlpb.RegistryState) {
+		// A configuration is replaced as a whole and never altered, so it may leave the view.
+		ans.Configuration, ans.Index = stt.GetConfiguration(), stt.GetIndex()
+	})
+	return ans, nil
+}
+
+// ChangeMembers adds, removes or replaces a member of the control group, or hands over its leadership.
+func (svc *Service) ChangeMembers(ctx context.Context, req *controlpb.MembersRequest) (*controlpb.MembersAnswer, error) {
+	ans, err := svc.log.ChangeMembers(ctx, req)
+	if err != nil {
+		return nil, svc.fault(err)
+	}
+	return ans, nil
+}
--- /dev/null
+++ b/internal/control/operator/status.go
@@ -0,0 +1,198 @@
+package operator
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/control/agent"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// clustered is a Log that knows the id of its cluster.
+type clustered interface {
+	ClusterID() string
+}
+
+// Status returns the members, services and upstreams.
+func (svc *Service) Status(ctx context.Context, _ *controlpb.StatusRequest) (*controlpb.StatusAnswer, error) {
+	if err := svc.confirm(ctx); err != nil {
+		return nil, err
+	}
+	ldr, _ := svc.log.Leadership()
+	ans := &controlpb.StatusAnswer{Term: ldr.Term(), Members: svc.log.Members()}
+	if clu, ok := svc.log.(clustered); ok {
+		ans.ClusterId = clu.ClusterID()
+	}
+	figures := svc.sessions.Figures()
+	svc.registry.View(func(stt *controlpb.RegistryState) {
+		ans.Commit, ans.ConfigurationNumber = stt.GetIndex(), stt.GetConfiguration().GetNumber()
+		ans.Upstreams = upstreams(stt, figures)
+		for _, cnf := range stt.GetConfiguration().GetServices() {
+			ans.Services = append(ans.Services, service(stt, cnf, ans.GetUpstreams()))
+		}
+	})
+	return ans, nil
+}
+
+func upstreams(stt *controlpb.RegistryState, figures map[uint64]agent.Figure) []*controlpb.UpstreamStatus {
+	bySession := map[uint64]*controlpb.UpstreamStatus{}
+	out := make([]*controlpb.UpstreamStatus, 0, len(stt.GetNodes()))
+	for _, nod := range stt.GetNodes() {
+		row := upstream(nod, figures[nod.GetSession()])
+		if _, ok := slices.BinarySearch(stt.GetDrains(), nod.GetUpstream().GetId()); ok {
+			row.Draining = true
+		}
+		bySession[nod.GetSession()] = row
+		out = append(out, row)
+	}
+	for _, tab := range stt.GetTables() {
+		count(tab, bySession)
+	}
+	return out
+}
+
+func upstream(nod *controlpb.Node, fgr agent.Figure) *controlpb.UpstreamStatus {
+	row := &controlpb.UpstreamStatus{
+		Node: nod, RequestsPerSecond: fgr.Requests, InFlight: fgr.InFlight, Queued: fgr.Queued,
+		Limit: fgr.Limit, Version: fgr.Version, Refusals: fgr.Refusals,
+		Draining: nod.GetUpstream().GetState() == controlpb.UpstreamState_UPSTREAM_STATE_DRAINING,
+	}
+	if slo := nod.GetUpstream().GetSlots(); slo > 0 {
+		row.BusyShare = fgr.Busy / float64(slo)
+	}
+	return row
+}
+
+func count(tab *controlpb.ServiceTable, rows map[uint64]*controlpb.UpstreamStatus) {
+	for _, own := range tab.GetOwners() {
+		if row := rows[own]; row != nil {
+			row.Partitions++
+		}
+	}
+	for _, shd := range tab.GetOverrides() {
+		if row := rows[shd.GetOwner()]; row != nil {
+			row.Overrides++
+		}
+	}
+	for _, shd := range moving(tab) {
+		if row := rows[shd.GetOwner()]; row != nil {
+			row.Moving++
+		}
+	}
+}
+
+// moving returns the rows of a table that are being handed over.
+func moving(tab *controlpb.ServiceTable) []*controlpb.Shard {
+	out := append([]*controlpb.Shard(nil), tab.GetMoving()...)
+	for _, shd := range tab.GetOverrides() {
+		if shd.GetPhase() == controlpb.Phase_PHASE_RELEASING {
+			out = append(out, shd)
+		}
+	}
+	return out
+}
+
+func service(stt *controlpb.RegistryState, cnf *controlpb.Service, rows []*controlpb.UpstreamStatus) *controlpb.ServiceStatus {
+	out := &controlpb.ServiceStatus{Service: cnf.GetName(), Partitions: cnf.GetPartitions(), Imbalance: imbalance(cnf.GetName(), rows)}
+	for _, tab := range stt.GetTables() {
+		if tab.GetService() != cnf.GetName() {
+			continue
+		}
+		out.Overrides, out.Moving = uint32(len(tab.GetOverrides())), uint32(len(moving(tab)))
+		for _, own := range tab.GetOwners() {
+			if own == 0 {
+				out.Orphans++
+			}
+		}
+	}
+	return out
+}
+
+// imbalance returns the highest over the mean load of a service's upstreams, 0 without any load.
+func imbalance(svc string, rows []*controlpb.UpstreamStatus) float64 {
+	high, sum, cnt := 0.0, 0.0, 0
+	for _, row := range rows {
+		if row.GetNode().GetUpstream().GetService() == svc {
+			high = max(high, row.GetRequestsPerSecond())
+			sum += row.GetRequestsPerSecond()
+			cnt++
+		}
+	}
+	if sum == 0 {
+		return 0
+	}
+	return high * float64(cnt) / sum
+}
+
+// Owner returns the owner of a key.
+func (svc *Service) Owner(ctx context.Context, req *controlpb.OwnerRequest) (*controlpb.OwnerAnswer, error) {
+	if err := svc.confirm(ctx); err != nil {
+		return nil, err
+	}
+	var ans *controlpb.OwnerAnswer
+	svc.registry.View(func(stt *controlpb.RegistryState) {
+		for _, tab := range stt.GetTables() {
+			if tab.GetService() == req.GetService() && len(tab.GetOwners()) > 0 {
+				ans = owner(stt, tab, req.GetKey())
+			}
+		}
+	})
+	if ans == nil {
+		return nil, status.Errorf(codes.NotFound, "unknown_service: %s", req.GetService())
+	}
+	return ans, nil
+}
+
+func owner(stt *controlpb.RegistryState, tab *controlpb.ServiceTable, key string) *controlpb.OwnerAnswer {
+	prt := siskinrill.Partition(tab.GetService(), key, uint32(len(tab.GetOwners())))
+	ans := &controlpb.OwnerAnswer{
+		Service: tab.GetService(), Key: key, Partition: prt,
+		Session: tab.GetOwners()[prt], Token: tab.GetTokens()[prt], Phase: "owned",
+	}
+	if ans.GetSession() == 0 {
+		ans.Phase = "orphan"
+	}
+	for _, shd := range append(append([]*controlpb.Shard(nil), tab.GetMoving()...), tab.GetOverrides()...) {
+		if shd.GetKey() == key || shd.GetKey() == "" && shd.GetPartition() == prt {
+			ans.Session, ans.Token, ans.Phase = shd.GetOwner(), shd.GetToken(), phase(shd.GetPhase())
+			ans.Overridden = shd.GetKey() != ""
+		}
+	}
+	for _, nod := range stt.GetNodes() {
+		if nod.GetSession() == ans.GetSession() {
+			ans.Upstream, ans.Node, ans.Zone = nod.GetUpstream().GetId(), nod.GetName(), nod.GetZone()
+		}
+	}
+	return ans
+}
+
+func phase(pha controlpb.Phase) string {
+	return strings.ToLower(strings.TrimPrefix(pha.String(), "PHASE_"))
+}
+
+// Drain starts or undoes the drain of an upstream and tells how much it still owns; repeating it shows the progress.
+func (svc *Service) Drain(ctx context.Context, req *controlpb.DrainRequest) (*controlpb.DrainAnswer, error) {
+	if req.GetUpstream() == "" {
+		return nil, status.Error(codes.InvalidArgument, "upstream is needed")
+	}
+	cmd := &controlpb.Command{Kind: &controlpb.Command_SetDrain{SetDrain: &controlpb.SetDrain{Upstream: req.GetUpstream(), Drain: !req.GetUndo()}}}
+	if _, err := svc.log.Propose(ctx, cmd); err != nil {
+		return nil, svc.fault(err)
+	}
+	ans := &controlpb.DrainAnswer{}
+	figures := svc.sessions.Figures()
+	svc.registry.View(func(stt *controlpb.RegistryState) {
+		for _, row := range upstreams(stt, figures) {
+			if row.GetNode().GetUpstream().GetId() == req.GetUpstream() {
+				ans.Partitions += row.GetPartitions() + row.GetOverrides()
+				ans.InFlight += row.GetInFlight()
+			}
+		}
+	})
+	return ans, nil
+}
--- /dev/null
+++ b/internal/control/registry/configure.go
@@ -0,0 +1,233 @@
+package registry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// Reasons for which a configuration change is refused.
+const (
+	ReasonNumberTaken     = "number_taken"
+	ReasonNumberNotNext   = "number_not_next"
+	ReasonPartitionsFixed = "partitions_fixed"
+	ReasonPartitionsRange = "partitions_out_of_range"
+	ReasonUnknownService  = "unknown_service"
+	ReasonDuplicateName   = "duplicate_name"
+)
+
+// Bounds of the number of partitions of a service.
+const (
+	MinPartitions = 16
+	MaxPartitions = 16384
+)
+
+// keptChanges covers 18 days at 1,100 changes a day.
+const keptChanges = 20000
+
+// ContentHash returns the SHA-256 in hex of a configuration without its number; services and routes are compared in the order of their names.
+func ContentHash(cnf *controlpb.Configuration) string {
+	cpy := normalize(cnf)
+	cpy.Number = 0
+	raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(cpy)
+	if err != nil {
+		// Only text that is not UTF-8 fails here, and such a command cannot be decoded from the log.
+		return ""
+	}
+	sum := sha256.Sum256(raw)
+	return hex.EncodeToString(sum[:])
+}
+
+func normalize(cnf *controlpb.Configuration) *controlpb.Configuration {
+	cpy := &controlpb.Configuration{
+		Number:   cnf.GetNumber(),
+		Services: append([]*controlpb.Service(nil), cnf.GetServices()...),
+		Routes:   append([]*controlpb.Route(nil), cnf.GetRoutes()...),
+	}
+	slices.SortStableFunc(cpy.Services, func(one, two *controlpb.Service) int { return strings.Compare(one.GetName(), two.GetName()) })
+	slices.SortStableFunc(cpy.Routes, func(one, two *controlpb.Route) int { return strings.Compare(one.GetName(), two.GetName()) })
+	return cpy
+}
+
+// configure decides on a configuration change; a resent change id gets its first answer.
+func (reg *Registry) configure(idx uint64, cmd *controlpb.ApplyConfiguration) *controlpb.ChangeRecord {
+	if rec, ok := reg.answers[cmd.GetChangeId()]; ok {
+		return rec
+	}
+	cnf := normalize(cmd.GetConfiguration())
+	rec := &controlpb.ChangeRecord{
+		ChangeId: cmd.GetChangeId(), Number: cnf.GetNumber(), Index: idx, ContentHash: ContentHash(cnf),
+	}
+	rec.Reason, rec.Winner = reg.refusal(cnf)
+	rec.Accepted = rec.GetReason() == ""
+	reg.remember(rec)
+	if rec.GetAccepted() {
+		reg.install(idx, cnf)
+	}
+	return rec
+}
+
+func (reg *Registry) remember(rec *controlpb.ChangeRecord) {
+	reg.answers[rec.GetChangeId()] = rec
+	reg.state.Changes = append(reg.state.Changes, rec)
+	if len(reg.state.Changes) > keptChanges {
+		delete(reg.answers, reg.state.Changes[0].GetChangeId())
+		reg.state.Changes[0] = nil
+		reg.state.Changes = reg.state.Changes[1:]
+	}
+}
+
+func (reg *Registry) refusal(cnf *controlpb.Configuration) (string, string) {
+	cur := reg.state.GetConfiguration().GetNumber()
+	if cnf.GetNumber() != cur+1 {
+		if win := reg.winner(cnf.GetNumber()); win != "" {
+			return ReasonNumberTaken, win
+		}
+		return ReasonNumberNotNext, ""
+	}
+	if rsn := reg.badServices(cnf.GetServices()); rsn != "" {
+		return rsn, ""
+	}
+	return badRoutes(cnf), ""
+}
+
+// winner returns the change id that was accepted with a number, empty when it is not kept.
+func (reg *Registry) winner(num uint64) string {
+	for pos := len(reg.state.GetChanges()) - 1; pos >= 0; pos-- {
+		if rec := reg.state.GetChanges()[pos]; rec.GetAccepted() && rec.GetNumber() <= num {
+			if rec.GetNumber() == num {
+				return rec.GetChangeId()
+			}
+			return ""
+		}
+	}
+	return ""
+}
+
+func (reg *Registry) badServices(services []*controlpb.Service) string {
+	for pos, svc := range services {
+		if pos > 0 && services[pos-1].GetName() == svc.GetName() {
+			return ReasonDuplicateName
+		}
+		if svc.GetPartitions() < MinPartitions || svc.GetPartitions() > MaxPartitions {
+			return ReasonPartitionsRange
+		}
+		if tab := reg.table(svc.GetName()); tab != nil && len(tab.GetOwners()) != int(svc.GetPartitions()) {
+			return ReasonPartitionsFixed
+		}
+	}
+	return ""
+}
+
+func badRoutes(cnf *controlpb.Configuration) string {
+	for pos, rou := range cnf.GetRoutes() {
+		if pos > 0 && cnf.GetRoutes()[pos-1].GetName() == rou.GetName() {
+			return ReasonDuplicateName
+		}
+		if findService(cnf, rou.GetService()) == nil {
+			return ReasonUnknownService
+		}
+	}
+	return ""
+}
+
+func findService(cnf *controlpb.Configuration, name string) *controlpb.Service {
+	for _, svc := range cnf.GetServices() {
+		if svc.GetName() == name {
+			return svc
+		}
+	}
+	return nil
+}
+
+// install makes a configuration the current one and records what changed.
+func (reg *Registry) install(idx uint64, cnf *controlpb.Configuration) {
+	old := reg.state.GetConfiguration()
+	chg := &controlpb.ConfigurationChange{Number: cnf.GetNumber()}
+	chg.SetServices, chg.RemoveServices = diffServices(old.GetServices(), cnf.GetServices())
+	chg.SetRoutes, chg.RemoveRoutes = diffRoutes(old.GetRoutes(), cnf.GetRoutes())
+	reg.state.Configuration = cnf
+	reg.ring.add(idx, &controlpb.Change{Kind: &controlpb.Change_Configuration{Configuration: chg}})
+	for _, svc := range cnf.GetServices() {
+		reg.addTable(idx, svc, findService(old, svc.GetName()) == nil)
+	}
+	reg.pruneTables()
+}
+
+// addTable creates the rows of a new service. A service that returns keeps the rows that its owners may still serve, and agents are told of them again.
+func (reg *Registry) addTable(idx uint64, svc *controlpb.Service, added bool) {
+	pos, ok := reg.findTable(svc.GetName())
+	if !ok {
+		cnt := svc.GetPartitions()
+		tab := &controlpb.ServiceTable{Service: svc.GetName(), Owners: make([]uint64, cnt), Tokens: make([]uint64, cnt)}
+		reg.state.Tables = slices.Insert(reg.state.Tables, pos, tab)
+		return
+	}
+	if !added {
+		return
+	}
+	tab := reg.state.GetTables()[pos]
+	for prt := range tab.GetOwners() {
+		if row := partition(tab, uint32(prt)); row.GetToken() != 0 {
+			reg.ring.add(idx, &controlpb.Change{Kind: &controlpb.Change_SetShard{SetShard: row}})
+		}
+	}
+	for _, row := range tab.GetOverrides() {
+		reg.ring.add(idx, &controlpb.Change{Kind: &controlpb.Change_SetShard{SetShard: row}})
+	}
+}
+
+// pruneTables drops the tables of removed services once no session owns a row of them; until then an agent that has not heard of the removal may still serve.
+func (reg *Registry) pruneTables() {
+	reg.state.Tables = slices.DeleteFunc(reg.state.Tables, func(tab *controlpb.ServiceTable) bool {
+		if findService(reg.state.GetConfiguration(), tab.GetService()) != nil {
+			return false
+		}
+		used := func(row *controlpb.Shard) bool { return row.GetOwner() != 0 }
+		return !slices.ContainsFunc(tab.GetOwners(), func(own uint64) bool { return own != 0 }) &&
+			!slices.ContainsFunc(tab.GetOverrides(), used)
+	})
+}
+
+func diffServices(old, cur []*controlpb.Service) (set []*controlpb.Service, removed []string) {
+	was := map[string]*controlpb.Service{}
+	for _, svc := range old {
+		was[svc.GetName()] = svc
+	}
+	for _, svc := range cur {
+		if !proto.Equal(was[svc.GetName()], svc) {
+			set = append(set, svc)
+		}
+		delete(was, svc.GetName())
+	}
+	for _, svc := range old {
+		if was[svc.GetName()] != nil {
+			removed = append(removed, svc.GetName())
+		}
+	}
+	return set, removed
+}
+
+func diffRoutes(old, cur []*controlpb.Route) (set []*controlpb.Route, removed []string) {
+	was := map[string]*controlpb.Route{}
+	for _, rou := range old {
+		was[rou.GetName()] = rou
+	}
+	for _, rou := range cur {
+		if !proto.Equal(was[rou.GetName()], rou) {
+			set = append(set, rou)
+		}
+		delete(was, rou.GetName())
+	}
+	for _, rou := range old {
+		if was[rou.GetName()] != nil {
+			removed = append(removed, rou.GetName())
+		}
+	}
+	return set, removed
+}
--- /dev/null
+++ b/internal/control/registry/doc.go
@@ -0,0 +1,2 @@
+// Package registry holds the replicated tables of nodes, ownership and configuration, changed only by applying committed commands.
+package registry
--- /dev/null
+++ b/internal/control/registry/nodes.go
@@ -0,0 +1,113 @@
+package registry
+
+import (
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// findNode returns the position of a session; sessions are log indexes, so appending keeps the nodes sorted.
+func (reg *Registry) findNode(ses uint64) (int, bool) {
+	return slices.BinarySearchFunc(reg.state.GetNodes(), ses, func(nod *controlpb.Node, ses uint64) int {
+		switch {
+		case nod.GetSession() < ses:
+			return -1
+		case nod.GetSession() > ses:
+			return 1
+		}
+		return 0
+	})
+}
+
+func (reg *Registry) node(ses uint64) *controlpb.Node {
+	if pos, ok := reg.findNode(ses); ok {
+		return reg.state.GetNodes()[pos]
+	}
+	return nil
+}
+
+func (reg *Registry) register(idx uint64, cmd *controlpb.RegisterNode) {
+	if cmd.GetReplaces() != 0 {
+		reg.expire(idx, []uint64{cmd.GetReplaces()})
+	}
+	nod := proto.Clone(cmd.GetNode()).(*controlpb.Node)
+	nod.Session = idx
+	if nod.GetUpstream() != nil {
+		nod.Upstream.SinceIndex = idx
+	}
+	reg.state.Nodes = append(reg.state.Nodes, nod)
+	reg.emitNode(idx, nod)
+}
+
+func (reg *Registry) emitNode(idx uint64, nod *controlpb.Node) {
+	reg.ring.add(idx, &controlpb.Change{Kind: &controlpb.Change_SetNode{SetNode: nod}})
+}
+
+// expire removes sessions and gives up their rows; unknown sessions are skipped.
+func (reg *Registry) expire(idx uint64, sessions []uint64) {
+	gone := map[uint64]bool{}
+	for _, ses := range sessions {
+		pos, ok := reg.findNode(ses)
+		if !ok {
+			continue
+		}
+		gone[ses] = true
+		reg.state.Nodes = slices.Delete(reg.state.Nodes, pos, pos+1)
+		reg.ring.add(idx, &controlpb.Change{Kind: &controlpb.Change_RemoveNode{RemoveNode: ses}})
+	}
+	if len(gone) > 0 {
+		reg.giveUp(idx, gone)
+	}
+}
+
+func serving(ups *controlpb.Upstream) bool {
+	return ups.GetState() == controlpb.UpstreamState_UPSTREAM_STATE_SERVING ||
+		ups.GetState() == controlpb.UpstreamState_UPSTREAM_STATE_DRAINING
+}
+
+// setUpstream stores an announcement. An agent that reports its backend server as failed, gone or replaced has stopped dispatching to it, so its rows are given up at once without a release.
+func (reg *Registry) setUpstream(idx uint64, cmd *controlpb.SetUpstream) {
+	pos, ok := reg.findNode(cmd.GetSession())
+	if !ok {
+		return
+	}
+	old := reg.state.GetNodes()[pos]
+	nod := proto.Clone(old).(*controlpb.Node)
+	nod.Upstream = proto.Clone(cmd.GetUpstream()).(*controlpb.Upstream)
+	if nod.GetUpstream() != nil {
+		nod.Upstream.SinceIndex = old.GetUpstream().GetSinceIndex()
+	}
+	if proto.Equal(old, nod) {
+		return
+	}
+	same := serving(old.GetUpstream()) && serving(nod.GetUpstream()) &&
+		old.GetUpstream().GetId() == nod.GetUpstream().GetId() &&
+		old.GetUpstream().GetService() == nod.GetUpstream().GetService()
+	if nod.GetUpstream() != nil && !same {
+		nod.Upstream.SinceIndex = idx
+	}
+	reg.state.Nodes[pos] = nod
+	reg.emitNode(idx, nod)
+	if !same {
+		reg.giveUp(idx, map[uint64]bool{nod.GetSession(): true})
+	}
+}
+
+func (reg *Registry) setDrain(cmd *controlpb.SetDrain) {
+	pos, ok := slices.BinarySearchFunc(reg.state.GetDrains(), cmd.GetUpstream(), strings.Compare)
+	switch {
+	case cmd.GetDrain() && !ok:
+		reg.state.Drains = slices.Insert(reg.state.Drains, pos, cmd.GetUpstream())
+	case !cmd.GetDrain() && ok:
+		reg.state.Drains = slices.Delete(reg.state.Drains, pos, pos+1)
+	}
+}
+
+// usable reports whether a session may become the owner of rows of a service.
+func (reg *Registry) usable(ses uint64, svc string) bool {
+	nod := reg.node(ses)
+	return nod != nil && nod.GetUpstream().GetService() == svc && serving(nod.GetUpstream())
+}
--- /dev/null
+++ b/internal/control/registry/shards.go
@@ -0,0 +1,266 @@
+package registry
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	orphan    = controlpb.Phase_PHASE_ORPHAN
+	owned     = controlpb.Phase_PHASE_OWNED
+	releasing = controlpb.Phase_PHASE_RELEASING
+)
+
+func (reg *Registry) table(svc string) *controlpb.ServiceTable {
+	pos, ok := reg.findTable(svc)
+	if !ok {
+		return nil
+	}
+	return reg.state.GetTables()[pos]
+}
+
+func (reg *Registry) findTable(svc string) (int, bool) {
+	return slices.BinarySearchFunc(reg.state.GetTables(), svc, func(tab *controlpb.ServiceTable, svc string) int {
+		return strings.Compare(tab.GetService(), svc)
+	})
+}
+
+func findMoving(tab *controlpb.ServiceTable, prt uint32) (int, bool) {
+	return slices.BinarySearchFunc(tab.GetMoving(), prt, func(row *controlpb.Shard, prt uint32) int {
+		return int(row.GetPartition()) - int(prt)
+	})
+}
+
+func findOverride(tab *controlpb.ServiceTable, key string) (int, bool) {
+	return slices.BinarySearchFunc(tab.GetOverrides(), key, func(row *controlpb.Shard, key string) int {
+		return strings.Compare(row.GetKey(), key)
+	})
+}
+
+// partition returns a copy of the row of a partition, nil when it is out of range.
+func partition(tab *controlpb.ServiceTable, prt uint32) *controlpb.Shard {
+	if int(prt) >= len(tab.GetOwners()) {
+		return nil
+	}
+	row := &controlpb.Shard{Service: tab.GetService(), Partition: prt, Owner: tab.GetOwners()[prt], Token: tab.GetTokens()[prt]}
+	if pos, ok := findMoving(tab, prt); ok {
+		row.Phase, row.Target = releasing, tab.GetMoving()[pos].GetTarget()
+		return row
+	}
+	if row.GetOwner() != 0 {
+		row.Phase = owned
+	}
+	return row
+}
+
+// override returns a copy of the row of an override, nil when the key has none.
+func override(tab *controlpb.ServiceTable, key string) *controlpb.Shard {
+	pos, ok := findOverride(tab, key)
+	if !ok {
+		return nil
+	}
+	row := tab.GetOverrides()[pos]
+	return &controlpb.Shard{
+		Service: row.GetService(), Partition: row.GetPartition(), Key: row.GetKey(), Owner: row.GetOwner(),
+		Token: row.GetToken(), Phase: row.GetPhase(), Target: row.GetTarget(), Retiring: row.GetRetiring(),
+	}
+}
+
+// put stores a row, which must not be altered afterwards, and records the change.
+func (reg *Registry) put(idx uint64, tab *controlpb.ServiceTable, row *controlpb.Shard) {
+	if row.GetKey() != "" {
+		pos, ok := findOverride(tab, row.GetKey())
+		if ok {
+			tab.Overrides[pos] = row
+		} else {
+			tab.Overrides = slices.Insert(tab.Overrides, pos, row)
+		}
+	} else {
+		putPartition(tab, row)
+	}
+	reg.ring.add(idx, &controlpb.Change{Kind: &controlpb.Change_SetShard{SetShard: row}})
+}
+
+func putPartition(tab *controlpb.ServiceTable, row *controlpb.Shard) {
+	prt := row.GetPartition()
+	tab.Owners[prt], tab.Tokens[prt] = row.GetOwner(), row.GetToken()
+	pos, ok := findMoving(tab, prt)
+	switch {
+	case row.GetPhase() == releasing && ok:
+		tab.Moving[pos] = row
+	case row.GetPhase() == releasing:
+		tab.Moving = slices.Insert(tab.Moving, pos, row)
+	case ok:
+		tab.Moving = slices.Delete(tab.Moving, pos, pos+1)
+	}
+}
+
+// removeOverride returns a key to its partition, whose owner gets a newer token so that tokens rise for each key too.
+func (reg *Registry) removeOverride(idx uint64, tab *controlpb.ServiceTable, row *controlpb.Shard) {
+	pos, ok := findOverride(tab, row.GetKey())
+	if !ok {
+		return
+	}
+	tab.Overrides = slices.Delete(tab.Overrides, pos, pos+1)
+	ref := &controlpb.ShardRef{Service: tab.GetService(), Partition: row.GetPartition(), Key: row.GetKey(), Token: row.GetToken()}
+	reg.ring.add(idx, &controlpb.Change{Kind: &controlpb.Change_RemoveOverride{RemoveOverride: ref}})
+	if prt := partition(tab, row.GetPartition()); prt != nil && prt.GetPhase() == owned {
+		prt.Token = idx
+		reg.put(idx, tab, prt)
+	}
+}
+
+// handOver ends the ownership of a row: it goes to its target, to nobody, or, for a retiring override, back to its partition.
+func (reg *Registry) handOver(idx uint64, tab *controlpb.ServiceTable, row *controlpb.Shard) {
+	if row.GetRetiring() {
+		reg.removeOverride(idx, tab, row)
+		return
+	}
+	tgt := row.GetTarget()
+	row.Owner, row.Phase, row.Target = 0, orphan, 0
+	if tgt != 0 && reg.usable(tgt, tab.GetService()) {
+		row.Owner, row.Phase, row.Token = tgt, owned, idx
+	}
+	reg.put(idx, tab, row)
+}
+
+// giveUp takes all rows from sessions that no longer serve, and removes them as targets.
+func (reg *Registry) giveUp(idx uint64, gone map[uint64]bool) {
+	for _, tab := range reg.state.GetTables() {
+		for _, row := range append([]*controlpb.Shard(nil), tab.GetMoving()...) {
+			reg.giveUpTarget(idx, tab, partition(tab, row.GetPartition()), gone)
+		}
+		for prt, own := range tab.GetOwners() {
+			if own != 0 && gone[own] {
+				reg.handOver(idx, tab, partition(tab, uint32(prt)))
+			}
+		}
+		for _, row := range append([]*controlpb.Shard(nil), tab.GetOverrides()...) {
+			reg.giveUpTarget(idx, tab, override(tab, row.GetKey()), gone)
+			if row.GetOwner() != 0 && gone[row.GetOwner()] {
+				reg.handOver(idx, tab, override(tab, row.GetKey()))
+			}
+		}
+	}
+}
+
+func (reg *Registry) giveUpTarget(idx uint64, tab *controlpb.ServiceTable, row *controlpb.Shard, gone map[uint64]bool) {
+	if row.GetTarget() != 0 && gone[row.GetTarget()] {
+		row.Target = 0
+		reg.put(idx, tab, row)
+	}
+}
+
+// released completes the hand-over of rows that their owner has finished with; rows with another token are skipped.
+func (reg *Registry) released(idx uint64, cmd *controlpb.Released) int {
+	skipped := 0
+	for _, ref := range cmd.GetShards() {
+		tab, row := reg.find(ref)
+		if row == nil || row.GetOwner() != cmd.GetSession() || row.GetToken() != ref.GetToken() || row.GetPhase() != releasing {
+			skipped++
+			continue
+		}
+		reg.handOver(idx, tab, row)
+	}
+	return skipped
+}
+
+// find returns the table and a copy of the row that a reference names, nil when there is none.
+func (reg *Registry) find(ref *controlpb.ShardRef) (*controlpb.ServiceTable, *controlpb.Shard) {
+	tab := reg.table(ref.GetService())
+	if tab == nil {
+		return nil, nil
+	}
+	if ref.GetKey() != "" {
+		return tab, override(tab, ref.GetKey())
+	}
+	return tab, partition(tab, ref.GetPartition())
+}
+
+func (reg *Registry) assign(idx uint64, cmd *controlpb.Assign) int {
+	skipped := 0
+	for _, asg := range cmd.GetAssignments() {
+		if !reg.assignOne(idx, asg) {
+			skipped++
+		}
+	}
+	return skipped
+}
+
+func (reg *Registry) assignOne(idx uint64, asg *controlpb.Assignment) bool {
+	if asg.GetKind() == controlpb.AssignmentKind_ASSIGNMENT_KIND_ISOLATE {
+		return reg.isolate(idx, asg)
+	}
+	tab, row := reg.find(asg.GetShard())
+	if row == nil || row.GetToken() != asg.GetShard().GetToken() {
+		return false
+	}
+	switch asg.GetKind() {
+	case controlpb.AssignmentKind_ASSIGNMENT_KIND_GRANT:
+		return reg.grant(idx, tab, row, asg.GetTarget())
+	case controlpb.AssignmentKind_ASSIGNMENT_KIND_MOVE:
+		return reg.move(idx, tab, row, asg.GetTarget())
+	case controlpb.AssignmentKind_ASSIGNMENT_KIND_RETIRE:
+		return reg.retire(idx, tab, row)
+	}
+	return false
+}
+
+func (reg *Registry) grant(idx uint64, tab *controlpb.ServiceTable, row *controlpb.Shard, tgt uint64) bool {
+	if row.GetPhase() != orphan || !reg.usable(tgt, tab.GetService()) {
+		return false
+	}
+	row.Owner, row.Phase, row.Token = tgt, owned, idx
+	reg.put(idx, tab, row)
+	return true
+}
+
+func (reg *Registry) move(idx uint64, tab *controlpb.ServiceTable, row *controlpb.Shard, tgt uint64) bool {
+	if row.GetPhase() != owned || row.GetOwner() == tgt || !reg.usable(tgt, tab.GetService()) {
+		return false
+	}
+	row.Phase, row.Target = releasing, tgt
+	reg.put(idx, tab, row)
+	return true
+}
+
+func (reg *Registry) retire(idx uint64, tab *controlpb.ServiceTable, row *controlpb.Shard) bool {
+	if row.GetKey() == "" || row.GetPhase() == releasing {
+		return false
+	}
+	if row.GetPhase() == orphan {
+		reg.removeOverride(idx, tab, row)
+		return true
+	}
+	row.Phase, row.Retiring, row.Target = releasing, true, tab.GetOwners()[row.GetPartition()]
+	reg.put(idx, tab, row)
+	return true
+}
+
+// isolate takes a key out of its partition. The partition's owner holds the new row as releasing until it has finished the key's requests.
+func (reg *Registry) isolate(idx uint64, asg *controlpb.Assignment) bool {
+	ref := asg.GetShard()
+	tab := reg.table(ref.GetService())
+	if tab == nil || len(tab.GetOverrides()) >= MaxOverrides || ref.GetKey() == "" || len(ref.GetKey()) > siskinrill.MaxKeyBytes {
+		return false
+	}
+	prt := partition(tab, siskinrill.Partition(ref.GetService(), ref.GetKey(), uint32(len(tab.GetOwners()))))
+	if prt.GetPartition() != ref.GetPartition() || prt.GetToken() != ref.GetToken() || prt.GetPhase() != owned {
+		return false
+	}
+	if _, ok := findOverride(tab, ref.GetKey()); ok || !reg.usable(asg.GetTarget(), ref.GetService()) {
+		return false
+	}
+	row := &controlpb.Shard{
+		Service: ref.GetService(), Partition: ref.GetPartition(), Key: ref.GetKey(),
+		Owner: prt.GetOwner(), Token: idx, Phase: releasing, Target: asg.GetTarget(),
+	}
+	if asg.GetTarget() == prt.GetOwner() {
+		row.Phase, row.Target = owned, 0
+	}
+	reg.put(idx, tab, row)
+	return true
+}
