--- /dev/null
+++ b/internal/agent/caller/answer.go
@@ -0,0 +1,186 @@
+package caller
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// problem is the body of a refusal as in RFC 9457.
+type problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+	Reason string `json:"reason"`
+}
+
+const (
+	problemPrefix = "urn:siskinrill:problem:"
+	// Callers that are told to come back get at least one second, the unit of Retry-After.
+	leastRetryAfter = time.Second
+	copyBuffer      = 32 << 10
+)
+
+var statuses = map[siskinrill.Reason]int{
+	siskinrill.ReasonNoRoute:              http.StatusNotFound,
+	siskinrill.ReasonMethodNotAllowed:     http.StatusMethodNotAllowed,
+	siskinrill.ReasonBadRequest:           http.StatusBadRequest,
+	siskinrill.ReasonCallerGone:           http.StatusBadRequest,
+	siskinrill.ReasonBodyTooLarge:         http.StatusRequestEntityTooLarge,
+	siskinrill.ReasonIdempotencyKeyReused: http.StatusUnprocessableEntity,
+	siskinrill.ReasonOutstandingLimit:     http.StatusTooManyRequests,
+	siskinrill.ReasonDeadline:             http.StatusGatewayTimeout,
+	siskinrill.ReasonDeadlineInQueue:      http.StatusGatewayTimeout,
+	siskinrill.ReasonBackendTimeout:       http.StatusGatewayTimeout,
+	siskinrill.ReasonConnectionLost:       http.StatusBadGateway,
+	siskinrill.ReasonBackendLost:          http.StatusBadGateway,
+	siskinrill.ReasonBackendBadAnswer:     http.StatusBadGateway,
+	siskinrill.ReasonInternal:             http.StatusInternalServerError,
+}
+
+// statusOf returns the HTTP status of a refusal; what a later request may get past is 503.
+func statusOf(rsn siskinrill.Reason) int {
+	if sts, ok := statuses[rsn]; ok {
+		return sts
+	}
+	return http.StatusServiceUnavailable
+}
+
+// retryAfter returns the advised wait, zero where a retry does not help or may run the request twice.
+func retryAfter(ref *siskinrill.Refusal) time.Duration {
+	if !ref.NotRun() {
+		return 0
+	}
+	sts := statusOf(ref.Reason())
+	if sts != http.StatusServiceUnavailable && sts != http.StatusTooManyRequests {
+		return 0
+	}
+	return max(ref.RetryAfter(), leastRetryAfter)
+}
+
+func (han *Handler) refuse(wri http.ResponseWriter, req *http.Request, ref *siskinrill.Refusal) {
+	rsn := ref.Reason()
+	han.counters.Refused(rsn)
+	if cause := ref.Unwrap(); cause != nil && han.opt.Logger.IsLevelEnabled(logrus.DebugLevel) {
+		han.opt.Logger.Debugf("caller: %s %s refused: %v", req.Method, req.URL.Path, ref)
+	}
+	sts := statusOf(rsn)
+	hdr := wri.Header()
+	hdr.Set("Content-Type", "application/problem+json")
+	hdr.Set(siskinrill.HeaderOutcome, siskinrill.OutcomeText(ref.Outcome()))
+	if dur := retryAfter(ref); dur > 0 {
+		hdr.Set("Retry-After", strconv.FormatInt(int64((dur+time.Second-1)/time.Second), 10))
+	}
+	if rsn == siskinrill.ReasonMethodNotAllowed {
+		hdr["Allow"] = han.allowed(req)
+	}
+	bdy, _ := json.Marshal(problem{
+		Type: problemPrefix + string(rsn), Title: http.StatusText(sts), Status: sts, Detail: detail(ref), Reason: string(rsn),
+	})
+	wri.WriteHeader(sts)
+	_, _ = wri.Write(bdy)
+}
+
+// detail describes a refusal; causes are left to the log, for they name addresses inside.
+func detail(ref *siskinrill.Refusal) string {
+	switch {
+	case ref.Reason() == siskinrill.ReasonBadRequest && ref.Unwrap() != nil:
+		return ref.Unwrap().Error()
+	case ref.NotRun():
+		return "The request was not run."
+	default:
+		return "The request may have run."
+	}
+}
+
+// allowed returns the methods that have a route for the path.
+func (han *Handler) allowed(req *http.Request) []string {
+	var mets []string
+	for _, met := range []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"} {
+		if rte, _, _ := han.session.Match(met, req.URL.EscapedPath()); rte != nil {
+			mets = append(mets, met)
+		}
+	}
+	return mets
+}
+
+var buffers = sync.Pool{New: func() any {
+	buf := make([]byte, copyBuffer)
+	return &buf
+}}
+
+// copyAnswer writes an answer; one that was cut aborts the connection, so that it never looks complete.
+func (han *Handler) copyAnswer(wri http.ResponseWriter, req *http.Request, ans *siskinrill.Answer) {
+	hea := ans.Head()
+	hdr := wri.Header()
+	inward(hdr, hea.GetHeaders())
+	hdr.Set(siskinrill.HeaderOutcome, siskinrill.OutcomeText(peerpb.Outcome_OUTCOME_COMPLETE))
+	length := hea.GetBodyLength()
+	if hea.GetBodyEnd() {
+		length = int64(len(hea.GetBody()))
+	}
+	if length >= 0 && req.Method != http.MethodHead && hea.GetStatus() != http.StatusNoContent && hea.GetStatus() != http.StatusNotModified {
+		hdr.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	wri.WriteHeader(int(hea.GetStatus()))
+	if len(hea.GetBody()) > 0 {
+		_, _ = wri.Write(hea.GetBody())
+	}
+	if ans.Body() == nil {
+		return
+	}
+	buf, _ := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	if err := copyBody(wri, ans.Body(), *buf); err != nil {
+		han.counters.Event(cutEvent(err))
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// callerError tells that an answer could not be written to the caller.
+type callerError struct {
+	cause error
+}
+
+// Error returns the cause.
+func (cer *callerError) Error() string { return "write to the caller: " + cer.cause.Error() }
+
+// Unwrap returns the cause.
+func (cer *callerError) Unwrap() error { return cer.cause }
+
+func cutEvent(err error) string {
+	cer := &callerError{}
+	if errors.As(err, &cer) {
+		return string(siskinrill.ReasonCallerGone)
+	}
+	return "answer_cut"
+}
+
+// copyBody copies until the whole body was read; an error may be a *callerError.
+func copyBody(wri io.Writer, bdy io.Reader, buf []byte) error {
+	for {
+		num, err := bdy.Read(buf)
+		if num > 0 {
+			if _, wer := wri.Write(buf[:num]); wer != nil {
+				return &callerError{cause: wer}
+			}
+		}
+		// A cut answer may wrap io.EOF as its cause; only the plain one is the end.
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/caller/call.go
@@ -0,0 +1,196 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// target is the owner of a key by the agent's copy of the table.
+type target struct {
+	shard   *controlpb.Shard
+	address string // empty: this agent
+	version uint64 // of the table
+}
+
+// serve tries until there is an answer or a refusal that a further attempt does not help.
+func (cal *call) serve() (*siskinrill.Answer, *siskinrill.Refusal) {
+	for {
+		tgt, ref := cal.locate()
+		if ref != nil {
+			return nil, ref
+		}
+		if ref := cal.enter(tgt); ref != nil {
+			return nil, ref
+		}
+		ans, ref := cal.try(tgt)
+		if ref == nil {
+			return ans, nil
+		}
+		if ref := cal.again(tgt, ref); ref != nil {
+			return nil, ref
+		}
+	}
+}
+
+// locate returns the owner of the key; while there is none or the shard moves it waits for a newer version.
+func (cal *call) locate() (target, *siskinrill.Refusal) {
+	for {
+		if !cal.han.session.Fresh() {
+			return target{}, siskinrill.NotRun(siskinrill.ReasonNoLease).WithRetryAfter(leastRetryAfter)
+		}
+		tgt, rsn := cal.lookup()
+		if rsn == "" {
+			return tgt, nil
+		}
+		if ref := cal.await(tgt.version, rsn, false); ref != nil {
+			return tgt, ref
+		}
+	}
+}
+
+// lookup returns the owner of the key, or the reason why no request may be sent there now.
+func (cal *call) lookup() (target, siskinrill.Reason) {
+	ses := cal.han.session
+	// The version is read first, so that a change between the two reads ends the wait at once.
+	tgt := target{version: ses.Version()}
+	tgt.shard = ses.Shard(cal.service.GetName(), cal.key)
+	if tgt.shard == nil {
+		return tgt, siskinrill.ReasonNoOwner
+	}
+	if tgt.shard.GetPhase() == controlpb.Phase_PHASE_RELEASING {
+		return tgt, siskinrill.ReasonMoving
+	}
+	if tgt.shard.GetOwner() == 0 {
+		return tgt, siskinrill.ReasonNoOwner
+	}
+	if tgt.shard.GetOwner() == ses.Session() {
+		return tgt, ""
+	}
+	nod := ses.Node(tgt.shard.GetOwner())
+	if nod == nil {
+		return tgt, siskinrill.ReasonNoOwner
+	}
+	tgt.address = nod.GetPeerAddress()
+	return tgt, ""
+}
+
+// await waits for a version over ver, with poll for a short pause at most; a refusal tells that the time is up.
+func (cal *call) await(ver uint64, rsn siskinrill.Reason, poll bool) *siskinrill.Refusal {
+	left := min(hold(cal.service)-cal.held, time.Until(cal.deadline))
+	if cal.req.Context().Err() != nil {
+		return siskinrill.NotRun(siskinrill.ReasonCallerGone)
+	}
+	if left <= 0 {
+		return cal.expired(rsn)
+	}
+	if poll {
+		left = min(left, cal.pause)
+		cal.pause = min(2*cal.pause, 16*cal.han.opt.Poll)
+	}
+	beg := time.Now()
+	ctx, cancel := context.WithTimeout(cal.req.Context(), left)
+	defer cancel()
+	_ = cal.han.session.Await(ctx, ver)
+	cal.held += time.Since(beg)
+	return nil
+}
+
+// expired returns the refusal of a call that waited for an owner in vain.
+func (cal *call) expired(rsn siskinrill.Reason) *siskinrill.Refusal {
+	if time.Until(cal.deadline) <= 0 {
+		rsn = siskinrill.ReasonDeadline
+	}
+	return siskinrill.NotRun(rsn).WithRetryAfter(leastRetryAfter)
+}
+
+// enter counts the call as outstanding at an owner.
+func (cal *call) enter(tgt target) *siskinrill.Refusal {
+	own := tgt.shard.GetOwner()
+	if cal.counted == own {
+		return nil
+	}
+	cal.finish()
+	limit := orCount(cal.service.GetMaxOutstandingPerOwner(), defaultOutstanding)
+	if !cal.han.outstanding.enter(own, limit) {
+		return siskinrill.NotRun(siskinrill.ReasonOutstandingLimit).WithRetryAfter(leastRetryAfter)
+	}
+	cal.counted = own
+	return nil
+}
+
+// try makes one attempt, hedged where the service asks for it.
+func (cal *call) try(tgt target) (*siskinrill.Answer, *siskinrill.Refusal) {
+	if time.Until(cal.deadline) <= 0 {
+		return nil, siskinrill.NotRun(siskinrill.ReasonDeadline)
+	}
+	cal.tries++
+	cal.began = time.Now()
+	if cal.atMostOnce() {
+		return cal.tryOnce(tgt)
+	}
+	after := time.Duration(cal.service.GetHedgeAfterMs()) * time.Millisecond
+	if after > 0 && cal.body.whole {
+		return cal.tryHedged(tgt, after)
+	}
+	ctx, cancel := context.WithDeadline(cal.req.Context(), cal.deadline)
+	ans, ref := cal.send(ctx, tgt, cal.open(tgt))
+	return bound(ans, ref, cancel)
+}
+
+// send hands an attempt to the owner, which may be this agent.
+func (cal *call) send(ctx context.Context, tgt target, opn *peerpb.Open) (*siskinrill.Answer, *siskinrill.Refusal) {
+	att := siskinrill.NewAttempt(opn, cal.body.reader())
+	var ans *siskinrill.Answer
+	var err error
+	if tgt.address == "" {
+		ans, err = cal.han.owner.Handle(ctx, att)
+	} else {
+		ans, err = cal.han.forwarder.Forward(ctx, tgt.address, att)
+	}
+	if err == nil {
+		return ans, nil
+	}
+	ref := &siskinrill.Refusal{}
+	if !errors.As(err, &ref) {
+		ref = siskinrill.Unknown(siskinrill.ReasonInternal, err)
+	}
+	return nil, ref
+}
+
+// open returns the first message of a new attempt.
+func (cal *call) open(tgt target) *peerpb.Open {
+	han := cal.han
+	return &peerpb.Open{
+		Attempt:        &peerpb.AttemptId{EntrySession: han.entry.Load(), Counter: han.attempts.Add(1)},
+		OwnerSession:   tgt.shard.GetOwner(),
+		Service:        cal.service.GetName(),
+		Key:            cal.key,
+		Partition:      tgt.shard.GetPartition(),
+		Token:          tgt.shard.GetToken(),
+		Method:         cal.req.Method,
+		Target:         cal.req.URL.RequestURI(),
+		Headers:        cal.headers,
+		TimeoutMs:      uint32(max(1, time.Until(cal.deadline).Milliseconds())),
+		Kind:           uint32(cal.route.GetKind()),
+		IdempotencyKey: cal.idemKey,
+		BodyLength:     cal.body.length,
+		Body:           cal.body.first,
+		BodyEnd:        cal.body.whole,
+		Retry:          cal.tries > 1,
+	}
+}
+
+// bound makes the end of an answer end its context.
+func bound(ans *siskinrill.Answer, ref *siskinrill.Refusal, cancel context.CancelFunc) (*siskinrill.Answer, *siskinrill.Refusal) {
+	if ref != nil || ans.Body() == nil {
+		cancel()
+		return ans, ref
+	}
+	return siskinrill.NewAnswer(ans.Head(), &boundBody{ReadCloser: ans.Body(), cancel: cancel}), nil
+}
--- /dev/null
+++ b/internal/agent/caller/fakes_test.go
@@ -0,0 +1,386 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+type noSession struct{ siskinrill.Session }
+
+// fakeSession is a session whose single shard the test moves.
+type fakeSession struct {
+	noSession
+	mu      sync.Mutex
+	stale   bool
+	service *controlpb.Service
+	shard   *controlpb.Shard
+	nodes   map[uint64]*controlpb.Node
+	version uint64
+	changed chan struct{}
+}
+
+const entrySession = 7
+
+func newFakeSession() *fakeSession {
+	return &fakeSession{
+		service: &controlpb.Service{Name: "checkout", Partitions: 16},
+		shard:   &controlpb.Shard{Service: "checkout", Owner: 1, Token: 1, Phase: controlpb.Phase_PHASE_OWNED},
+		nodes: map[uint64]*controlpb.Node{
+			1: {Session: 1, PeerAddress: "owner1"}, 2: {Session: 2, PeerAddress: "owner2"},
+		},
+		version: 1,
+		changed: make(chan struct{}),
+	}
+}
+
+func (ses *fakeSession) Session() uint64 { return entrySession }
+func (ses *fakeSession) Fresh() bool     { return !ses.stale }
+
+var kinds = map[string]controlpb.RequestKind{
+	"GET": controlpb.RequestKind_REQUEST_KIND_IDEMPOTENT, "POST": controlpb.RequestKind_REQUEST_KIND_NON_IDEMPOTENT, "PUT": controlpb.RequestKind_REQUEST_KIND_UPLOAD,
+}
+
+func (ses *fakeSession) Match(method, path string) (*controlpb.Route, string, siskinrill.Reason) {
+	key, ok := strings.CutPrefix(path, "/orders/")
+	if !ok {
+		return nil, "", siskinrill.ReasonNoRoute
+	}
+	knd, ok := kinds[method]
+	if !ok {
+		return nil, "", siskinrill.ReasonMethodNotAllowed
+	}
+	return &controlpb.Route{Service: "checkout", Kind: knd, TimeoutMs: 5000, MaxBodyBytes: 1 << 20}, key, ""
+}
+
+func (ses *fakeSession) Service(string) *controlpb.Service { return ses.service }
+
+func (ses *fakeSession) Shard(string, string) *controlpb.Shard {
+	ses.mu.Lock()
+	defer ses.mu.Unlock()
+	return &controlpb.Shard{Service: "checkout", Owner: ses.shard.GetOwner(), Token: ses.shard.GetToken(), Phase: ses.shard.GetPhase()}
+}
+
+func (ses *fakeSession) Node(num uint64) *controlpb.Node {
+	ses.mu.Lock()
+	defer ses.mu.Unlock()
+	return ses.nodes[num]
+}
+
+func (ses *fakeSession) Version() uint64 {
+	ses.mu.Lock()
+	defer ses.mu.Unlock()
+	return ses.version
+}
+
+func (ses *fakeSession) Await(ctx context.Context, ver uint64) error {
+	for {
+		ses.mu.Lock()
+		cur, chg := ses.version, ses.changed
+		ses.mu.Unlock()
+		if cur > ver {
+			return nil
+		}
+		select {
+		case <-chg:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// move sets the row of the shard as a new version; session 0 makes it an orphan.
+func (ses *fakeSession) move(own uint64, phs controlpb.Phase) {
+	ses.mu.Lock()
+	defer ses.mu.Unlock()
+	ses.version++
+	ses.shard = &controlpb.Shard{Owner: own, Token: ses.version, Phase: phs}
+	close(ses.changed)
+	ses.changed = make(chan struct{})
+}
+
+// fault is what happens to one attempt.
+type fault struct {
+	refuse    siskinrill.Reason // the owner refuses, nothing runs
+	wrong     siskinrill.Reason // the owner cannot tell whether it ran, and it did
+	undialled bool              // no connection
+	undone    bool              // the connection is lost before the owner got the attempt
+	lost      bool              // the attempt runs, its answer is lost
+	late      time.Duration     // the connection is lost, the owner gets the attempt after this time
+	queued    time.Duration     // time in the owner's queue
+	busy      time.Duration     // time of the run
+	cut       bool              // the answer breaks off
+	frozen    bool              // the owner answers withdrawals no more
+	moved     bool              // the shard moves to owner 2 50 ms later
+}
+
+// attemptState is what an owner knows of one attempt.
+type attemptState struct {
+	tombstone bool
+	started   bool
+	done      chan struct{}
+	answer    *peerpb.Response
+}
+
+// fakeOwners stand for the owners and the connections to them; they record what ran by request id.
+type fakeOwners struct {
+	ses      *fakeSession
+	mu       sync.Mutex
+	script   map[string][]fault
+	runs     map[string]int
+	attempts map[uint64]*attemptState
+	frozen   bool
+	bodies   map[string]int
+}
+
+func newFakeOwners(ses *fakeSession) *fakeOwners {
+	return &fakeOwners{ses: ses, script: map[string][]fault{}, runs: map[string]int{}, attempts: map[uint64]*attemptState{}, bodies: map[string]int{}}
+}
+
+func requestID(opn *peerpb.Open) string {
+	for _, fld := range opn.GetHeaders() {
+		if fld.GetName() == "X-Request-Id" {
+			return fld.GetValues()[0]
+		}
+	}
+	return ""
+}
+
+func (own *fakeOwners) next(rid string) fault {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	if len(own.script[rid]) == 0 {
+		return fault{}
+	}
+	flt := own.script[rid][0]
+	own.script[rid] = own.script[rid][1:]
+	return flt
+}
+
+var errCut = siskinrill.Unknown(siskinrill.ReasonConnectionLost, io.EOF)
+
+func (own *fakeOwners) Forward(ctx context.Context, _ string, att *siskinrill.Attempt) (*siskinrill.Answer, error) {
+	flt := own.next(requestID(att.Open()))
+	if flt.frozen {
+		own.mu.Lock()
+		own.frozen = true
+		own.mu.Unlock()
+	}
+	if flt.moved {
+		own.ses.move(1, controlpb.Phase_PHASE_RELEASING)
+		time.AfterFunc(50*time.Millisecond, func() { own.ses.move(2, controlpb.Phase_PHASE_OWNED) })
+	}
+	switch {
+	case flt.undialled:
+		return nil, siskinrill.NotRun(siskinrill.ReasonUnreachable)
+	case flt.undone:
+		return nil, errCut
+	case flt.late > 0:
+		time.AfterFunc(flt.late, func() { _, _ = own.run(context.Background(), att, flt) })
+		return nil, errCut
+	case flt.lost:
+		_, _ = own.run(ctx, att, flt)
+		return nil, errCut
+	}
+	return own.over(ctx, att, flt)
+}
+
+// over runs an attempt whose answer is lost when the context ends first.
+func (own *fakeOwners) over(ctx context.Context, att *siskinrill.Attempt, flt fault) (*siskinrill.Answer, error) {
+	type end struct {
+		ans *siskinrill.Answer
+		err error
+	}
+	ended := make(chan end, 1)
+	go func() {
+		ans, err := own.run(ctx, att, flt)
+		ended <- end{ans, err}
+	}()
+	if flt.queued > 0 {
+		res := <-ended
+		return res.ans, res.err
+	}
+	select {
+	case res := <-ended:
+		return res.ans, res.err
+	case <-ctx.Done():
+		return nil, siskinrill.Unknown(siskinrill.ReasonDeadline, ctx.Err())
+	}
+}
+
+func (own *fakeOwners) Handle(ctx context.Context, att *siskinrill.Attempt) (*siskinrill.Answer, error) {
+	return own.run(ctx, att, own.next(requestID(att.Open())))
+}
+
+func (own *fakeOwners) state(num uint64) *attemptState {
+	sta := own.attempts[num]
+	if sta == nil {
+		sta = &attemptState{done: make(chan struct{})}
+		own.attempts[num] = sta
+	}
+	return sta
+}
+
+func (own *fakeOwners) run(ctx context.Context, att *siskinrill.Attempt, flt fault) (*siskinrill.Answer, error) {
+	if flt.refuse != "" {
+		return nil, siskinrill.NotRun(flt.refuse).WithVersion(own.ses.Version())
+	}
+	if !sleep(ctx, flt.queued) {
+		return nil, siskinrill.NotRun(siskinrill.ReasonDeadlineInQueue)
+	}
+	rid := requestID(att.Open())
+	own.mu.Lock()
+	sta := own.state(att.Open().GetAttempt().GetCounter())
+	if sta.tombstone {
+		own.mu.Unlock()
+		return nil, siskinrill.NotRun(siskinrill.ReasonWithdrawn)
+	}
+	sta.started = true
+	own.runs[rid]++
+	own.mu.Unlock()
+	size := len(att.Open().GetBody())
+	if att.Body() != nil {
+		rst, err := io.ReadAll(att.Body())
+		if err != nil {
+			return nil, siskinrill.Unknown(siskinrill.ReasonBackendLost, err)
+		}
+		size += len(rst)
+	}
+	time.Sleep(flt.busy)
+	rsp := &peerpb.Response{Status: 200, Body: []byte(rid), BodyEnd: true, BodyLength: int64(len(rid))}
+	own.mu.Lock()
+	sta.answer = rsp
+	own.bodies[rid] = size
+	close(sta.done)
+	own.mu.Unlock()
+	if flt.wrong != "" {
+		return nil, siskinrill.Unknown(flt.wrong, nil)
+	}
+	if flt.cut {
+		hea := &peerpb.Response{Status: 200, BodyLength: int64(len(rid)), Body: []byte(rid[:1])}
+		return siskinrill.NewAnswer(hea, cutBody{}), nil
+	}
+	return siskinrill.NewAnswer(rsp, nil), nil
+}
+
+// cutBody fails with a cause of io.EOF, as the body of a broken connection may.
+type cutBody struct{}
+
+func (cutBody) Read([]byte) (int, error) { return 0, errCut }
+func (cutBody) Close() error             { return nil }
+
+func (own *fakeOwners) Withdraw(ctx context.Context, req *peerpb.WithdrawRequest) (*peerpb.WithdrawAnswer, error) {
+	own.mu.Lock()
+	frozen := own.frozen
+	sta := own.state(req.GetAttempt().GetCounter())
+	if !sta.started && !frozen {
+		sta.tombstone = true
+	}
+	own.mu.Unlock()
+	if frozen {
+		<-ctx.Done()
+		return nil, errors.New("no answer")
+	}
+	if sta.tombstone {
+		return &peerpb.WithdrawAnswer{Result: peerpb.WithdrawResult_WITHDRAW_RESULT_WITHDRAWN}, nil
+	}
+	tmr := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
+	defer tmr.Stop()
+	select {
+	case <-sta.done:
+		return &peerpb.WithdrawAnswer{Result: peerpb.WithdrawResult_WITHDRAW_RESULT_DONE, Response: sta.answer}, nil
+	case <-tmr.C:
+		return &peerpb.WithdrawAnswer{Result: peerpb.WithdrawResult_WITHDRAW_RESULT_RUNNING}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (own *fakeOwners) Transfer(context.Context, string, *peerpb.TransferRequest) (*peerpb.TransferAnswer, error) {
+	return nil, nil
+}
+
+// localOwner gives the fake the method set of an owner.
+type localOwner struct{ *fakeOwners }
+
+func (own localOwner) Withdraw(ctx context.Context, req *peerpb.WithdrawRequest) (*peerpb.WithdrawAnswer, error) {
+	return own.fakeOwners.Withdraw(ctx, req)
+}
+
+func (own localOwner) Transfer(context.Context, *peerpb.TransferRequest) (*peerpb.TransferAnswer, error) {
+	return nil, nil
+}
+
+// remoteOwner gives the fake the method set of a forwarder.
+type remoteOwner struct{ *fakeOwners }
+
+func (own remoteOwner) Withdraw(ctx context.Context, _ string, req *peerpb.WithdrawRequest) (*peerpb.WithdrawAnswer, error) {
+	return own.fakeOwners.Withdraw(ctx, req)
+}
+
+// fixture is a handler with fakes around it.
+type fixture struct {
+	ses *fakeSession
+	own *fakeOwners
+	cnt *siskinrill.Counters
+	han *Handler
+}
+
+func newFixture() *fixture {
+	fix := &fixture{ses: newFakeSession(), cnt: siskinrill.NewCounters()}
+	fix.own = newFakeOwners(fix.ses)
+	fix.han = New(Options{}, fix.ses, remoteOwner{fix.own}, localOwner{fix.own}, fix.cnt)
+	return fix
+}
+
+// told is what a caller sees.
+type told struct {
+	status  int
+	outcome string
+	body    string
+	header  http.Header
+	aborted bool
+	took    time.Duration
+}
+
+// ask sends a request through the handler.
+func (fix *fixture) ask(req *http.Request) (tld told) {
+	rec := httptest.NewRecorder()
+	beg := time.Now()
+	defer func() {
+		tld.aborted = recover() != nil
+		tld.status, tld.body, tld.header = rec.Code, rec.Body.String(), rec.Header()
+		tld.outcome = rec.Header().Get(siskinrill.HeaderOutcome)
+		tld.took = time.Since(beg)
+	}()
+	fix.han.ServeHTTP(rec, req)
+	return tld
+}
+
+func newRequest(method, rid string, bdy []byte) *http.Request {
+	req := httptest.NewRequest(method, "/orders/"+rid, bytes.NewReader(bdy))
+	req.Header.Set("X-Request-Id", rid)
+	return req
+}
+
+// count returns a counter by the name of its map and its own.
+func (fix *fixture) count(kind, name string) string {
+	val := fix.cnt.Vars()[kind]
+	for part := range strings.SplitSeq(strings.Trim(val.String(), "{}"), ", ") {
+		if got, ok := strings.CutPrefix(part, `"`+name+`": `); ok {
+			return got
+		}
+	}
+	return "0"
+}
--- /dev/null
+++ b/internal/agent/caller/handler.go
@@ -0,0 +1,193 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+const maxIdempotencyKeyBytes = 256
+
+// Handler serves callers; it may be used by any number of requests at the same time.
+type Handler struct {
+	opt         Options
+	session     siskinrill.Session
+	forwarder   siskinrill.Forwarder
+	owner       siskinrill.Owner
+	counters    *siskinrill.Counters
+	hooks       hooks
+	budgets     budgets
+	outstanding outstanding
+	attempts    atomic.Uint64
+	// The newest session, kept because attempt ids must stay unique while a new one is being registered.
+	entry atomic.Uint64
+}
+
+// hooks break the handler on purpose; only tests set them.
+type hooks struct {
+	skipWithdraw bool // a lost answer counts as proof
+}
+
+// New returns a handler; the owner serves the keys of this agent itself.
+func New(opt Options, ses siskinrill.Session, fwd siskinrill.Forwarder, own siskinrill.Owner, cnt *siskinrill.Counters) *Handler {
+	return &Handler{
+		opt:         opt.withDefaults(),
+		session:     ses,
+		forwarder:   fwd,
+		owner:       own,
+		counters:    cnt,
+		budgets:     budgets{buckets: map[string]*bucket{}},
+		outstanding: outstanding{counts: map[uint64]int{}},
+	}
+}
+
+// ServeHTTP carries a request to the owner of its key and its answer back.
+func (han *Handler) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
+	cal, ref := han.accept(wri, req)
+	if ref != nil {
+		han.refuse(wri, req, ref)
+		return
+	}
+	defer cal.finish()
+	ans, ref := cal.serve()
+	if ref != nil {
+		cal.stopBody(wri)
+		han.refuse(wri, req, cal.honest(ref))
+		return
+	}
+	defer func() { _ = ans.Close() }()
+	if sts := ans.Head().GetStatus(); sts < http.StatusOK || sts > 599 {
+		han.refuse(wri, req, siskinrill.Unknown(siskinrill.ReasonBackendBadAnswer, nil))
+		return
+	}
+	han.copyAnswer(wri, req, ans)
+}
+
+// call is one request of a caller on its way.
+type call struct {
+	han      *Handler
+	req      *http.Request
+	route    *controlpb.Route
+	service  *controlpb.Service
+	key      string
+	idemKey  string
+	headers  []*peerpb.HeaderField
+	body     *body
+	deadline time.Time
+	held     time.Duration // waited for an owner so far
+	pause    time.Duration // next pause without news from control
+	tries    int
+	began    time.Time // of the newest attempt
+	ran      bool      // an earlier attempt may have run
+	counted  uint64    // owner at which this call counts as outstanding, 0: none
+}
+
+// accept checks a request; a refusal proves that nothing ran.
+func (han *Handler) accept(wri http.ResponseWriter, req *http.Request) (*call, *siskinrill.Refusal) {
+	if ses := han.session.Session(); ses != 0 {
+		han.entry.Store(ses)
+	}
+	if !han.session.Fresh() || han.entry.Load() == 0 {
+		return nil, siskinrill.NotRun(siskinrill.ReasonNoLease).WithRetryAfter(time.Second)
+	}
+	rte, key, rsn := han.session.Match(req.Method, req.URL.EscapedPath())
+	if rte == nil {
+		return nil, siskinrill.NotRun(rsn)
+	}
+	cal := &call{han: han, req: req, route: rte, key: key, pause: han.opt.Poll}
+	if err := cal.readHeader(); err != nil {
+		return nil, siskinrill.NewRefusal(siskinrill.ReasonBadRequest, peerpb.Outcome_OUTCOME_NOT_RUN, err)
+	}
+	cal.service = han.session.Service(rte.GetService())
+	if cal.service == nil {
+		return nil, siskinrill.NotRun(siskinrill.ReasonNoRoute)
+	}
+	if ref := cal.readBody(wri); ref != nil {
+		return nil, ref
+	}
+	cal.headers = outward(req.Header)
+	han.budgets.fill(cal.service)
+	return cal, nil
+}
+
+func (cal *call) readHeader() error {
+	if cal.key == "" || len(cal.key) > siskinrill.MaxKeyBytes {
+		return errors.Errorf("the key has %d bytes, allowed are 1 to %d", len(cal.key), siskinrill.MaxKeyBytes)
+	}
+	cal.idemKey = cal.req.Header.Get(siskinrill.HeaderIdempotencyKey)
+	if len(cal.idemKey) > maxIdempotencyKeyBytes {
+		return errors.Errorf("the idempotency key is longer than %d bytes", maxIdempotencyKeyBytes)
+	}
+	limit := timeout(cal.route)
+	if txt := cal.req.Header.Get(siskinrill.HeaderTimeout); txt != "" {
+		dur, err := time.ParseDuration(txt)
+		if err != nil || dur <= 0 {
+			return errors.Errorf("%s is not a positive duration: %q", siskinrill.HeaderTimeout, txt)
+		}
+		limit = min(limit, dur)
+	}
+	cal.deadline = time.Now().Add(limit)
+	return nil
+}
+
+func (cal *call) readBody(wri http.ResponseWriter) *siskinrill.Refusal {
+	if cal.req.ContentLength != 0 {
+		// A caller that sends no more must not hold the request past its deadline.
+		_ = http.NewResponseController(wri).SetReadDeadline(cal.deadline.Add(cal.han.opt.Grace))
+	}
+	bdy, err := readBody(wri, cal.req, maxBody(cal.route))
+	if err == nil {
+		cal.body = bdy
+		return nil
+	}
+	return siskinrill.NewRefusal(bodyReason(cal.req.Context(), err), peerpb.Outcome_OUTCOME_NOT_RUN, err)
+}
+
+// bodyReason tells why the body of a caller could not be read.
+func bodyReason(ctx context.Context, err error) siskinrill.Reason {
+	big := &http.MaxBytesError{}
+	if errors.As(err, &big) {
+		return siskinrill.ReasonBodyTooLarge
+	}
+	if ctx.Err() != nil {
+		return siskinrill.ReasonCallerGone
+	}
+	return siskinrill.ReasonBadRequest
+}
+
+// stopBody frees an attempt that still reads the body, so that the connection can be closed.
+func (cal *call) stopBody(wri http.ResponseWriter) {
+	if cal.body.repeatable() {
+		return
+	}
+	wri.Header().Set("Connection", "close")
+	_ = http.NewResponseController(wri).SetReadDeadline(time.Now())
+}
+
+// finish ends the counting of the call at its owner.
+func (cal *call) finish() {
+	if cal.counted != 0 {
+		cal.han.outstanding.leave(cal.counted)
+		cal.counted = 0
+	}
+}
+
+// honest returns the refusal with an outcome that covers all attempts.
+func (cal *call) honest(ref *siskinrill.Refusal) *siskinrill.Refusal {
+	if !cal.ran || !ref.NotRun() {
+		return ref
+	}
+	return siskinrill.Unknown(ref.Reason(), ref.Unwrap())
+}
+
+// atMostOnce reports whether the request must not run twice.
+func (cal *call) atMostOnce() bool {
+	return cal.route.GetKind() != controlpb.RequestKind_REQUEST_KIND_IDEMPOTENT
+}
--- /dev/null
+++ b/internal/agent/caller/header.go
@@ -0,0 +1,63 @@
+package caller
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// hopByHop are the headers of one connection, which are not passed on.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Expect": true, "Content-Length": true,
+}
+
+// The router's own headers are not accepted from outside, since they carry fencing tokens and outcomes.
+const ownPrefix = "Siskinrill-"
+
+// named reports whether the Connection header names another header.
+func named(connection []string, name string) bool {
+	for _, val := range connection {
+		for part := range strings.SplitSeq(val, ",") {
+			if strings.EqualFold(strings.TrimSpace(part), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// outward returns the headers to pass on to the owner.
+func outward(hdr http.Header) []*peerpb.HeaderField {
+	slab := make([]peerpb.HeaderField, len(hdr))
+	fields := make([]*peerpb.HeaderField, 0, len(hdr))
+	connection := hdr["Connection"]
+	for name, vals := range hdr {
+		if hopByHop[name] || strings.HasPrefix(name, ownPrefix) || named(connection, name) {
+			continue
+		}
+		fld := &slab[len(fields)]
+		fld.Name, fld.Values = name, vals
+		fields = append(fields, fld)
+	}
+	return fields
+}
+
+// inward copies the headers of an answer.
+func inward(hdr http.Header, fields []*peerpb.HeaderField) {
+	var connection []string
+	for _, fld := range fields {
+		if strings.EqualFold(fld.GetName(), "Connection") {
+			connection = append(connection, fld.GetValues()...)
+		}
+	}
+	for _, fld := range fields {
+		name := http.CanonicalHeaderKey(fld.GetName())
+		if hopByHop[name] || named(connection, name) {
+			continue
+		}
+		hdr[name] = append(hdr[name], fld.GetValues()...)
+	}
+}
--- /dev/null
+++ b/internal/agent/caller/options.go
@@ -0,0 +1,68 @@
+package caller
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// Options are the settings of a handler; zero values take the defaults named.
+type Options struct {
+	// Logger is logrus's standard logger when nil.
+	Logger *logrus.Logger
+	// Grace is how long past its deadline a request that must not run twice waits for proof of what became of it, 100 ms by default.
+	Grace time.Duration
+	// Poll is the first pause before an owner that could not serve is asked again without news from control, 25 ms by default; it doubles up to 16 times itself.
+	Poll time.Duration
+}
+
+func (opt Options) withDefaults() Options {
+	opt.Grace = orDefault(opt.Grace, 100*time.Millisecond)
+	opt.Poll = orDefault(opt.Poll, 25*time.Millisecond)
+	if opt.Logger == nil {
+		opt.Logger = logrus.StandardLogger()
+	}
+	return opt
+}
+
+func orDefault(dur, def time.Duration) time.Duration {
+	if dur > 0 {
+		return dur
+	}
+	return def
+}
+
+// Defaults for a service or route that leaves a limit at zero.
+const (
+	defaultTimeout     = 10 * time.Second
+	defaultHold        = 3 * time.Second
+	defaultMaxBody     = 8 << 20
+	defaultAttempts    = 3
+	defaultOutstanding = 512
+	defaultPercent     = 10
+	defaultPerSecond   = 10
+)
+
+func timeout(rte *controlpb.Route) time.Duration {
+	return orDefault(time.Duration(rte.GetTimeoutMs())*time.Millisecond, defaultTimeout)
+}
+
+func hold(svc *controlpb.Service) time.Duration {
+	return orDefault(time.Duration(svc.GetHoldMs())*time.Millisecond, defaultHold)
+}
+
+func maxBody(rte *controlpb.Route) int64 {
+	if num := int64(rte.GetMaxBodyBytes()); num > 0 {
+		return num
+	}
+	return defaultMaxBody
+}
+
+func orCount(num uint32, def int) int {
+	if num > 0 {
+		return int(num)
+	}
+	return def
+}
--- /dev/null
+++ b/internal/agent/control/apply.go
@@ -0,0 +1,162 @@
+package control
+
+import (
+	"fmt"
+	"maps"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// gapError tells that a table update does not continue the agent's version.
+type gapError struct {
+	have uint64
+	from uint64
+}
+
+// Error names both versions.
+func (gap *gapError) Error() string {
+	return fmt.Sprintf("table of version %d does not continue version %d", gap.from, gap.have)
+}
+
+// replace takes a snapshot as the new content; an error is a *gapError, for a snapshot older than the content comes from a leader that was deposed.
+func (tbl *table) replace(snp *controlpb.TableSnapshot) error {
+	cfg := snp.GetConfiguration()
+	services := make(map[string]*controlpb.Service, len(cfg.GetServices()))
+	routes := make(map[string]*controlpb.Route, len(cfg.GetRoutes()))
+	nodes := make(map[uint64]*controlpb.Node, len(snp.GetNodes()))
+	rws := make(map[string]*rows, len(cfg.GetServices()))
+	for _, svc := range cfg.GetServices() {
+		services[svc.GetName()] = svc
+		rws[svc.GetName()] = newRows(svc.GetPartitions())
+	}
+	for _, rte := range cfg.GetRoutes() {
+		routes[rte.GetName()] = rte
+	}
+	for _, nod := range snp.GetNodes() {
+		nodes[nod.GetSession()] = nod
+	}
+	for _, svt := range snp.GetTables() {
+		if row := rws[svt.GetService()]; row != nil {
+			row.fill(svt)
+		}
+	}
+	idx := newRouteIndex(routes)
+	mem := addresses(snp.GetMembers())
+	tbl.mu.Lock()
+	defer tbl.mu.Unlock()
+	if snp.GetVersion() < tbl.version {
+		return &gapError{have: tbl.version, from: snp.GetVersion()}
+	}
+	tbl.gap = false
+	tbl.number = cfg.GetNumber()
+	tbl.services, tbl.routes, tbl.index = services, routes, idx
+	tbl.nodes, tbl.rows, tbl.members = nodes, rws, mem
+	tbl.advance(snp.GetVersion())
+	return nil
+}
+
+func (row *rows) fill(svt *controlpb.ServiceTable) {
+	copy(row.owners, svt.GetOwners())
+	copy(row.tokens, svt.GetTokens())
+	for _, shd := range svt.GetMoving() {
+		row.set(shd)
+	}
+	for _, shd := range svt.GetOverrides() {
+		row.overrides[shd.GetKey()] = shd
+	}
+}
+
+// set replaces one row; a partition outside the service is ignored.
+func (row *rows) set(shd *controlpb.Shard) {
+	if shd.GetKey() != "" {
+		row.overrides[shd.GetKey()] = shd
+		return
+	}
+	par := shd.GetPartition()
+	if int(par) >= len(row.owners) {
+		return
+	}
+	row.owners[par] = shd.GetOwner()
+	row.tokens[par] = shd.GetToken()
+	if shd.GetPhase() == controlpb.Phase_PHASE_RELEASING {
+		row.moving[par] = shd
+		return
+	}
+	delete(row.moving, par)
+}
+
+// apply takes a difference; an error is a *gapError.
+func (tbl *table) apply(dif *controlpb.Difference) error {
+	tbl.mu.Lock()
+	defer tbl.mu.Unlock()
+	if dif.GetFrom() != tbl.version {
+		return &gapError{have: tbl.version, from: dif.GetFrom()}
+	}
+	for _, chg := range dif.GetChanges() {
+		tbl.change(chg)
+	}
+	tbl.advance(dif.GetTo())
+	return nil
+}
+
+func (tbl *table) change(chg *controlpb.Change) {
+	switch knd := chg.GetKind().(type) {
+	case *controlpb.Change_SetNode:
+		tbl.nodes[knd.SetNode.GetSession()] = knd.SetNode
+	case *controlpb.Change_RemoveNode:
+		delete(tbl.nodes, knd.RemoveNode)
+	case *controlpb.Change_SetShard:
+		if row := tbl.rows[knd.SetShard.GetService()]; row != nil {
+			row.set(knd.SetShard)
+		}
+	case *controlpb.Change_RemoveOverride:
+		if row := tbl.rows[knd.RemoveOverride.GetService()]; row != nil {
+			delete(row.overrides, knd.RemoveOverride.GetKey())
+		}
+	case *controlpb.Change_Configuration:
+		tbl.configure(knd.Configuration)
+	case *controlpb.Change_Members:
+		tbl.members = addresses(knd.Members)
+	}
+}
+
+func (tbl *table) configure(chg *controlpb.ConfigurationChange) {
+	services := maps.Clone(tbl.services)
+	routes := maps.Clone(tbl.routes)
+	for _, name := range chg.GetRemoveServices() {
+		delete(services, name)
+		delete(tbl.rows, name)
+	}
+	for _, svc := range chg.GetSetServices() {
+		services[svc.GetName()] = svc
+		if tbl.rows[svc.GetName()] == nil {
+			tbl.rows[svc.GetName()] = newRows(svc.GetPartitions())
+		}
+	}
+	for _, name := range chg.GetRemoveRoutes() {
+		delete(routes, name)
+	}
+	for _, rte := range chg.GetSetRoutes() {
+		routes[rte.GetName()] = rte
+	}
+	tbl.number = chg.GetNumber()
+	tbl.services, tbl.routes = services, routes
+	tbl.index = newRouteIndex(routes)
+}
+
+func addresses(mem *controlpb.Members) []string {
+	var adrs []string
+	for _, mbr := range mem.GetMembers() {
+		if !mbr.GetLearner() {
+			adrs = append(adrs, mbr.GetAddress())
+		}
+	}
+	return adrs
+}
+
+// forget makes the next connection ask for a snapshot; the content stays in use until that arrives.
+func (tbl *table) forget() {
+	tbl.mu.Lock()
+	defer tbl.mu.Unlock()
+	tbl.gap = true
+}
--- /dev/null
+++ b/internal/agent/control/dial.go
@@ -0,0 +1,54 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// stream is one connection to a control process; Send and Recv may run in parallel.
+type stream interface {
+	Send(*controlpb.AgentMessage) error
+	Recv() (*controlpb.ControlMessage, error)
+}
+
+// dialFunc opens a stream to an address; the stream ends with the context, and closing releases the connection.
+type dialFunc func(ctx context.Context, addr string) (stream, func(), error)
+
+const (
+	// A node may have few other uses for these connections, so that small buffers save memory.
+	socketBuffer = 4 << 10
+	// A static window switches off the bandwidth probes, which would cost part of the byte budget.
+	streamWindow = 256 << 10
+	// A snapshot of a service of 16,384 partitions and 810 nodes takes about 400 KB.
+	largestMessage = 64 << 20
+)
+
+// dialGRPC makes a new connection each time, so that none that went silent is used again.
+func dialGRPC(ctx context.Context, addr string) (stream, func(), error) {
+	con, err := grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithReadBufferSize(socketBuffer),
+		grpc.WithWriteBufferSize(socketBuffer),
+		grpc.WithInitialWindowSize(streamWindow),
+		grpc.WithInitialConnWindowSize(streamWindow),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(largestMessage)),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: time.Second}),
+	)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "dial control")
+	}
+	str, err := controlpb.NewSessionServiceClient(con).Connect(ctx)
+	if err != nil {
+		_ = con.Close()
+		return nil, nil, errors.Wrap(err, "open session stream")
+	}
+	return str, func() { _ = con.Close() }, nil
+}
--- /dev/null
+++ b/internal/agent/control/match.go
@@ -0,0 +1,99 @@
+package control
+
+import (
+	"net/url"
+	"sort"
+	"strings"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// pattern is the path of a route; the segment at keyed is the key.
+type pattern struct {
+	route    *controlpb.Route
+	segments []string
+	keyed    int
+}
+
+// routeIndex finds routes by the first segment of the path; it is immutable.
+type routeIndex struct {
+	literal map[string][]pattern
+	leading []pattern // those whose first segment is the key
+}
+
+// newRouteIndex sorts the routes by name, so that every agent prefers the same one of two that match.
+func newRouteIndex(routes map[string]*controlpb.Route) *routeIndex {
+	idx := &routeIndex{literal: map[string][]pattern{}}
+	names := make([]string, 0, len(routes))
+	for name := range routes {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		idx.add(routes[name])
+	}
+	return idx
+}
+
+func (idx *routeIndex) add(rte *controlpb.Route) {
+	pat := pattern{route: rte, segments: strings.Split(strings.TrimPrefix(rte.GetPath(), "/"), "/"), keyed: -1}
+	for num, seg := range pat.segments {
+		if strings.HasPrefix(seg, "{") && strings.HasSuffix(seg, "}") {
+			pat.keyed = num
+		}
+	}
+	if pat.keyed == 0 {
+		idx.leading = append(idx.leading, pat)
+		return
+	}
+	fst := pat.segments[0]
+	idx.literal[fst] = append(idx.literal[fst], pat)
+}
+
+func (idx *routeIndex) match(method, path string) (*controlpb.Route, string, siskinrill.Reason) {
+	rsn := siskinrill.ReasonNoRoute
+	rest, ok := strings.CutPrefix(path, "/")
+	if !ok {
+		return nil, "", rsn
+	}
+	fst, _, _ := strings.Cut(rest, "/")
+	for _, pats := range [2][]pattern{idx.literal[fst], idx.leading} {
+		for num := range pats {
+			seg, ok := pats[num].key(rest)
+			if !ok {
+				continue
+			}
+			if pats[num].route.GetMethod() != method {
+				rsn = siskinrill.ReasonMethodNotAllowed
+				continue
+			}
+			key, err := url.PathUnescape(seg)
+			if err != nil {
+				return nil, "", siskinrill.ReasonBadRequest
+			}
+			return pats[num].route, key, ""
+		}
+	}
+	return nil, "", rsn
+}
+
+// key returns the escaped key segment of a path without its leading slash, and whether the path matches.
+func (pat *pattern) key(rest string) (string, bool) {
+	key, last := "", len(pat.segments)-1
+	for num, want := range pat.segments {
+		seg, tail, more := strings.Cut(rest, "/")
+		if more == (num == last) {
+			return "", false
+		}
+		rest = tail
+		if num == pat.keyed {
+			key = seg
+			continue
+		}
+		if seg != want {
+			return "", false
+		}
+	}
+	return key, pat.keyed < 0 || key != ""
+}
--- /dev/null
+++ b/internal/agent/control/options.go
@@ -0,0 +1,60 @@
+package control
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// Options are the settings of a session; zero timings take the defaults named.
+type Options struct {
+	// Node describes this agent; its session number is filled in by control.
+	Node *controlpb.Node
+	// Control holds the IP:port of the control processes.
+	Control []string
+	// Logger is logrus's standard logger when nil.
+	Logger *logrus.Logger
+	// Lease is the time to live counted from the sending of a renewal, 1,400 ms by default; a shorter one named by control takes precedence.
+	Lease time.Duration
+	// Renew is the interval of renewals, 250 ms by default.
+	Renew time.Duration
+	// AnswerTimeout is the longest wait for the answer to a renewal before the connection is given up, 400 ms by default.
+	AnswerTimeout time.Duration
+	// WelcomeTimeout is the longest wait for the first answer of a control process, 600 ms by default.
+	WelcomeTimeout time.Duration
+	// Stagger is the time between the first attempts at the addresses, 30 ms by default.
+	Stagger time.Duration
+	// Retry is the first pause before an address is tried again, 50 ms by default; it doubles up to six times itself.
+	Retry time.Duration
+	// Report is the interval of load reports, 1 s by default.
+	Report time.Duration
+	// Freshness is how long an entry may serve after the last message of a leader, 10 s by default.
+	Freshness time.Duration
+}
+
+func orDefault(dur, def time.Duration) time.Duration {
+	if dur > 0 {
+		return dur
+	}
+	return def
+}
+
+func (opt Options) withDefaults() Options {
+	opt.Lease = orDefault(opt.Lease, 1400*time.Millisecond)
+	opt.Renew = orDefault(opt.Renew, 250*time.Millisecond)
+	opt.AnswerTimeout = orDefault(opt.AnswerTimeout, 400*time.Millisecond)
+	opt.WelcomeTimeout = orDefault(opt.WelcomeTimeout, 600*time.Millisecond)
+	opt.Stagger = orDefault(opt.Stagger, 30*time.Millisecond)
+	opt.Retry = orDefault(opt.Retry, 50*time.Millisecond)
+	opt.Report = orDefault(opt.Report, time.Second)
+	opt.Freshness = orDefault(opt.Freshness, 10*time.Second)
+	if opt.Logger == nil {
+		opt.Logger = logrus.StandardLogger()
+	}
+	if opt.Node == nil {
+		opt.Node = &controlpb.Node{}
+	}
+	return opt
+}
--- /dev/null
+++ b/internal/agent/control/serve.go
@@ -0,0 +1,199 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// renewal is a renewal that was sent and not yet answered.
+type renewal struct {
+	sequence uint64
+	sent     instant
+}
+
+// exchange is the use of one connection; sequences of renewals are its own.
+type exchange struct {
+	ses     *Session
+	con     *connection
+	session uint64
+	lease   time.Duration
+	renew   time.Duration
+
+	mu       sync.Mutex
+	pending  []renewal // oldest first
+	sequence uint64
+	watchdog *time.Timer
+}
+
+// serve uses a connection until it ends.
+func (ses *Session) serve(ctx context.Context, con *connection) error {
+	exc := ses.begin(con)
+	// A dead connection may block Send and Recv, so that only the end of its context frees them.
+	exc.watchdog = time.AfterFunc(ses.opt.AnswerTimeout, con.cancel)
+	defer exc.watchdog.Stop()
+	ended := make(chan error, 1)
+	var rcv sync.WaitGroup
+	rcv.Go(func() { ended <- exc.receive() })
+	err := exc.send(ctx, ended)
+	con.cancel()
+	// A late message of this connection must not touch the session of the next one.
+	rcv.Wait()
+	return err
+}
+
+// begin takes over what the welcome says.
+func (ses *Session) begin(con *connection) *exchange {
+	wlc := con.welcome
+	ttl := ses.opt.Lease
+	if told := time.Duration(wlc.GetLeaseMs()) * time.Millisecond; told > 0 {
+		ttl = min(ttl, told)
+	}
+	renew := ses.opt.Renew
+	if told := time.Duration(wlc.GetRenewMs()) * time.Millisecond; told > 0 {
+		renew = min(renew, told)
+	}
+	ses.lease.begin(wlc.GetSession())
+	ses.lease.hear()
+	ses.setDrained(wlc.GetDraining())
+	ses.mu.Lock()
+	ses.leader = con.address
+	ses.mu.Unlock()
+	ses.opt.Logger.Infof("session: %d at leader %s", wlc.GetSession(), con.address)
+	return &exchange{ses: ses, con: con, session: wlc.GetSession(), lease: ttl, renew: renew}
+}
+
+// send sends renewals, reports and wishes until the receiver ends.
+func (exc *exchange) send(ctx context.Context, ended <-chan error) error {
+	rnw := time.NewTicker(exc.renew)
+	defer rnw.Stop()
+	rpt := time.NewTicker(exc.ses.opt.Report)
+	defer rpt.Stop()
+	sent := &sentState{exc: exc, refs: map[refKey]bool{}}
+	reported := time.Now()
+	err := exc.sendRenewal()
+	if err == nil {
+		err = sent.wishes()
+	}
+	for err == nil {
+		select {
+		case <-rnw.C:
+			err = exc.sendRenewal()
+		case now := <-rpt.C:
+			err = exc.sendLoad(now.Sub(reported))
+			reported = now
+		case <-exc.ses.wake:
+			err = sent.wishes()
+		case err = <-ended:
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+	}
+	return err
+}
+
+func (exc *exchange) sendRenewal() error {
+	ver, num := exc.ses.table.versions()
+	exc.mu.Lock()
+	exc.sequence++
+	rnw := &controlpb.Renew{Sequence: exc.sequence, Version: ver, ConfigurationNumber: num}
+	exc.pending = append(exc.pending, renewal{sequence: exc.sequence, sent: instantNow()})
+	if len(exc.pending) == 1 {
+		exc.watchdog.Reset(exc.ses.opt.AnswerTimeout)
+	}
+	exc.mu.Unlock()
+	return exc.con.stream.Send(&controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Renew{Renew: rnw}})
+}
+
+// answered extends the lease by the newest renewal that the leader granted.
+func (exc *exchange) answered(seq uint64) {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	done := 0
+	for done < len(exc.pending) && exc.pending[done].sequence <= seq {
+		done++
+	}
+	if done == 0 {
+		return
+	}
+	exc.ses.lease.grant(exc.session, exc.pending[done-1].sent, exc.lease)
+	exc.pending = append(exc.pending[:0], exc.pending[done:]...)
+	if len(exc.pending) == 0 {
+		exc.watchdog.Stop()
+		return
+	}
+	exc.watchdog.Reset(exc.ses.opt.AnswerTimeout - exc.pending[0].sent.since(instantNow()))
+}
+
+func (exc *exchange) sendLoad(interval time.Duration) error {
+	exc.ses.mu.Lock()
+	src := exc.ses.source
+	exc.ses.mu.Unlock()
+	if src == nil {
+		return nil
+	}
+	rpt := src.Load(interval)
+	if rpt == nil {
+		return nil
+	}
+	if rpt.IntervalMs == 0 {
+		rpt.IntervalMs = uint32(interval.Milliseconds())
+	}
+	return exc.con.stream.Send(&controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Load{Load: rpt}})
+}
+
+func (exc *exchange) receive() error {
+	for {
+		msg, err := exc.con.stream.Recv()
+		if err != nil {
+			return errors.Wrap(err, "receive")
+		}
+		if err := exc.take(msg); err != nil {
+			return err
+		}
+	}
+}
+
+// take handles one message of the leader; an error ends the connection.
+func (exc *exchange) take(msg *controlpb.ControlMessage) error {
+	ses := exc.ses
+	switch knd := msg.GetKind().(type) {
+	case *controlpb.ControlMessage_Redirect:
+		ses.redirected(knd.Redirect)
+		return siskinrill.NewNotLeaderError(knd.Redirect.GetLeaderAddress())
+	case *controlpb.ControlMessage_Expired:
+		err := errors.New(knd.Expired.GetReason())
+		ses.expire(err)
+		return errors.Wrap(err, "expired")
+	case *controlpb.ControlMessage_RenewAnswer:
+		exc.answered(knd.RenewAnswer.GetSequence())
+	case *controlpb.ControlMessage_Snapshot:
+		if err := ses.table.replace(knd.Snapshot); err != nil {
+			return err
+		}
+		ses.dropReleased()
+	case *controlpb.ControlMessage_Difference:
+		if err := ses.table.apply(knd.Difference); err != nil {
+			ses.table.forget()
+			return errors.Wrap(err, "apply")
+		}
+		ses.dropReleased()
+	case *controlpb.ControlMessage_Drain:
+		ses.setDrained(knd.Drain)
+	}
+	ses.lease.hear()
+	return nil
+}
+
+func (ses *Session) redirected(rdr *controlpb.Redirect) {
+	ses.mu.Lock()
+	defer ses.mu.Unlock()
+	if rdr.GetLeaderAddress() != "" {
+		ses.leader = rdr.GetLeaderAddress()
+	}
+}
--- /dev/null
+++ b/internal/agent/control/table.go
@@ -0,0 +1,191 @@
+package control
+
+import (
+	"context"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// rows hold the ownership of one service; owners and tokens are indexed by partition.
+type rows struct {
+	owners    []uint64
+	tokens    []uint64
+	moving    map[uint32]*controlpb.Shard // partitions that are not plainly owned or orphaned
+	overrides map[string]*controlpb.Shard
+}
+
+func newRows(partitions uint32) *rows {
+	return &rows{
+		owners:    make([]uint64, partitions),
+		tokens:    make([]uint64, partitions),
+		moving:    map[uint32]*controlpb.Shard{},
+		overrides: map[string]*controlpb.Shard{},
+	}
+}
+
+// table is the agent's copy of the configuration and of the ownership; its methods may be called from any goroutine.
+type table struct {
+	mu       sync.RWMutex
+	version  uint64
+	number   uint64 // of the configuration
+	services map[string]*controlpb.Service
+	routes   map[string]*controlpb.Route
+	index    *routeIndex
+	nodes    map[uint64]*controlpb.Node
+	rows     map[string]*rows
+	members  []string // addresses of the control processes
+	changed  chan struct{}
+	gap      bool // a difference was missed
+}
+
+func newTable() *table {
+	return &table{
+		services: map[string]*controlpb.Service{},
+		routes:   map[string]*controlpb.Route{},
+		index:    newRouteIndex(nil),
+		nodes:    map[uint64]*controlpb.Node{},
+		rows:     map[string]*rows{},
+		changed:  make(chan struct{}),
+	}
+}
+
+func (tbl *table) match(method, path string) (*controlpb.Route, string, siskinrill.Reason) {
+	tbl.mu.RLock()
+	idx := tbl.index
+	tbl.mu.RUnlock()
+	return idx.match(method, path)
+}
+
+func (tbl *table) service(name string) *controlpb.Service {
+	tbl.mu.RLock()
+	defer tbl.mu.RUnlock()
+	return tbl.services[name]
+}
+
+func (tbl *table) node(ses uint64) *controlpb.Node {
+	tbl.mu.RLock()
+	defer tbl.mu.RUnlock()
+	return tbl.nodes[ses]
+}
+
+func (tbl *table) versions() (uint64, uint64) {
+	tbl.mu.RLock()
+	defer tbl.mu.RUnlock()
+	return tbl.version, tbl.number
+}
+
+// basis returns the version that the next difference may start from, 0 to ask for a snapshot.
+func (tbl *table) basis() uint64 {
+	tbl.mu.RLock()
+	defer tbl.mu.RUnlock()
+	if tbl.gap {
+		return 0
+	}
+	return tbl.version
+}
+
+func (tbl *table) addresses() []string {
+	tbl.mu.RLock()
+	defer tbl.mu.RUnlock()
+	return tbl.members
+}
+
+func (tbl *table) shard(svc, key string) *controlpb.Shard {
+	tbl.mu.RLock()
+	defer tbl.mu.RUnlock()
+	row := tbl.rows[svc]
+	if row == nil || len(row.owners) == 0 {
+		return nil
+	}
+	if len(row.overrides) > 0 {
+		if shd := row.overrides[key]; shd != nil {
+			return copyShard(shd)
+		}
+	}
+	return row.shard(svc, siskinrill.Partition(svc, key, uint32(len(row.owners))))
+}
+
+// shard returns a copy of the row of a partition.
+func (row *rows) shard(svc string, par uint32) *controlpb.Shard {
+	if shd := row.moving[par]; shd != nil {
+		return copyShard(shd)
+	}
+	shd := &controlpb.Shard{Service: svc, Partition: par, Owner: row.owners[par], Token: row.tokens[par]}
+	if shd.Owner != 0 {
+		shd.Phase = controlpb.Phase_PHASE_OWNED
+	}
+	return shd
+}
+
+func copyShard(shd *controlpb.Shard) *controlpb.Shard {
+	return &controlpb.Shard{
+		Service: shd.Service, Partition: shd.Partition, Key: shd.Key, Owner: shd.Owner,
+		Token: shd.Token, Phase: shd.Phase, Target: shd.Target, Retiring: shd.Retiring,
+	}
+}
+
+// owned returns copies of the rows of an owner.
+func (tbl *table) owned(ses uint64) []*controlpb.Shard {
+	if ses == 0 {
+		return nil
+	}
+	tbl.mu.RLock()
+	defer tbl.mu.RUnlock()
+	var shds []*controlpb.Shard
+	for svc, row := range tbl.rows {
+		for par, own := range row.owners {
+			if own == ses {
+				shds = append(shds, row.shard(svc, uint32(par)))
+			}
+		}
+		for _, shd := range row.overrides {
+			if shd.Owner == ses {
+				shds = append(shds, copyShard(shd))
+			}
+		}
+	}
+	return shds
+}
+
+// holds reports whether a session still owns a shard at the token of the reference.
+func (tbl *table) holds(ses uint64, ref *controlpb.ShardRef) bool {
+	tbl.mu.RLock()
+	defer tbl.mu.RUnlock()
+	row := tbl.rows[ref.GetService()]
+	if row == nil {
+		return false
+	}
+	if ref.GetKey() != "" {
+		shd := row.overrides[ref.GetKey()]
+		return shd != nil && shd.Owner == ses && shd.Token == ref.GetToken()
+	}
+	par := int(ref.GetPartition())
+	return par < len(row.owners) && row.owners[par] == ses && row.tokens[par] == ref.GetToken()
+}
+
+func (tbl *table) await(ctx context.Context, ver uint64) error {
+	for {
+		tbl.mu.RLock()
+		cur, chg := tbl.version, tbl.changed
+		tbl.mu.RUnlock()
+		if cur > ver {
+			return nil
+		}
+		select {
+		case <-chg:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "await version")
+		}
+	}
+}
+
+// advance sets the version and wakes those who wait; the lock is held.
+func (tbl *table) advance(ver uint64) {
+	tbl.version = ver
+	close(tbl.changed)
+	tbl.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/agent/control/wishes.go
@@ -0,0 +1,60 @@
+package control
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// sentState is what one connection has already carried, so that each wish is sent once for each connection.
+type sentState struct {
+	exc      *exchange
+	upstream *controlpb.Upstream
+	leaving  bool
+	refs     map[refKey]bool
+}
+
+// wishes sends what the agent asks of control and this connection has not carried yet.
+func (snt *sentState) wishes() error {
+	for _, msg := range snt.collect() {
+		if err := snt.exc.con.stream.Send(msg); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (snt *sentState) collect() []*controlpb.AgentMessage {
+	ses := snt.exc.ses
+	ses.mu.Lock()
+	defer ses.mu.Unlock()
+	var msgs []*controlpb.AgentMessage
+	if ses.upstream != nil && !proto.Equal(ses.upstream, snt.upstream) {
+		snt.upstream = ses.upstream
+		msgs = append(msgs, &controlpb.AgentMessage{Kind: &controlpb.AgentMessage_SetUpstream{SetUpstream: ses.upstream}})
+	}
+	if ses.leaving && !snt.leaving {
+		snt.leaving = true
+		msgs = append(msgs, &controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Drain{Drain: true}})
+	}
+	if rel := snt.releases(); rel != nil {
+		msgs = append(msgs, &controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Released{Released: rel}})
+	}
+	return msgs
+}
+
+// releases returns the releases not yet carried, nil for none; the session's lock is held.
+func (snt *sentState) releases() *controlpb.Released {
+	var rel *controlpb.Released
+	for key, ref := range snt.exc.ses.released {
+		if snt.refs[key] {
+			continue
+		}
+		snt.refs[key] = true
+		if rel == nil {
+			rel = &controlpb.Released{Session: snt.exc.session}
+		}
+		rel.Shards = append(rel.Shards, ref)
+	}
+	return rel
+}
--- /dev/null
+++ b/internal/agent/peer/forward.go
@@ -0,0 +1,237 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// forward is one attempt on one link.
+type forward struct {
+	pool   *Pool
+	link   *link
+	ctx    context.Context // of the caller
+	cancel context.CancelFunc
+	stream grpc.ClientStream
+	writes uint64 // of the link before the attempt
+	ended  atomic.Bool
+}
+
+// An attempt whose whole body is in the first message needs no further frame to end its side.
+var (
+	wholeDesc  = grpc.StreamDesc{StreamName: "Forward", ServerStreams: true}
+	streamDesc = grpc.StreamDesc{StreamName: "Forward", ServerStreams: true, ClientStreams: true}
+)
+
+// Forward sends an attempt to the agent at an IP:port and returns its answer; an error is a *siskinrill.Refusal.
+func (poo *Pool) Forward(ctx context.Context, addr string, att *siskinrill.Attempt) (*siskinrill.Answer, error) {
+	lnk, err := poo.pick(ctx, addr, att.Kind())
+	if err != nil {
+		return nil, unsent(ctx, err)
+	}
+	sctx, cancel := context.WithCancel(ctx)
+	fwd := &forward{pool: poo, link: lnk, ctx: ctx, cancel: cancel, writes: lnk.socket.writes.Load()}
+	ans, err := fwd.run(sctx, att)
+	if err != nil {
+		fwd.end()
+		return nil, err
+	}
+	if ans.Body() == nil {
+		fwd.end()
+	}
+	return ans, nil
+}
+
+// pick returns a link; a request that must not run twice gets a proven one.
+func (poo *Pool) pick(ctx context.Context, addr string, knd controlpb.RequestKind) (*link, error) {
+	if knd == controlpb.RequestKind_REQUEST_KIND_IDEMPOTENT {
+		return poo.acquire(ctx, addr)
+	}
+	return poo.proven(ctx, addr)
+}
+
+// unsent returns the refusal of an attempt for which no connection was had.
+func unsent(ctx context.Context, err error) *siskinrill.Refusal {
+	rsn := siskinrill.ReasonUnreachable
+	if ctx.Err() != nil {
+		rsn = endReason(ctx)
+	}
+	return siskinrill.NewRefusal(rsn, peerpb.Outcome_OUTCOME_NOT_RUN, err)
+}
+
+func endReason(ctx context.Context) siskinrill.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return siskinrill.ReasonDeadline
+	}
+	return siskinrill.ReasonCallerGone
+}
+
+func (fwd *forward) run(ctx context.Context, att *siskinrill.Attempt) (*siskinrill.Answer, error) {
+	dsc := &streamDesc
+	if att.Open().GetBodyEnd() {
+		dsc = &wholeDesc
+	}
+	str, err := fwd.link.conn.NewStream(ctx, dsc, peerpb.PeerService_Forward_FullMethodName)
+	if err != nil {
+		return nil, fwd.failed(err)
+	}
+	fwd.stream = str
+	err = str.SendMsg(&peerpb.EntryMessage{Kind: &peerpb.EntryMessage_Open{Open: att.Open()}})
+	// io.EOF tells that the stream has ended; receiving gives the cause.
+	if err != nil && !errors.Is(err, io.EOF) {
+		return nil, fwd.failed(err)
+	}
+	for {
+		msg := &peerpb.OwnerMessage{}
+		if err := str.RecvMsg(msg); err != nil {
+			return nil, fwd.failed(err)
+		}
+		switch knd := msg.GetKind().(type) {
+		case *peerpb.OwnerMessage_Refused:
+			fwd.drain()
+			return nil, refusal(knd.Refused)
+		case *peerpb.OwnerMessage_Response:
+			return fwd.answer(knd.Response), nil
+		case *peerpb.OwnerMessage_Continue:
+			if att.Body() != nil {
+				go fwd.upload(att)
+			}
+		default:
+			return nil, siskinrill.Unknown(siskinrill.ReasonInternal, errors.Errorf("unexpected message %T", knd))
+		}
+	}
+}
+
+// upload sends the rest of the body; a failure to read it ends the attempt, so that the owner sees a cut body.
+func (fwd *forward) upload(att *siskinrill.Attempt) {
+	err := inChunks(att.Body(), int64(len(att.Open().GetBody())), func(dat *peerpb.Data) error {
+		return fwd.stream.SendMsg(&peerpb.EntryMessage{Kind: &peerpb.EntryMessage_Data{Data: dat}})
+	})
+	if err == nil {
+		err = fwd.stream.CloseSend()
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		fwd.cancel()
+	}
+}
+
+func (fwd *forward) answer(hea *peerpb.Response) *siskinrill.Answer {
+	if hea.GetBodyEnd() {
+		fwd.drain()
+		return siskinrill.NewAnswer(hea, nil)
+	}
+	return siskinrill.NewAnswer(hea, &answerBody{fwd: fwd, length: hea.GetBodyLength(), total: int64(len(hea.GetBody()))})
+}
+
+// drain takes the end of the stream, which follows the last message at once.
+func (fwd *forward) drain() { _ = fwd.stream.RecvMsg(&peerpb.OwnerMessage{}) }
+
+// end releases the stream and the link; it may be called more than once.
+func (fwd *forward) end() {
+	if fwd.ended.Swap(true) {
+		return
+	}
+	fwd.cancel()
+	fwd.pool.release(fwd.link)
+}
+
+// failed returns the refusal of an attempt whose stream broke.
+func (fwd *forward) failed(err error) *siskinrill.Refusal {
+	cod := status.Code(err)
+	if cod == codes.Unavailable {
+		fwd.pool.kill(fwd.link)
+	}
+	if fwd.link.untouched(fwd.writes) {
+		return siskinrill.NewRefusal(siskinrill.ReasonUnreachable, peerpb.Outcome_OUTCOME_NOT_RUN, err)
+	}
+	rsn := siskinrill.ReasonConnectionLost
+	switch {
+	case fwd.ctx.Err() != nil:
+		rsn = endReason(fwd.ctx)
+	case cod == codes.DeadlineExceeded:
+		rsn = siskinrill.ReasonDeadline
+	case cod == codes.DataLoss:
+		rsn = siskinrill.ReasonBackendBadAnswer
+	}
+	return siskinrill.Unknown(rsn, err)
+}
+
+func refusal(msg *peerpb.Refused) *siskinrill.Refusal {
+	out := msg.GetOutcome()
+	if out != peerpb.Outcome_OUTCOME_NOT_RUN {
+		out = peerpb.Outcome_OUTCOME_UNKNOWN
+	}
+	return siskinrill.NewRefusal(siskinrill.Reason(msg.GetReason()), out, nil).
+		WithRetryAfter(time.Duration(msg.GetRetryAfterMs()) * time.Millisecond).
+		WithVersion(msg.GetVersion())
+}
+
+// answerBody is what follows the first part of an answer's body.
+type answerBody struct {
+	fwd    *forward
+	length int64 // -1: not known
+	total  int64
+	rest   []byte
+	err    error
+}
+
+// Read returns io.EOF only at the announced end with the right length; otherwise the error is a *siskinrill.Refusal.
+func (bdy *answerBody) Read(buf []byte) (int, error) {
+	for len(bdy.rest) == 0 && bdy.err == nil {
+		bdy.next()
+	}
+	if len(bdy.rest) == 0 {
+		return 0, bdy.err
+	}
+	num := copy(buf, bdy.rest)
+	bdy.rest = bdy.rest[num:]
+	return num, nil
+}
+
+func (bdy *answerBody) next() {
+	msg := &peerpb.OwnerMessage{}
+	err := bdy.fwd.stream.RecvMsg(msg)
+	if errors.Is(err, io.EOF) {
+		if bdy.fwd.pool.hooks.skipEnd {
+			bdy.err = io.EOF
+			return
+		}
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		bdy.err = bdy.fwd.failed(err)
+		return
+	}
+	dat := msg.GetData()
+	if dat == nil {
+		bdy.err = siskinrill.Unknown(siskinrill.ReasonInternal, errors.New("answer body: unexpected message"))
+		return
+	}
+	bdy.rest = dat.GetBytes()
+	bdy.total += int64(len(bdy.rest))
+	if !dat.GetEnd() {
+		return
+	}
+	bdy.err = checkTotal(bdy.total, dat.GetTotal(), bdy.length)
+	if bdy.err != io.EOF {
+		bdy.err = siskinrill.Unknown(siskinrill.ReasonBackendBadAnswer, bdy.err)
+		return
+	}
+	bdy.fwd.drain()
+}
+
+// Close ends the attempt; an owner that still answers is told.
+func (bdy *answerBody) Close() error {
+	bdy.fwd.end()
+	return nil
+}
--- /dev/null
+++ b/internal/agent/peer/link.go
@@ -0,0 +1,161 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/singleflight"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+const (
+	// A node may have 809 peers, so that each connection has small buffers.
+	socketBuffer = 4 << 10
+	// The window bounds what an agent holds for one slow stream.
+	streamWindow = 128 << 10
+	// One slow stream must not stop the others of its connection.
+	connectionWindow = 1 << 20
+	largestMessage   = 4 << 20
+)
+
+// socket is a connection that knows when it received and whether it wrote.
+type socket struct {
+	net.Conn
+	born     time.Time
+	received atomic.Int64  // nanoseconds after born
+	writes   atomic.Uint64 // calls of Write
+	closed   atomic.Bool
+}
+
+// Read records the time of what it receives.
+func (sck *socket) Read(buf []byte) (int, error) {
+	num, err := sck.Conn.Read(buf)
+	if num > 0 {
+		sck.received.Store(int64(time.Since(sck.born)))
+	}
+	return num, err
+}
+
+// Write counts before it writes, so that an unchanged count proves that nothing was written.
+func (sck *socket) Write(buf []byte) (int, error) {
+	sck.writes.Add(1)
+	return sck.Conn.Write(buf)
+}
+
+// Close marks the socket as closed once nothing more can be written.
+func (sck *socket) Close() error {
+	err := sck.Conn.Close()
+	sck.closed.Store(true)
+	return err
+}
+
+func (sck *socket) silence() time.Duration {
+	return time.Since(sck.born) - time.Duration(sck.received.Load())
+}
+
+// link is one TCP connection to a peer; when it breaks it is not made again.
+type link struct {
+	address string
+	socket  *socket
+	conn    *grpc.ClientConn
+	client  peerpb.PeerServiceClient
+	trip    time.Duration // time to connect, about one round trip
+	pings   singleflight.Group
+
+	// The pool's lock guards these.
+	outstanding int
+	used        time.Time
+	pinged      time.Time // zero: no ping of the watch is unanswered
+}
+
+// dial connects and waits until the peer has sent its first frame.
+func dial(ctx context.Context, addr string) (*link, error) {
+	beg := time.Now()
+	raw, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect")
+	}
+	lnk := &link{address: addr, socket: &socket{Conn: raw, born: time.Now()}, trip: time.Since(beg)}
+	lnk.conn, err = grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(lnk.once()),
+		grpc.WithReadBufferSize(socketBuffer),
+		grpc.WithWriteBufferSize(socketBuffer),
+		grpc.WithSharedWriteBuffer(true),
+		grpc.WithInitialWindowSize(streamWindow),
+		grpc.WithInitialConnWindowSize(connectionWindow),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(largestMessage)),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithIdleTimeout(0),
+	)
+	if err != nil {
+		_ = raw.Close()
+		return nil, errors.Wrap(err, "connect")
+	}
+	lnk.client = peerpb.NewPeerServiceClient(lnk.conn)
+	if err := lnk.ready(ctx); err != nil {
+		lnk.close()
+		return nil, err
+	}
+	return lnk, nil
+}
+
+// once hands the socket to gRPC for its first connection and fails any further one, so that a link never spans two connections.
+func (lnk *link) once() func(context.Context, string) (net.Conn, error) {
+	var used atomic.Bool
+	return func(context.Context, string) (net.Conn, error) {
+		if used.Swap(true) {
+			return nil, errors.New("connection lost")
+		}
+		return lnk.socket, nil
+	}
+}
+
+func (lnk *link) ready(ctx context.Context) error {
+	lnk.conn.Connect()
+	for {
+		cur := lnk.conn.GetState()
+		switch cur {
+		case connectivity.Ready:
+			return nil
+		case connectivity.TransientFailure, connectivity.Shutdown:
+			return errors.Errorf("handshake with %s failed", lnk.address)
+		}
+		if !lnk.conn.WaitForStateChange(ctx, cur) {
+			return errors.Wrap(ctx.Err(), "handshake")
+		}
+	}
+}
+
+// ping returns once the peer has answered; those who ask at the same time share one ping.
+func (lnk *link) ping(ctx context.Context, limit time.Duration) error {
+	res := lnk.pings.DoChan("", func() (any, error) {
+		pctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		return lnk.client.Ping(pctx, &peerpb.PingRequest{})
+	})
+	select {
+	case got := <-res:
+		return got.Err
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "ping")
+	}
+}
+
+func (lnk *link) close() {
+	_ = lnk.socket.Close()
+	_ = lnk.conn.Close()
+}
+
+// untouched reports whether it is certain that nothing was and will be written since the count was taken.
+func (lnk *link) untouched(writes uint64) bool {
+	return lnk.socket.closed.Load() && lnk.socket.writes.Load() == writes
+}
--- /dev/null
+++ b/internal/agent/peer/pool.go
@@ -0,0 +1,202 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/singleflight"
+
+	"github.com/siskinrill/siskinrill"
+)
+
+// Options are the settings of a pool; zero values take the defaults named.
+type Options struct {
+	// Logger is logrus's standard logger when nil.
+	Logger *logrus.Logger
+	// Counters counts events of connections when set.
+	Counters *siskinrill.Counters
+	// ConnectTimeout is the longest wait for a new connection, 400 ms by default.
+	ConnectTimeout time.Duration
+	// ProveAfter is the silence after which a connection must answer a ping before a non-idempotent request or upload uses it, 200 ms by default.
+	ProveAfter time.Duration
+	// ProveTimeout is the longest wait for that answer beside the round trip, 100 ms by default.
+	ProveTimeout time.Duration
+	// PingAfter is the silence after which a connection with outstanding requests is pinged, 250 ms by default.
+	PingAfter time.Duration
+	// PingTimeout is the longest wait for an answer to that ping before the connection is closed, 500 ms by default.
+	PingTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept, 60 s by default.
+	IdleTimeout time.Duration
+}
+
+func orDefault(dur, def time.Duration) time.Duration {
+	if dur > 0 {
+		return dur
+	}
+	return def
+}
+
+func (opt Options) withDefaults() Options {
+	opt.ConnectTimeout = orDefault(opt.ConnectTimeout, 400*time.Millisecond)
+	opt.ProveAfter = orDefault(opt.ProveAfter, 200*time.Millisecond)
+	opt.ProveTimeout = orDefault(opt.ProveTimeout, 100*time.Millisecond)
+	opt.PingAfter = orDefault(opt.PingAfter, 250*time.Millisecond)
+	opt.PingTimeout = orDefault(opt.PingTimeout, 500*time.Millisecond)
+	opt.IdleTimeout = orDefault(opt.IdleTimeout, time.Minute)
+	if opt.Logger == nil {
+		opt.Logger = logrus.StandardLogger()
+	}
+	if opt.Counters == nil {
+		opt.Counters = siskinrill.NewCounters()
+	}
+	return opt
+}
+
+// Pool holds one connection to each peer in use; its methods may be called from any goroutine.
+type Pool struct {
+	opt    Options
+	hooks  poolHooks
+	dials  singleflight.Group
+	closed chan struct{}
+	done   sync.WaitGroup
+
+	mu      sync.Mutex
+	current map[string]*link   // by address
+	all     map[*link]struct{} // those that were replaced and still carry requests included
+}
+
+// poolHooks break the pool on purpose; only tests set them.
+type poolHooks struct {
+	skipPing bool // silent connections are used and kept
+	skipEnd  bool // an answer without its end counts as complete
+}
+
+var _ siskinrill.Forwarder = (*Pool)(nil)
+
+// NewPool returns a pool that watches its connections until Close.
+func NewPool(opt Options) *Pool {
+	poo := &Pool{
+		opt:     opt.withDefaults(),
+		closed:  make(chan struct{}),
+		current: map[string]*link{},
+		all:     map[*link]struct{}{},
+	}
+	poo.done.Go(poo.watch)
+	return poo
+}
+
+// Close closes all connections; it must be called once.
+func (poo *Pool) Close() {
+	close(poo.closed)
+	poo.done.Wait()
+	poo.mu.Lock()
+	lnks := make([]*link, 0, len(poo.all))
+	for lnk := range poo.all {
+		lnks = append(lnks, lnk)
+	}
+	poo.mu.Unlock()
+	for _, lnk := range lnks {
+		poo.kill(lnk)
+	}
+}
+
+// acquire returns the link to an address with one more request outstanding; a new one is made if there is none.
+func (poo *Pool) acquire(ctx context.Context, addr string) (*link, error) {
+	if lnk := poo.existing(addr); lnk != nil {
+		return lnk, nil
+	}
+	for range 3 {
+		res := poo.dials.DoChan(addr, func() (any, error) { return nil, poo.connect(addr) })
+		select {
+		case got := <-res:
+			if got.Err != nil {
+				return nil, got.Err
+			}
+		case <-ctx.Done():
+			return nil, errors.Wrap(ctx.Err(), "wait for a connection")
+		}
+		if lnk := poo.existing(addr); lnk != nil {
+			return lnk, nil
+		}
+	}
+	return nil, errors.Errorf("connections to %s are lost at once", addr)
+}
+
+func (poo *Pool) existing(addr string) *link {
+	poo.mu.Lock()
+	defer poo.mu.Unlock()
+	lnk := poo.current[addr]
+	if lnk != nil {
+		lnk.outstanding++
+	}
+	return lnk
+}
+
+func (poo *Pool) release(lnk *link) {
+	now := time.Now()
+	poo.mu.Lock()
+	defer poo.mu.Unlock()
+	lnk.outstanding--
+	lnk.used = now
+}
+
+func (poo *Pool) connect(addr string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), poo.opt.ConnectTimeout)
+	defer cancel()
+	lnk, err := dial(ctx, addr)
+	if err != nil {
+		poo.opt.Counters.Event("peer_connect_failed")
+		return err
+	}
+	poo.opt.Counters.Event("peer_connected")
+	poo.mu.Lock()
+	defer poo.mu.Unlock()
+	lnk.used = time.Now()
+	poo.current[addr] = lnk
+	poo.all[lnk] = struct{}{}
+	return nil
+}
+
+// proven returns a link that has been heard within Options.ProveAfter or has just answered a ping.
+func (poo *Pool) proven(ctx context.Context, addr string) (*link, error) {
+	lnk, err := poo.acquire(ctx, addr)
+	if err != nil || poo.hooks.skipPing || lnk.socket.silence() <= poo.opt.ProveAfter {
+		return lnk, err
+	}
+	err = lnk.ping(ctx, poo.opt.ProveTimeout+lnk.trip)
+	if err == nil {
+		return lnk, nil
+	}
+	poo.release(lnk)
+	if ctx.Err() != nil {
+		return nil, errors.Wrap(ctx.Err(), "prove a connection")
+	}
+	poo.opt.Counters.Event("peer_ping_failed")
+	poo.replace(lnk)
+	return poo.acquire(ctx, addr)
+}
+
+// replace takes a link out of use for new requests; the watch closes it.
+func (poo *Pool) replace(lnk *link) {
+	poo.mu.Lock()
+	defer poo.mu.Unlock()
+	if poo.current[lnk.address] == lnk {
+		delete(poo.current, lnk.address)
+	}
+}
+
+// kill closes a link, so that every request on it fails.
+func (poo *Pool) kill(lnk *link) {
+	poo.replace(lnk)
+	poo.mu.Lock()
+	_, known := poo.all[lnk]
+	delete(poo.all, lnk)
+	poo.mu.Unlock()
+	lnk.close()
+	if known {
+		poo.opt.Counters.Event("peer_connection_closed")
+	}
+}
--- /dev/null
+++ b/internal/agent/peer/relay_test.go
@@ -0,0 +1,160 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/grpc"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// relay forwards TCP connections and can stop forwarding those it has, without closing them.
+type relay struct {
+	lis     net.Listener
+	target  string
+	mu      sync.Mutex
+	epoch   *relayEpoch
+	conns   []net.Conn
+	refuse  atomic.Bool
+	dialled atomic.Int32
+}
+
+// relayEpoch holds the state of the connections that were accepted since the last silence.
+type relayEpoch struct{ silent atomic.Bool }
+
+func newRelay(t testing.TB, target string) *relay {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	rel := &relay{lis: lis, target: target, epoch: &relayEpoch{}}
+	t.Cleanup(func() {
+		_ = lis.Close()
+		rel.cut()
+	})
+	go rel.accept()
+	return rel
+}
+
+func (rel *relay) address() string { return rel.lis.Addr().String() }
+
+func (rel *relay) accept() {
+	for {
+		inn, err := rel.lis.Accept()
+		if err != nil {
+			return
+		}
+		rel.dialled.Add(1)
+		out, err := net.Dial("tcp", rel.target)
+		if err != nil || rel.refuse.Load() {
+			_ = inn.Close()
+			continue
+		}
+		rel.mu.Lock()
+		rel.conns = append(rel.conns, inn, out)
+		epo := rel.epoch
+		rel.mu.Unlock()
+		go pipe(epo, inn, out)
+		go pipe(epo, out, inn)
+	}
+}
+
+func pipe(epo *relayEpoch, from, to net.Conn) {
+	buf := make([]byte, 32<<10)
+	for {
+		num, err := from.Read(buf)
+		if epo.silent.Load() {
+			// The bytes are lost and the connection stays open, as behind a middlebox that has forgotten it.
+			if err != nil {
+				return
+			}
+			continue
+		}
+		if _, werr := to.Write(buf[:num]); err != nil || werr != nil {
+			_ = to.Close()
+			_ = from.Close()
+			return
+		}
+	}
+}
+
+// silence stops the connections that exist; new ones work.
+func (rel *relay) silence() {
+	rel.mu.Lock()
+	defer rel.mu.Unlock()
+	rel.epoch.silent.Store(true)
+	rel.epoch = &relayEpoch{}
+}
+
+// cut closes the connections that exist.
+func (rel *relay) cut() {
+	rel.mu.Lock()
+	defer rel.mu.Unlock()
+	for _, con := range rel.conns {
+		_ = con.Close()
+	}
+	rel.conns = nil
+}
+
+// fakeOwner serves attempts by a function and records what arrived.
+type fakeOwner struct {
+	siskinrill.Owner
+	handle  func(ctx context.Context, att *siskinrill.Attempt) (*siskinrill.Answer, error)
+	arrived atomic.Int32
+}
+
+func (own *fakeOwner) Handle(ctx context.Context, att *siskinrill.Attempt) (*siskinrill.Answer, error) {
+	own.arrived.Add(1)
+	return own.handle(ctx, att)
+}
+
+func (own *fakeOwner) Withdraw(context.Context, *peerpb.WithdrawRequest) (*peerpb.WithdrawAnswer, error) {
+	return &peerpb.WithdrawAnswer{Result: peerpb.WithdrawResult_WITHDRAW_RESULT_WITHDRAWN}, nil
+}
+
+func (own *fakeOwner) Transfer(_ context.Context, req *peerpb.TransferRequest) (*peerpb.TransferAnswer, error) {
+	return &peerpb.TransferAnswer{Kept: uint32(len(req.GetRecords()))}, nil
+}
+
+// echo answers with the body of the request.
+func echo(_ context.Context, att *siskinrill.Attempt) (*siskinrill.Answer, error) {
+	bdy := att.Open().GetBody()
+	if att.Body() != nil {
+		rst, err := io.ReadAll(att.Body())
+		if err != nil {
+			return nil, siskinrill.Unknown(siskinrill.ReasonBackendLost, err)
+		}
+		bdy = append(append([]byte{}, bdy...), rst...)
+	}
+	hea := &peerpb.Response{Status: 200, BodyLength: int64(len(bdy)), Body: bdy, BodyEnd: true}
+	return siskinrill.NewAnswer(hea, nil), nil
+}
+
+// fixture is a server behind a relay and a pool that reaches it.
+type fixture struct {
+	own *fakeOwner
+	srv *Server
+	rel *relay
+	poo *Pool
+	cnt *siskinrill.Counters
+}
+
+func newFixture(t testing.TB) *fixture {
+	own := &fakeOwner{handle: echo}
+	fix := &fixture{own: own, srv: NewServer(own, nil), cnt: siskinrill.NewCounters()}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	gsv := grpc.NewServer(ServerOptions()...)
+	fix.srv.Register(gsv)
+	go func() { _ = gsv.Serve(lis) }()
+	t.Cleanup(gsv.Stop)
+	fix.rel = newRelay(t, lis.Addr().String())
+	fix.poo = NewPool(Options{Counters: fix.cnt})
+	t.Cleanup(fix.poo.Close)
+	return fix
+}
--- /dev/null
+++ b/internal/agent/peer/server.go
@@ -0,0 +1,192 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// Server serves other agents with what the owner of this agent does.
+type Server struct {
+	peerpb.UnimplementedPeerServiceServer
+	owner siskinrill.Owner
+	lease siskinrill.Lease
+	hooks serverHooks
+}
+
+// serverHooks break the server on purpose; only tests set them.
+type serverHooks struct {
+	skipEnd bool // an answer lacks its end
+}
+
+// NewServer returns a server of an owner; the lease names the session in answers to pings.
+func NewServer(own siskinrill.Owner, lea siskinrill.Lease) *Server {
+	return &Server{owner: own, lease: lea}
+}
+
+// Register adds the service to a gRPC server.
+func (srv *Server) Register(reg grpc.ServiceRegistrar) { peerpb.RegisterPeerServiceServer(reg, srv) }
+
+// ServerOptions returns the options of a gRPC server that serves up to 809 peers in little memory.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.ReadBufferSize(socketBuffer),
+		grpc.WriteBufferSize(socketBuffer),
+		grpc.SharedWriteBuffer(true),
+		grpc.InitialWindowSize(streamWindow),
+		grpc.InitialConnWindowSize(connectionWindow),
+		grpc.MaxRecvMsgSize(largestMessage),
+		grpc.ConnectionTimeout(5 * time.Second),
+	}
+}
+
+// Ping answers with the current session.
+func (srv *Server) Ping(_ context.Context, req *peerpb.PingRequest) (*peerpb.PingAnswer, error) {
+	ans := &peerpb.PingAnswer{Sequence: req.GetSequence()}
+	if srv.lease != nil {
+		ans.Session = srv.lease.Session()
+	}
+	return ans, nil
+}
+
+// Withdraw hands a withdrawal to the owner.
+func (srv *Server) Withdraw(ctx context.Context, req *peerpb.WithdrawRequest) (*peerpb.WithdrawAnswer, error) {
+	ans, err := srv.owner.Withdraw(ctx, req)
+	if err != nil {
+		return nil, status.Error(codes.Aborted, err.Error())
+	}
+	return ans, nil
+}
+
+// Transfer hands idempotency records to the owner.
+func (srv *Server) Transfer(ctx context.Context, req *peerpb.TransferRequest) (*peerpb.TransferAnswer, error) {
+	ans, err := srv.owner.Transfer(ctx, req)
+	if err != nil {
+		return nil, status.Error(codes.Aborted, err.Error())
+	}
+	return ans, nil
+}
+
+// Forward runs one attempt.
+func (srv *Server) Forward(str peerpb.PeerService_ForwardServer) error {
+	msg, err := str.Recv()
+	if err != nil {
+		return err
+	}
+	opn := msg.GetOpen()
+	if opn == nil {
+		return status.Error(codes.InvalidArgument, "the first message must open an attempt")
+	}
+	ctx, cancel := context.WithTimeout(str.Context(), time.Duration(opn.GetTimeoutMs())*time.Millisecond)
+	defer cancel()
+	rpl := &reply{stream: str, skipEnd: srv.hooks.skipEnd}
+	var bdy io.Reader
+	if !opn.GetBodyEnd() {
+		bdy = &requestBody{reply: rpl, stream: str, length: opn.GetBodyLength(), total: int64(len(opn.GetBody()))}
+	}
+	ans, err := srv.owner.Handle(ctx, siskinrill.NewAttempt(opn, bdy))
+	if err != nil {
+		return rpl.refuse(err)
+	}
+	defer func() { _ = ans.Close() }()
+	return rpl.answer(ans)
+}
+
+// reply sends the owner's messages of one attempt; the body reader and the handler share it.
+type reply struct {
+	mu      sync.Mutex
+	stream  peerpb.PeerService_ForwardServer
+	skipEnd bool
+}
+
+func (rpl *reply) send(msg *peerpb.OwnerMessage) error {
+	rpl.mu.Lock()
+	defer rpl.mu.Unlock()
+	return rpl.stream.Send(msg)
+}
+
+func (rpl *reply) refuse(err error) error {
+	ref := &siskinrill.Refusal{}
+	if !errors.As(err, &ref) {
+		ref = siskinrill.Unknown(siskinrill.ReasonInternal, err)
+	}
+	msg := &peerpb.Refused{
+		Reason:       string(ref.Reason()),
+		Outcome:      ref.Outcome(),
+		RetryAfterMs: uint32(ref.RetryAfter().Milliseconds()),
+		Version:      ref.Version(),
+	}
+	return rpl.send(&peerpb.OwnerMessage{Kind: &peerpb.OwnerMessage_Refused{Refused: msg}})
+}
+
+// answer sends an answer; a body of known and small length travels in the first message.
+func (rpl *reply) answer(ans *siskinrill.Answer) error {
+	hea := ans.Head()
+	if ans.Body() == nil || hea.GetBodyEnd() {
+		return rpl.held(hea)
+	}
+	if lng := hea.GetBodyLength(); lng >= 0 && lng <= smallBody {
+		bdy := make([]byte, lng)
+		num := copy(bdy, hea.GetBody())
+		if err := readExactly(ans.Body(), bdy[num:]); err != nil {
+			return status.Error(codes.DataLoss, "answer of the backend server: "+err.Error())
+		}
+		return rpl.respond(whole(hea, bdy))
+	}
+	if err := rpl.respond(hea); err != nil {
+		return err
+	}
+	return rpl.rest(ans.Body(), int64(len(hea.GetBody())))
+}
+
+// held sends an answer whose body is at hand; a long one is cut, since one message must stay small.
+func (rpl *reply) held(hea *peerpb.Response) error {
+	bdy := hea.GetBody()
+	if len(bdy) <= smallBody {
+		return rpl.respond(whole(hea, bdy))
+	}
+	fst := &peerpb.Response{
+		Status: hea.GetStatus(), Headers: hea.GetHeaders(),
+		BodyLength: int64(len(bdy)), Body: bdy[:smallBody],
+	}
+	if err := rpl.respond(fst); err != nil {
+		return err
+	}
+	return rpl.rest(bytes.NewReader(bdy[smallBody:]), smallBody)
+}
+
+// whole returns a response that holds all of its body.
+func whole(hea *peerpb.Response, bdy []byte) *peerpb.Response {
+	return &peerpb.Response{
+		Status: hea.GetStatus(), Headers: hea.GetHeaders(),
+		BodyLength: int64(len(bdy)), Body: bdy, BodyEnd: true,
+	}
+}
+
+func (rpl *reply) respond(rsp *peerpb.Response) error {
+	return rpl.send(&peerpb.OwnerMessage{Kind: &peerpb.OwnerMessage_Response{Response: rsp}})
+}
+
+// rest sends what follows the first part of a body, and its end.
+func (rpl *reply) rest(bdy io.Reader, total int64) error {
+	err := inChunks(bdy, total, func(dat *peerpb.Data) error {
+		if dat.GetEnd() && rpl.skipEnd {
+			return nil
+		}
+		return rpl.send(&peerpb.OwnerMessage{Kind: &peerpb.OwnerMessage_Data{Data: dat}})
+	})
+	if err != nil {
+		return status.Error(codes.DataLoss, "answer cut: "+err.Error())
+	}
+	return nil
+}
