--- /dev/null
+++ b/internal/agent/backend/answer.go
@@ -0,0 +1,83 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// answer takes over the head of an answer and, if it is short, all of its body.
+func (rnn *run) answer(res *http.Response) (*siskinrill.Answer, *siskinrill.Refusal) {
+	if endless(res) {
+		res.Body.Close()
+		rnn.cli.mtr.fail()
+		return nil, siskinrill.Unknown(siskinrill.ReasonBackendBadAnswer, errors.New("the answer has neither a length nor chunks"))
+	}
+	hea := &peerpb.Response{Status: uint32(res.StatusCode), BodyLength: res.ContentLength}
+	hea.Headers = fieldsOf(res.Header)
+	if res.ContentLength < 0 || res.ContentLength > wholeAnswer {
+		return siskinrill.NewAnswer(hea, &answerBody{rnn: rnn, res: res}), nil
+	}
+	return rnn.wholeAnswer(res, hea)
+}
+
+func (rnn *run) wholeAnswer(res *http.Response, hea *peerpb.Response) (*siskinrill.Answer, *siskinrill.Refusal) {
+	defer res.Body.Close()
+	buf, err := io.ReadAll(res.Body)
+	if err != nil {
+		return nil, rnn.cut(err)
+	}
+	rnn.end()
+	hea.Body = buf
+	hea.BodyEnd = true
+	return siskinrill.NewAnswer(hea, nil), nil
+}
+
+// endless reports whether the end of the answer could not be told from a broken connection.
+func endless(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody
+}
+
+// cut tells why an answer ended before its end.
+func (rnn *run) cut(err error) *siskinrill.Refusal {
+	rsn := siskinrill.ReasonBackendBadAnswer
+	switch {
+	case errors.Is(rnn.ctx.Err(), context.Canceled):
+		rsn = siskinrill.ReasonCallerGone
+	case rnn.ctx.Err() != nil:
+		rsn = siskinrill.ReasonBackendTimeout
+	}
+	if rsn != siskinrill.ReasonCallerGone {
+		rnn.cli.mtr.fail()
+	}
+	return siskinrill.Unknown(rsn, err)
+}
+
+// answerBody streams a long answer; a read error is a *siskinrill.Refusal, unless it is io.EOF after the whole answer.
+type answerBody struct {
+	rnn  *run
+	res  *http.Response
+	once sync.Once
+}
+
+// Read reads the next part of the answer.
+func (abd *answerBody) Read(buf []byte) (int, error) {
+	num, err := abd.res.Body.Read(buf)
+	if err == nil || err == io.EOF {
+		return num, err
+	}
+	return num, abd.rnn.cli.refuse(abd.rnn.cut(err))
+}
+
+// Close gives the connection back, or closes it if the answer was not read to its end.
+func (abd *answerBody) Close() error {
+	err := abd.res.Body.Close()
+	abd.once.Do(abd.rnn.end)
+	return err
+}
--- /dev/null
+++ b/internal/agent/backend/backend_test.go
@@ -0,0 +1,77 @@
+package backend_test
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/agent/backend"
+	"github.com/siskinrill/siskinrill/internal/bench/standin"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// pair is a client with its stand-in backend server over loopback.
+type pair struct {
+	cli *backend.Client
+	cnt *siskinrill.Counters
+	srv *standin.Server
+}
+
+func newPair(t *testing.T, opt standin.Options, bop backend.Options) *pair {
+	t.Helper()
+	pai := &pair{cnt: siskinrill.NewCounters()}
+	pai.cli = backend.New(bop, pai.cnt)
+	agt := httptest.NewServer(pai.cli.Handler())
+	opt.ID, opt.Service = "checkout-1", "checkout"
+	opt.Agent = strings.TrimPrefix(agt.URL, "http://")
+	srv, err := standin.New(opt)
+	must.NoError(t, err)
+	pai.srv = srv
+	t.Cleanup(func() { srv.Close(); agt.Close() })
+	go func() { _ = srv.Run(t.Context()) }()
+	go func() { _ = pai.cli.Run(t.Context()) }()
+	pai.await(t, controlpb.UpstreamState_UPSTREAM_STATE_SERVING, 2*time.Second)
+	return pai
+}
+
+// await waits until the client sees the server in a state.
+func (pai *pair) await(t *testing.T, sta controlpb.UpstreamState, limit time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(limit); pai.cli.State() != sta; time.Sleep(5 * time.Millisecond) {
+		must.True(t, time.Now().Before(end), must.Sprintf("state %v after %v, want %v", pai.cli.State(), limit, sta))
+	}
+}
+
+func attempt(num uint64) *siskinrill.Attempt {
+	return siskinrill.NewAttempt(&peerpb.Open{
+		Attempt: &peerpb.AttemptId{EntrySession: 9, Counter: num}, Service: "checkout", Key: "o1", Method: "POST", Target: "/orders/o1/payment?size=10",
+		Kind: uint32(controlpb.RequestKind_REQUEST_KIND_NON_IDEMPOTENT), TimeoutMs: 400, Body: []byte("paid"), BodyLength: 4, BodyEnd: true,
+		Headers: []*peerpb.HeaderField{{Name: "X-Request-Id", Values: []string{"r1"}}},
+	}, nil)
+}
+
+func grant() siskinrill.Grant {
+	return siskinrill.NewGrant(&controlpb.ShardRef{Service: "checkout", Partition: 3, Token: 71}, time.Now().Add(time.Minute))
+}
+
+// TestAnswer guards against a request or answer that is changed on its way to the backend server.
+func TestAnswer(t *testing.T) {
+	pai := newPair(t, standin.Options{CheckFence: true}, backend.Options{})
+	must.NoError(t, pai.cli.Grants(t.Context(), []*controlpb.ShardRef{grant().Shard()}, nil))
+	must.Eq(t, map[string]uint64{"checkout/3": 71}, pai.srv.Granted())
+	ans, err := pai.cli.Do(t.Context(), attempt(1), grant())
+	must.NoError(t, err)
+	must.Eq(t, 200, ans.Head().GetStatus())
+	must.StrContains(t, string(ans.Head().GetBody()), `"request_id":"r1"`)
+	rows := pai.srv.Ledger(0, 10)
+	must.Len(t, 1, rows)
+	must.Eq(t, "9-1", rows[0].Attempt)
+	must.Eq(t, uint64(71), rows[0].FenceToken)
+	must.Eq(t, int64(4), rows[0].BodyBytes)
+	must.Eq(t, "o1", rows[0].Key)
+}
--- /dev/null
+++ b/internal/agent/backend/client.go
@@ -0,0 +1,137 @@
+package backend
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// Client is the agent's connection to the backend server on its host.
+type Client struct {
+	opt Options
+	cnt *siskinrill.Counters
+	mtr meter
+
+	mu        sync.Mutex
+	ann       *announcement // nil before the first one
+	tgt       *target
+	state     controlpb.UpstreamState
+	heard     time.Time // last announcement
+	failures  uint      // failures in a row, for the hold
+	holdUntil time.Time
+	told      *controlpb.Upstream // last one given to OnUpstream
+
+	tellMu sync.Mutex // serializes OnUpstream
+}
+
+var _ siskinrill.Backend = (*Client)(nil)
+
+// New returns a client that waits for the first announcement.
+func New(opt Options, cnt *siskinrill.Counters) *Client {
+	return &Client{opt: opt, cnt: cnt}
+}
+
+// Figures returns the agent's own counts of what the backend server did.
+func (cli *Client) Figures() Figures { return cli.mtr.figures() }
+
+// Slots returns how many requests the backend server can run at once, also bounded by its connections; 0 while it is not announced or has failed.
+func (cli *Client) Slots() int {
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	if !cli.usable() {
+		return 0
+	}
+	return int(min(cli.ann.Slots, cli.ann.Connections))
+}
+
+// State returns the state of the backend server, NONE before the first announcement.
+func (cli *Client) State() controlpb.UpstreamState {
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	return cli.state
+}
+
+// Run watches over the announcements and the answers until the context ends.
+func (cli *Client) Run(ctx context.Context) error {
+	tck := time.NewTicker(tickInterval)
+	defer tck.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tck.C:
+			cli.watch(ctx)
+		}
+	}
+}
+
+// usable reports whether requests may be handed over; the caller holds the mutex.
+func (cli *Client) usable() bool {
+	return cli.state == controlpb.UpstreamState_UPSTREAM_STATE_SERVING || cli.state == controlpb.UpstreamState_UPSTREAM_STATE_DRAINING
+}
+
+// current returns the pools of the backend server, nil while it is not usable.
+func (cli *Client) current() *target {
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	if !cli.usable() {
+		return nil
+	}
+	return cli.tgt
+}
+
+// fail marks the backend server as failed; the cause is a word for the log and the counter.
+func (cli *Client) fail(tgt *target, cause string) {
+	cli.mu.Lock()
+	if cli.tgt != tgt || !cli.usable() {
+		cli.mu.Unlock()
+		return
+	}
+	cli.state = controlpb.UpstreamState_UPSTREAM_STATE_FAILED
+	hold := min(failedHold<<min(cli.failures, 10), failedHoldMax)
+	cli.failures++
+	cli.holdUntil = time.Now().Add(hold)
+	idt := cli.ann.ID
+	cli.mu.Unlock()
+	cli.cnt.Event("backend_failed_" + cause)
+	logrus.Warnf("backend: server %s counts as failed: %s", idt, cause)
+	tgt.close()
+	cli.report()
+}
+
+// report tells the upstream and its state if it has changed.
+func (cli *Client) report() {
+	cli.tellMu.Lock()
+	defer cli.tellMu.Unlock()
+	ups, changed := cli.upstream()
+	if changed && cli.opt.OnUpstream != nil {
+		cli.opt.OnUpstream(ups)
+	}
+}
+
+func (cli *Client) upstream() (*controlpb.Upstream, bool) {
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	if cli.ann == nil {
+		return nil, false
+	}
+	ups := &controlpb.Upstream{
+		Id: cli.ann.ID, Service: cli.ann.Service, Slots: cli.ann.Slots,
+		Connections: cli.ann.Connections, ChecksFence: cli.ann.ChecksFence, State: cli.state,
+	}
+	if cli.told != nil && sameUpstream(cli.told, ups) {
+		return nil, false
+	}
+	cli.told = ups
+	return ups, true
+}
+
+func sameUpstream(one, two *controlpb.Upstream) bool {
+	return one.Id == two.Id && one.Service == two.Service && one.Slots == two.Slots &&
+		one.Connections == two.Connections && one.ChecksFence == two.ChecksFence && one.State == two.State
+}
--- /dev/null
+++ b/internal/agent/backend/conn.go
@@ -0,0 +1,104 @@
+package backend
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// errGateShut stops the write of a request that has ended or whose lease is over.
+var errGateShut = errors.New("the request may no longer be written")
+
+// gate decides whether a request may still be written, and knows whether any byte of it was.
+type gate struct {
+	mu      sync.Mutex
+	expires time.Time
+	wall    int64 // expires in Unix nanoseconds, for a host that was suspended
+	started bool
+	shut    bool
+	late    bool
+	since   time.Time
+}
+
+func newGate(exp time.Time) *gate {
+	return &gate{expires: exp, wall: exp.UnixNano()}
+}
+
+// begin is called before each write of the request; only the first one is refused after the expiry, because a request that was begun is finished.
+func (gat *gate) begin() (bool, error) {
+	gat.mu.Lock()
+	defer gat.mu.Unlock()
+	if gat.started {
+		return false, nil
+	}
+	now := time.Now()
+	if !now.Before(gat.expires) || now.UnixNano() >= gat.wall {
+		gat.late = true
+	}
+	if gat.shut || gat.late {
+		return false, errGateShut
+	}
+	gat.started = true
+	gat.since = now
+	return true, nil
+}
+
+// unwritten takes back the start of a request whose first write sent no byte.
+func (gat *gate) unwritten() {
+	gat.mu.Lock()
+	defer gat.mu.Unlock()
+	gat.started = false
+}
+
+// close forbids the start of a request and reports whether it had started and whether its lease was over.
+func (gat *gate) close() (started, late bool) {
+	gat.mu.Lock()
+	defer gat.mu.Unlock()
+	gat.shut = true
+	return gat.started, gat.late
+}
+
+// begun returns when the first byte was written.
+func (gat *gate) begun() time.Time {
+	gat.mu.Lock()
+	defer gat.mu.Unlock()
+	return gat.since
+}
+
+// conn asks the gate of its current request before each write.
+type conn struct {
+	net.Conn
+	mu  sync.Mutex
+	gat *gate
+}
+
+func (con *conn) attach(gat *gate) {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	con.gat = gat
+}
+
+func (con *conn) gate() *gate {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	return con.gat
+}
+
+// Write sends bytes of the current request if its gate allows it.
+func (con *conn) Write(buf []byte) (int, error) {
+	gat := con.gate()
+	if gat == nil {
+		return con.Conn.Write(buf)
+	}
+	first, err := gat.begin()
+	if err != nil {
+		return 0, err
+	}
+	num, err := con.Conn.Write(buf)
+	if first && num == 0 && err != nil {
+		gat.unwritten()
+	}
+	return num, err
+}
--- /dev/null
+++ b/internal/agent/backend/do.go
@@ -0,0 +1,161 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// run is one request towards the backend server.
+type run struct {
+	cli    *Client
+	tgt    *target
+	att    *siskinrill.Attempt
+	bdy    *body
+	sent   atomic.Bool // the whole request was written
+	gat    *gate
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// Do runs an attempt under a grant; an error is a *siskinrill.Refusal, whose outcome is not_run only if no byte of the request was written or the server proved that it did not run.
+func (cli *Client) Do(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error) {
+	tgt := cli.current()
+	if tgt == nil {
+		return nil, cli.refuse(siskinrill.NotRun(siskinrill.ReasonBackendUnreachable))
+	}
+	ctx, cancel := withTimeout(ctx, att.Open())
+	rnn := &run{cli: cli, tgt: tgt, att: att, bdy: newBody(att), gat: newGate(grt.Expires()), cancel: cancel}
+	rnn.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: rnn.gotConn, WroteRequest: rnn.wrote})
+	cli.mtr.begin()
+	ans, err := rnn.do(grt)
+	if err != nil {
+		rnn.end()
+		return nil, cli.refuse(err)
+	}
+	return ans, nil
+}
+
+// refuse counts a refusal that arose here.
+func (cli *Client) refuse(ref *siskinrill.Refusal) *siskinrill.Refusal {
+	cli.cnt.Refused(ref.Reason())
+	return ref
+}
+
+func withTimeout(ctx context.Context, opn *peerpb.Open) (context.Context, context.CancelFunc) {
+	dur := time.Duration(opn.GetTimeoutMs()) * time.Millisecond
+	if dur == 0 {
+		dur = defaultTimeout
+	}
+	return context.WithTimeout(ctx, dur)
+}
+
+// gotConn ties the connection to the gate of this request, before anything is written.
+func (rnn *run) gotConn(inf httptrace.GotConnInfo) {
+	if con, ok := inf.Conn.(*conn); ok {
+		con.attach(rnn.gat)
+	}
+}
+
+func (rnn *run) wrote(inf httptrace.WroteRequestInfo) {
+	if inf.Err == nil {
+		rnn.sent.Store(true)
+	}
+}
+
+// end releases the request; it is called once.
+func (rnn *run) end() {
+	rnn.cancel()
+	rnn.cli.mtr.end()
+}
+
+func (rnn *run) do(grt siskinrill.Grant) (*siskinrill.Answer, *siskinrill.Refusal) {
+	req, err := newRequest(rnn.ctx, rnn.tgt, rnn.att, rnn.bdy, grt)
+	if err != nil {
+		return nil, siskinrill.NewRefusal(siskinrill.ReasonBadRequest, peerpb.Outcome_OUTCOME_NOT_RUN, err)
+	}
+	res, err := rnn.tgt.transport.RoundTrip(req)
+	if err != nil {
+		return nil, rnn.lost(err)
+	}
+	rnn.cli.mtr.answer(time.Since(rnn.gat.begun()))
+	if ref := notRun(res); ref != nil {
+		res.Body.Close()
+		return nil, ref
+	}
+	return rnn.answer(res)
+}
+
+// lost tells what a failed exchange means for the request.
+func (rnn *run) lost(err error) *siskinrill.Refusal {
+	started, late := rnn.gat.close()
+	if late {
+		return siskinrill.NewRefusal(siskinrill.ReasonNoLease, peerpb.Outcome_OUTCOME_NOT_RUN, err)
+	}
+	if !started {
+		return rnn.unwritten(err)
+	}
+	switch {
+	case rnn.bdy.broken.Load() || errors.Is(rnn.ctx.Err(), context.Canceled):
+		return siskinrill.Unknown(siskinrill.ReasonCallerGone, err)
+	case rnn.ctx.Err() != nil:
+		if rnn.sent.Load() {
+			rnn.cli.mtr.fail()
+		}
+		return siskinrill.Unknown(siskinrill.ReasonBackendTimeout, err)
+	default:
+		rnn.cli.mtr.fail()
+		return siskinrill.Unknown(siskinrill.ReasonBackendLost, err)
+	}
+}
+
+// unwritten refuses a request of which no byte was written; a refused connect also marks the server as failed.
+func (rnn *run) unwritten(err error) *siskinrill.Refusal {
+	rsn := siskinrill.ReasonBackendUnreachable
+	switch {
+	case rnn.bdy.broken.Load() || errors.Is(rnn.ctx.Err(), context.Canceled):
+		rsn = siskinrill.ReasonCallerGone
+	case rnn.ctx.Err() != nil:
+		rsn = siskinrill.ReasonBackendTimeout
+	case errors.Is(err, syscall.ECONNREFUSED):
+		rnn.cli.fail(rnn.tgt, "refused")
+	case isDial(err):
+		rnn.cli.mtr.fail()
+	}
+	return siskinrill.NewRefusal(rsn, peerpb.Outcome_OUTCOME_NOT_RUN, err)
+}
+
+func isDial(err error) bool {
+	var ope *net.OpError
+	return errors.As(err, &ope) && ope.Op == "dial"
+}
+
+// notRun returns the refusal of a backend server that proves that it did not run the request, or nil.
+func notRun(res *http.Response) *siskinrill.Refusal {
+	if res.Header.Get(siskinrill.HeaderNotRun) != "true" {
+		return nil
+	}
+	rsn := siskinrill.ReasonBackendShed
+	switch res.StatusCode {
+	case http.StatusConflict, http.StatusPreconditionFailed:
+		rsn = siskinrill.ReasonBackendFenced
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	default:
+		return nil
+	}
+	secs, err := strconv.Atoi(res.Header.Get("Retry-After"))
+	if err != nil || secs < 0 {
+		secs = 0
+	}
+	return siskinrill.NotRun(rsn).WithRetryAfter(time.Duration(secs) * time.Second)
+}
--- /dev/null
+++ b/internal/agent/backend/request.go
@@ -0,0 +1,119 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
+
+// hostHeader travels as a header field between agents, and as the Host of the request here.
+const hostHeader = "Host"
+
+// body has no GetBody and is never nil, so that net/http does not repeat the request by itself, not even one with an Idempotency-Key.
+type body struct {
+	io.Reader
+	broken atomic.Bool // reading from the caller failed
+}
+
+// Read reads the next part and remembers a failure, which is the caller's and not the backend server's.
+func (bdy *body) Read(buf []byte) (int, error) {
+	num, err := bdy.Reader.Read(buf)
+	if err != nil && err != io.EOF {
+		bdy.broken.Store(true)
+	}
+	return num, err
+}
+
+// Close does nothing: the attempt's body belongs to the caller of Do.
+func (bdy *body) Close() error { return nil }
+
+func newBody(att *siskinrill.Attempt) *body {
+	opn := att.Open()
+	if opn.GetBodyEnd() || att.Body() == nil {
+		return &body{Reader: bytes.NewReader(opn.GetBody())}
+	}
+	return &body{Reader: io.MultiReader(bytes.NewReader(opn.GetBody()), att.Body())}
+}
+
+// newRequest returns the request towards the backend server.
+func newRequest(ctx context.Context, tgt *target, att *siskinrill.Attempt, bdy *body, grt siskinrill.Grant) (*http.Request, error) {
+	opn := att.Open()
+	req, err := http.NewRequestWithContext(ctx, opn.GetMethod(), tgt.base.String()+opn.GetTarget(), bdy)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = contentLength(opn)
+	copyFields(req.Header, opn.GetHeaders())
+	if host := req.Header.Get(hostHeader); host != "" {
+		req.Host = host
+		req.Header.Del(hostHeader)
+	}
+	if req.Header.Get("User-Agent") == "" {
+		req.Header.Set("User-Agent", "")
+	}
+	if opn.GetIdempotencyKey() != "" {
+		req.Header.Set(siskinrill.HeaderIdempotencyKey, opn.GetIdempotencyKey())
+	}
+	setFence(req.Header, opn, grt)
+	if dln, ok := ctx.Deadline(); ok {
+		req.Header.Set(siskinrill.HeaderTimeout, max(time.Until(dln), time.Millisecond).Round(time.Millisecond).String())
+	}
+	return req, nil
+}
+
+func setFence(hdr http.Header, opn *peerpb.Open, grt siskinrill.Grant) {
+	hdr.Set(siskinrill.HeaderFenceToken, strconv.FormatUint(grt.Shard().GetToken(), 10))
+	hdr.Set(siskinrill.HeaderFencePartition, fencePartition(grt.Shard()))
+	hdr.Set(siskinrill.HeaderFenceExpires, strconv.FormatInt(grt.Expires().UnixMilli(), 10))
+	hdr.Set(siskinrill.HeaderKey, opn.GetKey())
+	idt := opn.GetAttempt()
+	hdr.Set(siskinrill.HeaderAttempt, strconv.FormatUint(idt.GetEntrySession(), 10)+"-"+strconv.FormatUint(idt.GetCounter(), 10))
+}
+
+// contentLength returns the length to announce; 0 stands for not known, because the body is never nil.
+func contentLength(opn *peerpb.Open) int64 {
+	if opn.GetBodyEnd() {
+		return int64(len(opn.GetBody()))
+	}
+	return max(opn.GetBodyLength(), 0)
+}
+
+func copyFields(hdr http.Header, fields []*peerpb.HeaderField) {
+	for _, fld := range fields {
+		name := http.CanonicalHeaderKey(fld.GetName())
+		hdr[name] = append(hdr[name], fld.GetValues()...)
+	}
+	dropHopHeaders(hdr)
+}
+
+func dropHopHeaders(hdr http.Header) {
+	for _, val := range hdr["Connection"] {
+		for name := range strings.SplitSeq(val, ",") {
+			hdr.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		hdr.Del(name)
+	}
+}
+
+// fieldsOf returns the headers of an answer without those of the connection.
+func fieldsOf(hdr http.Header) []*peerpb.HeaderField {
+	dropHopHeaders(hdr)
+	fields := make([]*peerpb.HeaderField, 0, len(hdr))
+	for name, vals := range hdr {
+		fields = append(fields, &peerpb.HeaderField{Name: name, Values: vals})
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/agent/owner/admit.go
@@ -0,0 +1,119 @@
+package owner
+
+import (
+	"container/heap"
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill"
+)
+
+// Bounds of the advised wait after queue_full.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
+
+// admit returns once the ticket has a slot.
+func (own *Owner) admit(ctx context.Context, tck *ticket) *siskinrill.Refusal {
+	queued, ref := own.enqueue(tck)
+	if ref != nil || !queued {
+		return ref
+	}
+	select {
+	case ref := <-tck.wake:
+		return ref
+	case <-ctx.Done():
+		return own.giveUp(ctx, tck)
+	}
+}
+
+// enqueue gives the ticket a slot or a place in the queue.
+func (own *Owner) enqueue(tck *ticket) (queued bool, ref *siskinrill.Refusal) {
+	slots := own.slots()
+	svc := own.ses.Service(tck.shard.service)
+	limit := orDefault(int(svc.GetQueueLimit()), defaultQueue)
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	own.lim.ramp = durationOr(svc.GetRampMs(), time.Millisecond, defaultRamp)
+	own.lim.setSlots(slots)
+	if tck.rec.withdrawn {
+		return false, siskinrill.NotRun(siskinrill.ReasonWithdrawn)
+	}
+	if slots == 0 {
+		return false, siskinrill.NotRun(siskinrill.ReasonBackendUnreachable)
+	}
+	own.pump()
+	if own.que.Len() == 0 && own.hasSlot() {
+		own.take(tck)
+		return false, nil
+	}
+	if own.que.Len() >= limit {
+		return false, siskinrill.NotRun(siskinrill.ReasonQueueFull).WithRetryAfter(own.retryAfter())
+	}
+	heap.Push(&own.que, tck)
+	return true, nil
+}
+
+// take gives a slot to the ticket, which keeps it until its end; the caller holds the mutex.
+func (own *Owner) take(tck *ticket) {
+	tck.holds = true
+	own.taken++
+}
+
+// retryAfter estimates when the queue has emptied.
+func (own *Owner) retryAfter() time.Duration {
+	rounds := float64(own.que.Len()+1) / float64(max(own.lim.current(), 1))
+	wait := time.Duration(rounds * float64(own.lim.latency()))
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// giveUp ends the wait of a ticket whose caller has gone or whose deadline has passed.
+func (own *Owner) giveUp(ctx context.Context, tck *ticket) *siskinrill.Refusal {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	if !own.que.remove(tck) {
+		if ref := <-tck.wake; ref != nil {
+			return ref
+		}
+	}
+	return siskinrill.NotRun(waitReason(ctx))
+}
+
+func waitReason(ctx context.Context) siskinrill.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return siskinrill.ReasonDeadlineInQueue
+	}
+	return siskinrill.ReasonCallerGone
+}
+
+// hasSlot reports whether one more request may run; the caller holds the mutex.
+func (own *Owner) hasSlot() bool { return own.taken < own.lim.current()+own.flt.extraSlots }
+
+// pump gives free slots to the waiting tickets with the earliest deadlines; the caller holds the mutex.
+func (own *Owner) pump() {
+	now := time.Now()
+	for own.que.Len() > 0 {
+		first := own.que[0]
+		switch {
+		case own.lim.slots == 0:
+			own.dismiss(first, siskinrill.ReasonBackendUnreachable)
+		case !now.Before(first.deadline):
+			own.dismiss(first, siskinrill.ReasonDeadlineInQueue)
+		case own.hasSlot():
+			own.que.remove(first)
+			own.take(first)
+			first.signal(nil)
+		default:
+			return
+		}
+	}
+}
+
+// dismiss refuses a waiting ticket; the caller holds the mutex.
+func (own *Owner) dismiss(tck *ticket, rsn siskinrill.Reason) {
+	own.que.remove(tck)
+	tck.signal(siskinrill.NotRun(rsn))
+}
--- /dev/null
+++ b/internal/agent/owner/body.go
@@ -0,0 +1,177 @@
+package owner
+
+import (
+	"io"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// requestBody follows the streamed body of a request: it tells when the body has ended, and hashes it for the fingerprint.
+type requestBody struct {
+	mu    sync.Mutex
+	src   io.Reader
+	dig   *xxhash.Digest // nil without an Idempotency-Key
+	left  int64          // bytes to come, negative if not known
+	whole bool
+	over  chan struct{} // closed after the last read
+}
+
+func newRequestBody(att *siskinrill.Attempt, dig *xxhash.Digest) *requestBody {
+	opn := att.Open()
+	rbd := &requestBody{src: att.Body(), dig: dig, left: -1, over: make(chan struct{})}
+	if opn.GetBodyLength() >= 0 {
+		rbd.left = max(opn.GetBodyLength()-int64(len(opn.GetBody())), 0)
+	}
+	if rbd.left == 0 {
+		rbd.whole = true
+		rbd.finish()
+	}
+	return rbd
+}
+
+// Read reads the next part of the body.
+func (rbd *requestBody) Read(buf []byte) (int, error) {
+	num, err := rbd.src.Read(buf)
+	rbd.mu.Lock()
+	defer rbd.mu.Unlock()
+	if rbd.dig != nil {
+		_, _ = rbd.dig.Write(buf[:num])
+	}
+	if rbd.left > 0 {
+		rbd.left -= int64(num)
+	}
+	if err == io.EOF || rbd.left == 0 {
+		rbd.whole = true
+	}
+	if err != nil || rbd.whole {
+		rbd.finish()
+	}
+	return num, err
+}
+
+func (rbd *requestBody) finish() {
+	select {
+	case <-rbd.over:
+	default:
+		close(rbd.over)
+	}
+}
+
+// fingerprint returns the hash, 0 unless the whole body was read.
+func (rbd *requestBody) fingerprint() uint64 {
+	rbd.mu.Lock()
+	defer rbd.mu.Unlock()
+	if !rbd.whole {
+		return 0
+	}
+	return nonZero(rbd.dig.Sum64())
+}
+
+// nonZero leaves 0 free for a fingerprint that is not known.
+func nonZero(sum uint64) uint64 {
+	return max(sum, 1)
+}
+
+// attempt returns what is handed to the backend server.
+func (tck *ticket) attempt() *siskinrill.Attempt {
+	if tck.bdy == nil {
+		return tck.att
+	}
+	return siskinrill.NewAttempt(tck.att.Open(), tck.bdy)
+}
+
+// ended reports whether nothing of the body is to come from the caller.
+func (rbd *requestBody) ended() bool {
+	rbd.mu.Lock()
+	defer rbd.mu.Unlock()
+	return rbd.whole
+}
+
+// answerBody streams an answer to the caller, keeps a copy of a short one, and ends the attempt.
+type answerBody struct {
+	own  *Owner
+	tck  *ticket
+	head *peerpb.Response
+	src  io.ReadCloser
+
+	mu   sync.Mutex // serializes reads
+	kept []byte
+	over bool // too long to keep
+	once sync.Once
+}
+
+func newAnswerBody(own *Owner, tck *ticket, ans *siskinrill.Answer) *answerBody {
+	hea := ans.Head()
+	abd := &answerBody{own: own, tck: tck, head: hea, src: ans.Body()}
+	abd.over = !tck.once || hea.GetBodyLength() > keptAnswer
+	abd.keep(hea.GetBody())
+	return abd
+}
+
+func (abd *answerBody) keep(buf []byte) {
+	if abd.over {
+		return
+	}
+	if len(abd.kept)+len(buf) > keptAnswer {
+		abd.over = true
+		abd.kept = nil
+		return
+	}
+	abd.kept = append(abd.kept, buf...)
+}
+
+// Read reads the next part of the answer; the attempt ends with the answer.
+func (abd *answerBody) Read(buf []byte) (int, error) {
+	abd.mu.Lock()
+	defer abd.mu.Unlock()
+	num, err := abd.src.Read(buf)
+	abd.keep(buf[:num])
+	switch {
+	case err == io.EOF:
+		abd.end(ended{outcome: peerpb.Outcome_OUTCOME_COMPLETE, response: abd.whole()})
+	case err != nil:
+		ref := refusalOf(err)
+		_ = abd.own.noted(ref)
+		abd.end(ended{outcome: peerpb.Outcome_OUTCOME_UNKNOWN, reason: ref.Reason()})
+	}
+	return num, err
+}
+
+func (abd *answerBody) end(how ended) {
+	abd.once.Do(func() { abd.own.end(abd.tck, how) })
+}
+
+// whole returns the answer with all of its body, nil if it is too long.
+func (abd *answerBody) whole() *peerpb.Response {
+	if abd.over {
+		return nil
+	}
+	return &peerpb.Response{
+		Status: abd.head.GetStatus(), Headers: abd.head.GetHeaders(),
+		BodyLength: int64(len(abd.kept)), Body: abd.kept, BodyEnd: true,
+	}
+}
+
+// Close ends the attempt; the rest of an answer that must not be lost is still read, up to the deadline.
+func (abd *answerBody) Close() error {
+	if abd.tck.once {
+		go abd.drain()
+		return nil
+	}
+	err := abd.src.Close()
+	abd.end(ended{outcome: peerpb.Outcome_OUTCOME_UNKNOWN, reason: siskinrill.ReasonCallerGone})
+	return err
+}
+
+func (abd *answerBody) drain() {
+	_, _ = io.Copy(io.Discard, reader{abd})
+	abd.end(ended{outcome: peerpb.Outcome_OUTCOME_UNKNOWN, reason: siskinrill.ReasonCallerGone})
+	_ = abd.src.Close()
+}
+
+// reader hides Close from io.Copy.
+type reader struct{ io.Reader }
--- /dev/null
+++ b/internal/agent/owner/check.go
@@ -0,0 +1,76 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// check returns the row under which an attempt may run now and the end of the lease; the lease is looked at last.
+func (own *Owner) check(opn *peerpb.Open, reserve time.Duration) (*controlpb.Shard, time.Time, *siskinrill.Refusal) {
+	ses := own.ses.Session()
+	if ses == 0 {
+		return nil, time.Time{}, own.versioned(siskinrill.ReasonNoLease)
+	}
+	row := own.ses.Shard(opn.GetService(), opn.GetKey())
+	rsn := rowReason(row, opn, ses)
+	if rsn == "" && own.drainOver() {
+		rsn = siskinrill.ReasonDraining
+	}
+	if rsn != "" {
+		return nil, time.Time{}, own.versioned(rsn)
+	}
+	exp, valid := own.ses.Expires()
+	if !valid || time.Until(exp) < reserve || own.ses.Session() != ses {
+		return nil, time.Time{}, own.versioned(siskinrill.ReasonNoLease)
+	}
+	return row, exp, nil
+}
+
+// rowReason returns why a row does not allow the attempt, empty if it does.
+func rowReason(row *controlpb.Shard, opn *peerpb.Open, ses uint64) siskinrill.Reason {
+	switch {
+	case opn.GetOwnerSession() != ses || row == nil || row.GetOwner() != ses:
+		return siskinrill.ReasonWrongOwner
+	case row.GetPhase() == controlpb.Phase_PHASE_RELEASING:
+		return siskinrill.ReasonMoving
+	case row.GetPhase() != controlpb.Phase_PHASE_OWNED || row.GetToken() != opn.GetToken():
+		return siskinrill.ReasonWrongOwner
+	default:
+		return ""
+	}
+}
+
+func (own *Owner) versioned(rsn siskinrill.Reason) *siskinrill.Refusal {
+	return siskinrill.NotRun(rsn).WithVersion(own.ses.Version())
+}
+
+// drainOver reports whether this upstream drains for so long that it takes nothing new, although control has not moved everything.
+func (own *Owner) drainOver() bool {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	return !own.drainFrom.IsZero() && time.Since(own.drainFrom) >= drainGrace
+}
+
+// checkArrival checks an attempt on arrival; the token is a log index, so one over this agent's version shows that its copy is behind.
+func (own *Owner) checkArrival(ctx context.Context, tck *ticket) (*controlpb.Shard, *siskinrill.Refusal) {
+	opn := tck.att.Open()
+	row, _, ref := own.check(opn, tck.reserve())
+	if ref == nil || opn.GetToken() <= own.ses.Version() || ref.Reason() != siskinrill.ReasonWrongOwner {
+		return row, ref
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUp)
+	defer cancel()
+	if own.ses.Await(ctx, opn.GetToken()-1) != nil {
+		return nil, ref
+	}
+	row, _, ref = own.check(opn, tck.reserve())
+	return row, ref
+}
+
+func refOf(row *controlpb.Shard) *controlpb.ShardRef {
+	return &controlpb.ShardRef{Service: row.GetService(), Partition: row.GetPartition(), Key: row.GetKey(), Token: row.GetToken()}
+}
--- /dev/null
+++ b/internal/agent/owner/claim.go
@@ -0,0 +1,171 @@
+package owner
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// claimKey names an Idempotency-Key of a key.
+type claimKey struct {
+	service string
+	key     string
+	idem    string
+}
+
+// claim is the record of an Idempotency-Key; the owner's mutex guards it until it has ended.
+type claim struct {
+	id      claimKey
+	running bool
+	print   uint64 // over method, target and body; 0: not known
+	outcome peerpb.Outcome
+	reason  siskinrill.Reason
+	kept    *peerpb.Response
+	until   time.Time
+	over    chan struct{} // nil once it has ended
+}
+
+// expire drops the record unless its request still runs.
+func (clm *claim) expire(own *Owner) time.Time {
+	if clm.running {
+		return time.Now().Add(time.Second)
+	}
+	if own.claims[clm.id] != clm {
+		return time.Time{}
+	}
+	own.dropClaim(clm)
+	return time.Time{}
+}
+
+func (own *Owner) dropClaim(clm *claim) {
+	delete(own.claims, clm.id)
+	own.keptBytes -= keptSize(clm.kept)
+}
+
+// repeatable reports whether the Idempotency-Key counts; an idempotent request may run again anyway.
+func (tck *ticket) repeatable() bool {
+	return tck.once && tck.att.Open().GetIdempotencyKey() != ""
+}
+
+// digest returns the start of the fingerprint, nil if the request needs none.
+func (tck *ticket) digest() *xxhash.Digest {
+	if !tck.repeatable() {
+		return nil
+	}
+	return newDigest(tck.att.Open())
+}
+
+// newDigest starts the fingerprint with the method, the target and the first part of the body.
+func newDigest(opn *peerpb.Open) *xxhash.Digest {
+	dig := xxhash.New()
+	_, _ = dig.WriteString(opn.GetMethod())
+	_, _ = dig.Write([]byte{0})
+	_, _ = dig.WriteString(opn.GetTarget())
+	_, _ = dig.Write([]byte{0})
+	_, _ = dig.Write(opn.GetBody())
+	return dig
+}
+
+// fingerprint returns the fingerprint of the request, 0 while its body was not read to the end.
+func (tck *ticket) fingerprint() uint64 {
+	if tck.bdy == nil {
+		return nonZero(newDigest(tck.att.Open()).Sum64())
+	}
+	return tck.bdy.fingerprint()
+}
+
+// repeat returns the remembered answer, or nothing once this attempt is the one that runs.
+func (own *Owner) repeat(ctx context.Context, tck *ticket) (*peerpb.Response, *siskinrill.Refusal) {
+	for {
+		clm, over, ref := own.claim(tck)
+		if ref != nil {
+			return nil, ref
+		}
+		if clm == tck.claim {
+			return nil, nil
+		}
+		if over == nil {
+			return own.recall(tck, clm)
+		}
+		own.cnt.Event("idempotency_waits")
+		select {
+		case <-over:
+		case ref := <-tck.wake:
+			return nil, ref
+		case <-ctx.Done():
+			return nil, siskinrill.Unknown(waitReason(ctx), ctx.Err())
+		}
+	}
+}
+
+// claim returns the record of the Idempotency-Key, and the channel to wait on while it runs; a new one belongs to the ticket.
+func (own *Owner) claim(tck *ticket) (*claim, <-chan struct{}, *siskinrill.Refusal) {
+	opn := tck.att.Open()
+	idt := claimKey{service: opn.GetService(), key: opn.GetKey(), idem: opn.GetIdempotencyKey()}
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	if clm := own.claims[idt]; clm != nil && (clm.running || time.Now().Before(clm.until)) {
+		tck.rec.repeats = true
+		if clm.running {
+			return clm, clm.over, nil
+		}
+		return clm, nil, nil
+	}
+	tck.rec.repeats = false
+	if len(own.claims) >= own.opt.MaxIdempotency {
+		return nil, nil, siskinrill.NotRun(siskinrill.ReasonRecordsFull).WithRetryAfter(time.Second)
+	}
+	if old := own.claims[idt]; old != nil {
+		own.dropClaim(old)
+	}
+	tck.claim = &claim{id: idt, running: true, over: make(chan struct{})}
+	own.claims[idt] = tck.claim
+	return tck.claim, nil, nil
+}
+
+// recall answers from a record that has ended.
+func (own *Owner) recall(tck *ticket, clm *claim) (*peerpb.Response, *siskinrill.Refusal) {
+	if tck.bdy != nil {
+		_, _ = io.Copy(io.Discard, tck.bdy)
+	}
+	prt := tck.fingerprint()
+	switch {
+	case clm.print == 0 || prt == 0:
+		return nil, siskinrill.Unknown(siskinrill.ReasonAnswerNotKept, nil)
+	case clm.print != prt:
+		return nil, siskinrill.NotRun(siskinrill.ReasonIdempotencyKeyReused)
+	case clm.outcome != peerpb.Outcome_OUTCOME_COMPLETE:
+		return nil, siskinrill.Unknown(clm.reason, nil)
+	case clm.kept == nil:
+		return nil, siskinrill.Unknown(siskinrill.ReasonAnswerNotKept, nil)
+	default:
+		own.cnt.Event("idempotency_repeated")
+		return clm.kept, nil
+	}
+}
+
+// resolve ends the record that the ticket has claimed; the caller holds the mutex. A request that did not run leaves no record.
+func (own *Owner) resolve(tck *ticket, how ended) {
+	clm := tck.claim
+	if clm == nil {
+		return
+	}
+	tck.claim = nil
+	if how.outcome == peerpb.Outcome_OUTCOME_NOT_RUN {
+		delete(own.claims, clm.id)
+	} else {
+		clm.outcome = how.outcome
+		clm.reason = how.reason
+		clm.print = tck.fingerprint()
+		clm.kept = own.keep(how.response)
+		clm.until = time.Now().Add(tck.ttl)
+		own.whe.add(clm.until, clm)
+	}
+	clm.running = false
+	close(clm.over)
+}
--- /dev/null
+++ b/internal/agent/owner/fake_test.go
@@ -0,0 +1,217 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+const (
+	svcName    = "checkout"
+	svcParts   = 4
+	ownSession = 40
+	peerNode   = 41
+)
+
+// anySession panics on what the owner must not call.
+type anySession interface{ siskinrill.Session }
+
+// fakeSession is control as the owner sees it; tests change its lease and rows.
+type fakeSession struct {
+	anySession
+
+	mu       sync.Mutex
+	session  uint64
+	expires  time.Time
+	version  uint64
+	changed  chan struct{}
+	rows     map[string]*controlpb.Shard // by partition number or override key
+	drain    bool
+	svc      *controlpb.Service
+	released []*controlpb.ShardRef
+	onRel    func(refs []*controlpb.ShardRef)
+}
+
+func newFakeSession() *fakeSession {
+	fse := &fakeSession{
+		session: ownSession, expires: time.Now().Add(time.Hour), version: 100, changed: make(chan struct{}),
+		rows: map[string]*controlpb.Shard{},
+		svc:  &controlpb.Service{Name: svcName, Partitions: svcParts, QueueLimit: 4, RampMs: 1},
+	}
+	for num := range uint32(svcParts) {
+		fse.rows[partName(num)] = &controlpb.Shard{Service: svcName, Partition: num, Owner: ownSession, Token: 7, Phase: controlpb.Phase_PHASE_OWNED}
+	}
+	return fse
+}
+
+func partName(num uint32) string { return "#" + string(rune('0'+num)) }
+
+// change changes the session under its lock and wakes who waits for a new version.
+func (fse *fakeSession) change(fn func()) {
+	fse.mu.Lock()
+	defer fse.mu.Unlock()
+	fn()
+	fse.version++
+	close(fse.changed)
+	fse.changed = make(chan struct{})
+}
+
+// release starts the release of a row.
+func (fse *fakeSession) release(name string) {
+	fse.change(func() {
+		fse.rows[name].Phase = controlpb.Phase_PHASE_RELEASING
+		fse.rows[name].Target = peerNode
+	})
+}
+
+func (fse *fakeSession) Session() uint64 {
+	fse.mu.Lock()
+	defer fse.mu.Unlock()
+	return fse.session
+}
+
+func (fse *fakeSession) Expires() (time.Time, bool) {
+	fse.mu.Lock()
+	defer fse.mu.Unlock()
+	return fse.expires, time.Now().Before(fse.expires)
+}
+
+func (fse *fakeSession) Service(string) *controlpb.Service { return fse.svc }
+
+func (fse *fakeSession) Shard(_, key string) *controlpb.Shard {
+	fse.mu.Lock()
+	defer fse.mu.Unlock()
+	row := fse.rows[key]
+	if row == nil {
+		row = fse.rows[partName(siskinrill.Partition(svcName, key, svcParts))]
+	}
+	return proto.Clone(row).(*controlpb.Shard)
+}
+
+func (fse *fakeSession) Node(ses uint64) *controlpb.Node {
+	return &controlpb.Node{Session: ses, PeerAddress: "127.0.0.1:1"}
+}
+
+func (fse *fakeSession) Version() uint64 {
+	fse.mu.Lock()
+	defer fse.mu.Unlock()
+	return fse.version
+}
+
+func (fse *fakeSession) Await(ctx context.Context, ver uint64) error {
+	for {
+		fse.mu.Lock()
+		now, changed := fse.version, fse.changed
+		fse.mu.Unlock()
+		if now > ver {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (fse *fakeSession) Owned() []*controlpb.Shard {
+	fse.mu.Lock()
+	defer fse.mu.Unlock()
+	var rows []*controlpb.Shard
+	for _, row := range fse.rows {
+		if row.GetOwner() == fse.session {
+			rows = append(rows, proto.Clone(row).(*controlpb.Shard))
+		}
+	}
+	return rows
+}
+
+func (fse *fakeSession) Release(refs []*controlpb.ShardRef) {
+	if fse.onRel != nil {
+		fse.onRel(refs)
+	}
+	fse.mu.Lock()
+	defer fse.mu.Unlock()
+	fse.released = append(fse.released, refs...)
+}
+
+func (fse *fakeSession) SetLoadSource(siskinrill.LoadSource) {}
+
+func (fse *fakeSession) Draining() bool {
+	fse.mu.Lock()
+	defer fse.mu.Unlock()
+	return fse.drain
+}
+
+// fakeBackend runs attempts by a function.
+type fakeBackend struct {
+	do func(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error)
+}
+
+func (fba *fakeBackend) Do(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error) {
+	return fba.do(ctx, att, grt)
+}
+
+func (fba *fakeBackend) Grants(context.Context, []*controlpb.ShardRef, []*controlpb.ShardRef) error {
+	return nil
+}
+
+// fakeForwarder notes the transfers.
+type fakeForwarder struct {
+	siskinrill.Forwarder
+
+	mu   sync.Mutex
+	fail int // transfers that fail
+	recs []*peerpb.IdempotencyRecord
+}
+
+func (ffo *fakeForwarder) Transfer(_ context.Context, _ string, req *peerpb.TransferRequest) (*peerpb.TransferAnswer, error) {
+	ffo.mu.Lock()
+	defer ffo.mu.Unlock()
+	if ffo.fail > 0 {
+		ffo.fail--
+		return nil, context.DeadlineExceeded
+	}
+	ffo.recs = append(ffo.recs, req.GetRecords()...)
+	return &peerpb.TransferAnswer{Kept: uint32(len(req.GetRecords()))}, nil
+}
+
+// bench is an owner with its fakes.
+type bench struct {
+	own *Owner
+	ses *fakeSession
+	fwd *fakeForwarder
+	bck *fakeBackend
+	cnt *siskinrill.Counters
+}
+
+// newBench returns an owner that runs until the context ends; by default the backend server answers at once.
+func newBench(ctx context.Context, slots int) *bench {
+	bnc := &bench{ses: newFakeSession(), fwd: &fakeForwarder{}, bck: &fakeBackend{do: answerOK}, cnt: siskinrill.NewCounters()}
+	bnc.own = New(Options{Slots: func() int { return slots }}, bnc.ses, bnc.fwd, bnc.bck, bnc.cnt)
+	go func() { _ = bnc.own.Run(ctx) }()
+	return bnc
+}
+
+func answerOK(context.Context, *siskinrill.Attempt, siskinrill.Grant) (*siskinrill.Answer, error) {
+	return siskinrill.NewAnswer(&peerpb.Response{Status: 200, Body: []byte("ok"), BodyLength: 2, BodyEnd: true}, nil), nil
+}
+
+// open returns the first message of a whole non-idempotent request.
+func open(num uint64, key string) *peerpb.Open {
+	return &peerpb.Open{
+		Attempt: &peerpb.AttemptId{EntrySession: 50, Counter: num}, OwnerSession: ownSession, Service: svcName, Key: key,
+		Partition: siskinrill.Partition(svcName, key, svcParts), Token: 7, Method: "POST", Target: "/orders/" + key + "/payment",
+		TimeoutMs: 2000, Kind: uint32(controlpb.RequestKind_REQUEST_KIND_NON_IDEMPOTENT), BodyEnd: true,
+	}
+}
+
+func withdrawal(num uint64, wait uint32) *peerpb.WithdrawRequest {
+	return &peerpb.WithdrawRequest{Attempt: &peerpb.AttemptId{EntrySession: 50, Counter: num}, OwnerSession: ownSession, WaitMs: wait}
+}
--- /dev/null
+++ b/internal/agent/owner/handle.go
@@ -0,0 +1,112 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// Handle runs an attempt; an error is a *siskinrill.Refusal, and the answer shares its slices with the kept one, so it must not be changed.
+func (own *Owner) Handle(ctx context.Context, att *siskinrill.Attempt) (*siskinrill.Answer, error) {
+	if ref := malformed(att.Open()); ref != nil {
+		return nil, own.refused(ref)
+	}
+	tck := newTicket(att)
+	if ref := own.enter(tck); ref != nil {
+		return nil, own.refused(ref)
+	}
+	ctx, tck.cancel = context.WithDeadline(ctx, tck.deadline)
+	ans, ref := own.prepare(ctx, tck)
+	if ref != nil {
+		own.end(tck, ended{outcome: ref.Outcome(), reason: ref.Reason()})
+		return nil, own.refused(ref)
+	}
+	if ans != nil {
+		own.end(tck, ended{outcome: peerpb.Outcome_OUTCOME_COMPLETE, response: ans})
+		return siskinrill.NewAnswer(ans, nil), nil
+	}
+	return own.dispatch(ctx, tck)
+}
+
+func malformed(opn *peerpb.Open) *siskinrill.Refusal {
+	switch {
+	case opn.GetAttempt() == nil || opn.GetService() == "" || opn.GetMethod() == "":
+		return siskinrill.NewRefusal(siskinrill.ReasonBadRequest, peerpb.Outcome_OUTCOME_NOT_RUN, errors.New("attempt, service and method are required"))
+	case len(opn.GetKey()) > siskinrill.MaxKeyBytes:
+		return siskinrill.NotRun(siskinrill.ReasonBadRequest)
+	default:
+		return nil
+	}
+}
+
+// prepare brings an attempt up to its dispatch: it has a slot, and the backend server knows of the grant; a remembered answer ends it instead.
+func (own *Owner) prepare(ctx context.Context, tck *ticket) (*peerpb.Response, *siskinrill.Refusal) {
+	row, ref := own.checkArrival(ctx, tck)
+	if ref != nil {
+		return nil, ref
+	}
+	tck.shard = shardOf(row)
+	tck.ttl = durationOr(own.ses.Service(tck.shard.service).GetIdempotencyTtlS(), time.Second, defaultTTL)
+	if tck.repeatable() {
+		ans, ref := own.repeat(ctx, tck)
+		if ans != nil || ref != nil {
+			return ans, ref
+		}
+	}
+	if ref := own.admit(ctx, tck); ref != nil {
+		return nil, ref
+	}
+	own.tell(ctx, []*controlpb.Shard{row})
+	return nil, nil
+}
+
+// dispatch checks row and lease as the last step and hands the attempt over.
+func (own *Owner) dispatch(ctx context.Context, tck *ticket) (*siskinrill.Answer, error) {
+	grt, ref := own.lastCheck(tck)
+	if ref != nil {
+		own.end(tck, ended{outcome: ref.Outcome(), reason: ref.Reason()})
+		return nil, own.refused(ref)
+	}
+	if tck.once {
+		return own.runOnce(ctx, tck, grt)
+	}
+	return own.run(ctx, tck, grt)
+}
+
+// lastCheck counts the attempt as running before it reads the row, so that a release that sees no running attempt is not overtaken by this one.
+func (own *Owner) lastCheck(tck *ticket) (siskinrill.Grant, *siskinrill.Refusal) {
+	if ref := own.begin(tck); ref != nil {
+		return siskinrill.Grant{}, ref
+	}
+	opn := tck.att.Open()
+	if own.flt.noLastCheck {
+		row := own.ses.Shard(opn.GetService(), opn.GetKey())
+		exp, _ := own.ses.Expires()
+		return siskinrill.NewGrant(refOf(row), exp), nil
+	}
+	row, exp, ref := own.check(opn, tck.reserve())
+	if ref != nil {
+		return siskinrill.Grant{}, ref
+	}
+	return siskinrill.NewGrant(refOf(row), exp), nil
+}
+
+func (own *Owner) begin(tck *ticket) *siskinrill.Refusal {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	if tck.rec.withdrawn {
+		return siskinrill.NotRun(siskinrill.ReasonWithdrawn)
+	}
+	if !time.Now().Before(tck.deadline) {
+		return siskinrill.NotRun(siskinrill.ReasonDeadlineInQueue)
+	}
+	tck.rec.phase = phaseDispatched
+	tck.started = time.Now()
+	own.running[tck] = struct{}{}
+	return nil
+}
--- /dev/null
+++ b/internal/agent/owner/limit.go
@@ -0,0 +1,116 @@
+package owner
+
+import (
+	"math"
+	"time"
+)
+
+// Parameters of the gradient limit.
+const (
+	// startShare is the share of the slots at the start of the ramp, and the least that latency alone leaves.
+	startShare = 0.25
+	// windowTime and windowSamples end a window of latency samples.
+	windowTime    = 100 * time.Millisecond
+	windowSamples = 10
+	// tolerance is how far the latency of a window may exceed the long-term latency before the limit falls; routes of one service differ in cost.
+	tolerance = 2.0
+	// minGradient bounds the fall in one window.
+	minGradient = 0.5
+	// smoothing is the weight of a window's result in the limit.
+	smoothing = 0.2
+	// riseWeight and fallWeight move the long-term latency; it follows a fall faster, since the lower figure shows what the server can do.
+	riseWeight = 0.01
+	fallWeight = 0.2
+	// shedFactor lowers the limit each time that the backend server sheds.
+	shedFactor = 0.9
+)
+
+// limiter is the concurrency limit; the owner's mutex guards it.
+type limiter struct {
+	slots  int
+	limit  float64
+	ramp   time.Duration
+	since  time.Time // start of the ramp
+	long   float64   // seconds
+	sum    float64   // seconds in this window
+	num    int
+	peak   int // highest number of running requests in this window
+	opened time.Time
+}
+
+// setSlots takes over the slots; the ramp starts when the backend server becomes usable.
+func (lim *limiter) setSlots(slots int) {
+	if slots == lim.slots {
+		return
+	}
+	if lim.slots == 0 {
+		lim.since = time.Now()
+		lim.opened = lim.since
+		lim.long = 0
+		lim.limit = float64(slots)
+	}
+	lim.slots = slots
+	lim.limit = min(lim.limit, float64(slots))
+	if slots > 0 {
+		lim.limit = max(lim.limit, lim.floor())
+	}
+}
+
+func (lim *limiter) floor() float64 { return max(1, math.Ceil(startShare*float64(lim.slots))) }
+
+// ceiling returns what the ramp allows now.
+func (lim *limiter) ceiling() float64 {
+	if lim.slots == 0 {
+		return 0
+	}
+	share := 1.0
+	if ago := time.Since(lim.since); ago < lim.ramp {
+		share = startShare + (1-startShare)*float64(ago)/float64(lim.ramp)
+	}
+	return max(1, math.Ceil(share*float64(lim.slots)))
+}
+
+// current returns how many requests may run now.
+func (lim *limiter) current() int { return int(min(lim.limit, lim.ceiling())) }
+
+// latency returns the long-term latency.
+func (lim *limiter) latency() time.Duration { return time.Duration(lim.long * float64(time.Second)) }
+
+// observe takes a latency sample with the number of requests that ran.
+func (lim *limiter) observe(lat time.Duration, running int) {
+	lim.sum += lat.Seconds()
+	lim.num++
+	lim.peak = max(lim.peak, running)
+	if lim.num >= windowSamples && time.Since(lim.opened) >= windowTime {
+		lim.closeWindow()
+	}
+}
+
+func (lim *limiter) closeWindow() {
+	short := max(lim.sum/float64(lim.num), 1e-6)
+	busy := float64(lim.peak) >= lim.limit/2
+	lim.sum, lim.num, lim.peak = 0, 0, 0
+	lim.opened = time.Now()
+	lim.track(short)
+	gradient := min(1, max(minGradient, tolerance*lim.long/short))
+	next := lim.limit * gradient
+	if busy && gradient == 1 {
+		next += math.Sqrt(lim.limit)
+	}
+	lim.limit += smoothing * (next - lim.limit)
+	lim.limit = min(max(lim.limit, lim.floor()), float64(lim.slots))
+}
+
+func (lim *limiter) track(short float64) {
+	weight := riseWeight
+	if short < lim.long {
+		weight = fallWeight
+	}
+	if lim.long == 0 {
+		weight = 1
+	}
+	lim.long += weight * (short - lim.long)
+}
+
+// shed lowers the limit after the backend server refused for overload.
+func (lim *limiter) shed() { lim.limit = max(1, lim.limit*shedFactor) }
--- /dev/null
+++ b/internal/agent/owner/options.go
@@ -0,0 +1,77 @@
+package owner
+
+import "time"
+
+// Limits and times of the owner.
+const (
+	// reserveOnce is the rest of the lease that a request needs that must not run twice; a late run after a lost lease could not be undone.
+	reserveOnce = 200 * time.Millisecond
+	// reserveIdempotent is the rest of the lease that an idempotent request needs.
+	reserveIdempotent = 50 * time.Millisecond
+	// recordKept is how long an attempt record outlives the deadline of its attempt.
+	recordKept = 60 * time.Second
+	// keptAnswer is the longest answer that is kept for repetition, headers included.
+	keptAnswer = 16 << 10
+	// catchUp is how long a request from an entry with a newer copy of the table waits for this agent's copy.
+	catchUp = 100 * time.Millisecond
+	// drainGrace is how long an upstream that drains still serves what it owns; a leaving backend server receives nothing new after 3 s.
+	drainGrace = 2500 * time.Millisecond
+	// defaultTimeout is the deadline of an attempt that names none.
+	defaultTimeout = 30 * time.Second
+	// defaultTTL is the life of an idempotency record of a service that names none.
+	defaultTTL = 10 * time.Minute
+	// defaultRamp is the time from a quarter of the slots to all of them for a service that names none.
+	defaultRamp = 5 * time.Second
+	// defaultQueue is the queue of a service that names none.
+	defaultQueue = 100
+	// tickInterval is how often queue, drain and released rows are looked at without another cause.
+	tickInterval = 100 * time.Millisecond
+	// sweepInterval is how often expired records are dropped.
+	sweepInterval = time.Second
+	// releaseRepeat is the time after which a release is reported again while the row has not changed.
+	releaseRepeat = 500 * time.Millisecond
+)
+
+// Options configure an owner; zero values stand for the defaults.
+type Options struct {
+	// Slots returns how many requests the backend server can run at once, 0 while it cannot be used; default: the slots of this session's upstream.
+	Slots func() int
+	// MaxRecords bounds the attempt records of requests that run or ran at most once; default 65,536.
+	MaxRecords int
+	// MaxPast bounds each of the two generations of ended attempt ids; default 262,144.
+	MaxPast int
+	// MaxIdempotency bounds the idempotency records; default 65,536.
+	MaxIdempotency int
+	// MaxKeptBytes bounds the answers kept for repetition; default 32 MiB.
+	MaxKeptBytes int
+}
+
+func (opt Options) withDefaults() Options {
+	opt.MaxRecords = orDefault(opt.MaxRecords, 1<<16)
+	opt.MaxPast = orDefault(opt.MaxPast, 1<<18)
+	opt.MaxIdempotency = orDefault(opt.MaxIdempotency, 1<<16)
+	opt.MaxKeptBytes = orDefault(opt.MaxKeptBytes, 32<<20)
+	return opt
+}
+
+func orDefault(val, def int) int {
+	if val == 0 {
+		return def
+	}
+	return val
+}
+
+func durationOr(val uint32, unit, def time.Duration) time.Duration {
+	if val == 0 {
+		return def
+	}
+	return time.Duration(val) * unit
+}
+
+// faults are deliberate defects, set only by tests to prove that the tests notice them.
+type faults struct {
+	noLastCheck  bool
+	noTombstone  bool
+	releaseEarly bool
+	extraSlots   int
+}
--- /dev/null
+++ b/internal/agent/owner/owner.go
@@ -0,0 +1,119 @@
+package owner
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// maxSessions bounds the earlier sessions of this process for which it can still prove that nothing ran.
+const maxSessions = 64
+
+// Owner serves attempts for the keys that this agent owns.
+type Owner struct {
+	opt Options
+	ses siskinrill.Session
+	fwd siskinrill.Forwarder
+	bck siskinrill.Backend
+	cnt *siskinrill.Counters
+	flt faults
+
+	kick chan struct{} // wakes Run after a request has ended
+	tld  teller
+
+	mu        sync.Mutex
+	sessions  []uint64 // of this process, the newest last
+	records   map[attemptID]*record
+	past      *past
+	whe       *wheel
+	keptBytes int
+	claims    map[claimKey]*claim
+	que       queue
+	lim       limiter
+	taken     int                  // slots given to tickets
+	running   map[*ticket]struct{} // handed over, or in the last check before it
+	moves     map[moveKey]*move
+	lds       *loads
+	drainFrom time.Time // zero: does not drain
+}
+
+var (
+	_ siskinrill.Owner      = (*Owner)(nil)
+	_ siskinrill.LoadSource = (*Owner)(nil)
+)
+
+// New returns an owner that admits attempts as soon as the session has a lease and the backend server has slots.
+func New(opt Options, ses siskinrill.Session, fwd siskinrill.Forwarder, bck siskinrill.Backend, cnt *siskinrill.Counters) *Owner {
+	opt = opt.withDefaults()
+	own := &Owner{
+		opt: opt, ses: ses, fwd: fwd, bck: bck, cnt: cnt, kick: make(chan struct{}, 1),
+		records: map[attemptID]*record{}, past: newPast(opt.MaxPast), whe: newWheel(),
+		claims: map[claimKey]*claim{}, running: map[*ticket]struct{}{}, moves: map[moveKey]*move{}, lds: newLoads(),
+	}
+	own.lim.ramp = defaultRamp
+	own.tld.told = map[shardID]uint64{}
+	return own
+}
+
+// Idle reports whether this agent owns nothing and has no request in flight.
+func (own *Owner) Idle() bool {
+	if len(own.ses.Owned()) > 0 {
+		return false
+	}
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	return own.taken == 0 && own.que.Len() == 0 && len(own.moves) == 0
+}
+
+// slots returns how many requests the backend server can run at once.
+func (own *Owner) slots() int {
+	if own.opt.Slots != nil {
+		return own.opt.Slots()
+	}
+	ups := own.ses.Node(own.ses.Session()).GetUpstream()
+	switch ups.GetState() {
+	case controlpb.UpstreamState_UPSTREAM_STATE_SERVING, controlpb.UpstreamState_UPSTREAM_STATE_DRAINING:
+		return int(min(ups.GetSlots(), ups.GetConnections()))
+	default:
+		return 0
+	}
+}
+
+// noteSession remembers the sessions of this process.
+func (own *Owner) noteSession() {
+	ses := own.ses.Session()
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	if ses == 0 || slices.Contains(own.sessions, ses) {
+		return
+	}
+	own.sessions = append(own.sessions, ses)
+	if len(own.sessions) > maxSessions {
+		own.sessions = own.sessions[1:]
+	}
+}
+
+// wakeRun lets Run look again at the rows that are being released.
+func (own *Owner) wakeRun() {
+	select {
+	case own.kick <- struct{}{}:
+	default:
+	}
+}
+
+// refused counts a refusal that arose here, and notes it for the load report.
+func (own *Owner) refused(ref *siskinrill.Refusal) error {
+	own.cnt.Refused(ref.Reason())
+	return own.noted(ref)
+}
+
+// noted notes a refusal for the load report.
+func (own *Owner) noted(ref *siskinrill.Refusal) error {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	own.lds.refusals[string(ref.Reason())]++
+	return ref
+}
--- /dev/null
+++ b/internal/agent/owner/owner_test.go
@@ -0,0 +1,73 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// TestRefusals guards against a request that runs without a valid lease or row, and against a wrong reason that the entry would act on.
+func TestRefusals(t *testing.T) {
+	tests := map[string]struct {
+		change func(fse *fakeSession)
+		edit   func(opn *peerpb.Open)
+		reason siskinrill.Reason
+	}{
+		"other session":    {edit: func(opn *peerpb.Open) { opn.OwnerSession = 39 }, reason: siskinrill.ReasonWrongOwner},
+		"old token":        {edit: func(opn *peerpb.Open) { opn.Token = 6 }, reason: siskinrill.ReasonWrongOwner},
+		"no method":        {edit: func(opn *peerpb.Open) { opn.Method = "" }, reason: siskinrill.ReasonBadRequest},
+		"no session":       {change: func(fse *fakeSession) { fse.session = 0 }, reason: siskinrill.ReasonNoLease},
+		"lease over":       {change: func(fse *fakeSession) { fse.expires = time.Now() }, reason: siskinrill.ReasonNoLease},
+		"lease near end":   {change: func(fse *fakeSession) { fse.expires = time.Now().Add(199 * time.Millisecond) }, reason: siskinrill.ReasonNoLease},
+		"other owner":      {change: func(fse *fakeSession) { fse.rows["ab"] = &controlpb.Shard{Owner: 3, Token: 7} }, reason: siskinrill.ReasonWrongOwner},
+		"releasing":        {change: func(fse *fakeSession) { releaseAll(fse) }, reason: siskinrill.ReasonMoving},
+		"drained too long": {change: func(fse *fakeSession) { fse.drain = true }, reason: siskinrill.ReasonDraining},
+	}
+	for name, tcs := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bnc := newBench(t.Context(), 4)
+				opn := open(1, "ab")
+				if tcs.change != nil {
+					bnc.ses.change(func() { tcs.change(bnc.ses) })
+				}
+				if tcs.edit != nil {
+					tcs.edit(opn)
+				}
+				if tcs.reason == siskinrill.ReasonDraining {
+					time.Sleep(drainGrace + tickInterval)
+				}
+				bnc.bck.do = func(context.Context, *siskinrill.Attempt, siskinrill.Grant) (*siskinrill.Answer, error) {
+					t.Error("the request ran")
+					return nil, errors.New("ran")
+				}
+				_, err := bnc.own.Handle(t.Context(), siskinrill.NewAttempt(opn, nil))
+				var ref *siskinrill.Refusal
+				must.True(t, errors.As(err, &ref))
+				must.Eq(t, tcs.reason, ref.Reason())
+				must.True(t, ref.NotRun())
+				must.Eq(t, "1", bnc.refused(tcs.reason))
+			})
+		})
+	}
+}
+
+func releaseAll(fse *fakeSession) {
+	for _, row := range fse.rows {
+		row.Phase = controlpb.Phase_PHASE_RELEASING
+		row.Target = peerNode
+	}
+}
+
+// refused returns the counter of a reason, empty if it never rose.
+func (bnc *bench) refused(rsn siskinrill.Reason) string {
+	return counter(bnc.cnt, "refusals", string(rsn))
+}
--- /dev/null
+++ b/internal/agent/owner/queue.go
@@ -0,0 +1,116 @@
+package owner
+
+import (
+	"container/heap"
+	"context"
+	"time"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// notQueued is the heap position of a ticket that is not in the queue.
+const notQueued = -1
+
+// shardID names a partition or an override.
+type shardID struct {
+	service   string
+	partition uint32
+	key       string
+}
+
+func shardOf(row *controlpb.Shard) shardID {
+	return shardID{service: row.GetService(), partition: row.GetPartition(), key: row.GetKey()}
+}
+
+// ticket is one attempt on its way through the owner.
+type ticket struct {
+	att      *siskinrill.Attempt
+	rec      *record
+	once     bool // non-idempotent or upload
+	deadline time.Time
+	position int
+	wake     chan *siskinrill.Refusal // nil: it has a slot
+	shard    shardID                  // row under which it was admitted
+	started  time.Time
+	holds    bool          // has a slot
+	claim    *claim        // of its Idempotency-Key
+	bdy      *requestBody  // nil when the first message holds the whole body
+	ttl      time.Duration // of its idempotency record
+	cancel   context.CancelFunc
+}
+
+func newTicket(att *siskinrill.Attempt) *ticket {
+	opn := att.Open()
+	dur := time.Duration(opn.GetTimeoutMs()) * time.Millisecond
+	if dur == 0 {
+		dur = defaultTimeout
+	}
+	tck := &ticket{att: att, deadline: time.Now().Add(dur), position: notQueued}
+	tck.wake = make(chan *siskinrill.Refusal, 1)
+	tck.once = att.Kind() != controlpb.RequestKind_REQUEST_KIND_IDEMPOTENT
+	tck.rec = &record{id: idOf(opn.GetAttempt()), tck: tck}
+	if !opn.GetBodyEnd() && att.Body() != nil {
+		tck.bdy = newRequestBody(att, tck.digest())
+	}
+	return tck
+}
+
+// signal wakes the ticket; a second signal is dropped.
+func (tck *ticket) signal(ref *siskinrill.Refusal) {
+	select {
+	case tck.wake <- ref:
+	default:
+	}
+}
+
+// reserve returns the rest of the lease that the request needs.
+func (tck *ticket) reserve() time.Duration {
+	if tck.once {
+		return reserveOnce
+	}
+	return reserveIdempotent
+}
+
+// queue orders tickets by deadline, the earliest first.
+type queue []*ticket
+
+// Len returns the number of waiting tickets.
+func (que queue) Len() int { return len(que) }
+
+// Less orders by deadline.
+func (que queue) Less(one, two int) bool { return que[one].deadline.Before(que[two].deadline) }
+
+// Swap exchanges two tickets.
+func (que queue) Swap(one, two int) {
+	que[one], que[two] = que[two], que[one]
+	que[one].position = one
+	que[two].position = two
+}
+
+// Push is used by container/heap.
+func (que *queue) Push(itm any) {
+	tck := itm.(*ticket)
+	tck.position = len(*que)
+	*que = append(*que, tck)
+}
+
+// Pop is used by container/heap.
+func (que *queue) Pop() any {
+	old := *que
+	last := len(old) - 1
+	tck := old[last]
+	old[last] = nil
+	*que = old[:last]
+	tck.position = notQueued
+	return tck
+}
+
+// remove takes a ticket out and reports whether it was waiting.
+func (que *queue) remove(tck *ticket) bool {
+	if tck.position == notQueued {
+		return false
+	}
+	heap.Remove(que, tck.position)
+	return true
+}
--- /dev/null
+++ b/internal/agent/owner/record.go
@@ -0,0 +1,199 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// attemptID names an attempt.
+type attemptID struct {
+	entry   uint64
+	counter uint64
+}
+
+func idOf(idt *peerpb.AttemptId) attemptID {
+	return attemptID{entry: idt.GetEntrySession(), counter: idt.GetCounter()}
+}
+
+// phase is the state of an attempt.
+type phase uint8
+
+const (
+	phaseQueued phase = iota
+	phaseDispatched
+	phaseDone
+)
+
+// record is what is known of an attempt; the owner's mutex guards it.
+type record struct {
+	id        attemptID
+	phase     phase
+	withdrawn bool
+	repeats   bool           // waits for another attempt with the same Idempotency-Key
+	outcome   peerpb.Outcome // once done
+	kept      *peerpb.Response
+	until     time.Time
+	tck       *ticket       // until done
+	ended     chan struct{} // made when somebody waits for the end
+}
+
+// expire drops the record unless its attempt still runs.
+func (rec *record) expire(own *Owner) time.Time {
+	if rec.phase != phaseDone {
+		return time.Now().Add(time.Second)
+	}
+	delete(own.records, rec.id)
+	own.past.pass(rec.id)
+	own.keptBytes -= keptSize(rec.kept)
+	return time.Time{}
+}
+
+// past remembers ended attempts in two generations, and below them only the highest counter of each entry session.
+type past struct {
+	limit   int
+	newer   map[attemptID]peerpb.Outcome
+	older   map[attemptID]peerpb.Outcome
+	passed  map[uint64]uint64 // by entry session: attempts up to this counter may be forgotten
+	floor   uint64            // entry sessions up to this one are forgotten as a whole
+	rotated time.Time
+}
+
+// maxPassed bounds the entry sessions whose highest forgotten counter is kept; a deployment has 810.
+const maxPassed = 8192
+
+func newPast(limit int) *past {
+	return &past{
+		limit: limit, newer: map[attemptID]peerpb.Outcome{}, older: map[attemptID]peerpb.Outcome{},
+		passed: map[uint64]uint64{}, rotated: time.Now(),
+	}
+}
+
+// add remembers an ended attempt for at least recordKept, or less if many end.
+func (pst *past) add(idt attemptID, out peerpb.Outcome) {
+	if len(pst.newer) >= pst.limit {
+		pst.rotate()
+	}
+	pst.newer[idt] = out
+}
+
+// find returns what became of an attempt: its outcome, or unknown if it may be forgotten; false means that it never arrived here.
+func (pst *past) find(idt attemptID) (peerpb.Outcome, bool) {
+	if out, ok := pst.newer[idt]; ok {
+		return out, true
+	}
+	if out, ok := pst.older[idt]; ok {
+		return out, true
+	}
+	if idt.entry <= pst.floor {
+		return peerpb.Outcome_OUTCOME_UNKNOWN, true
+	}
+	high, ok := pst.passed[idt.entry]
+	return peerpb.Outcome_OUTCOME_UNKNOWN, ok && idt.counter <= high
+}
+
+// pass forgets an attempt; from now on nothing is claimed about it and about earlier ones of its entry.
+func (pst *past) pass(idt attemptID) {
+	if idt.entry <= pst.floor {
+		return
+	}
+	pst.passed[idt.entry] = max(pst.passed[idt.entry], idt.counter)
+	if len(pst.passed) > maxPassed {
+		pst.raiseFloor()
+	}
+}
+
+// raiseFloor forgets the oldest entry session, which is the lowest because sessions are log indexes.
+func (pst *past) raiseFloor() {
+	low := ^uint64(0)
+	for ses := range pst.passed {
+		low = min(low, ses)
+	}
+	pst.floor = low
+	delete(pst.passed, low)
+}
+
+func (pst *past) rotate() {
+	for idt := range pst.older {
+		pst.pass(idt)
+	}
+	pst.older = pst.newer
+	pst.newer = map[attemptID]peerpb.Outcome{}
+	pst.rotated = time.Now()
+}
+
+func (pst *past) sweep(now time.Time) {
+	if now.Sub(pst.rotated) >= recordKept {
+		pst.rotate()
+	}
+}
+
+// enter makes the record of an attempt, or refuses one that was here before.
+func (own *Owner) enter(tck *ticket) *siskinrill.Refusal {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	if _, ok := own.records[tck.rec.id]; ok {
+		return siskinrill.Unknown(siskinrill.ReasonDuplicateAttempt, nil)
+	}
+	out, ok := own.past.find(tck.rec.id)
+	if ok && out == peerpb.Outcome_OUTCOME_NOT_RUN {
+		return siskinrill.NotRun(siskinrill.ReasonWithdrawn)
+	}
+	if ok {
+		return siskinrill.Unknown(siskinrill.ReasonDuplicateAttempt, nil)
+	}
+	if len(own.records) >= own.opt.MaxRecords {
+		return siskinrill.NotRun(siskinrill.ReasonRecordsFull).WithRetryAfter(time.Second)
+	}
+	own.records[tck.rec.id] = tck.rec
+	return nil
+}
+
+// settle ends the record of an attempt; the caller holds the mutex.
+func (own *Owner) settle(tck *ticket, out peerpb.Outcome, kept *peerpb.Response) {
+	rec := tck.rec
+	rec.phase = phaseDone
+	rec.outcome = out
+	rec.tck = nil
+	if tck.once && out != peerpb.Outcome_OUTCOME_NOT_RUN {
+		rec.kept = own.keep(kept)
+		rec.until = tck.deadline.Add(recordKept)
+		own.whe.add(rec.until, rec)
+	} else {
+		delete(own.records, rec.id)
+		own.past.add(rec.id, out)
+	}
+	if rec.ended != nil {
+		close(rec.ended)
+	}
+}
+
+// keep returns the answer if it may be kept, and counts its size; the caller holds the mutex.
+func (own *Owner) keep(res *peerpb.Response) *peerpb.Response {
+	size := keptSize(res)
+	if size == 0 {
+		return nil
+	}
+	if size > keptAnswer || own.keptBytes+size > own.opt.MaxKeptBytes {
+		own.cnt.Event("answer_too_long_to_keep")
+		return nil
+	}
+	own.keptBytes += size
+	return res
+}
+
+// keptSize returns the size of an answer with its headers, 0 for none.
+func keptSize(res *peerpb.Response) int {
+	if res == nil {
+		return 0
+	}
+	size := 64 + len(res.GetBody())
+	for _, fld := range res.GetHeaders() {
+		size += len(fld.GetName())
+		for _, val := range fld.GetValues() {
+			size += len(val)
+		}
+	}
+	return size
+}
--- /dev/null
+++ b/internal/agent/owner/release.go
@@ -0,0 +1,131 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// moveKey names a shard at one token.
+type moveKey struct {
+	shard shardID
+	token uint64
+}
+
+// move is the release of one shard.
+type move struct {
+	row      *controlpb.Shard
+	sending  bool // its records are being transferred
+	reported time.Time
+}
+
+func moveKeyOf(row *controlpb.Shard) moveKey {
+	return moveKey{shard: shardOf(row), token: row.GetToken()}
+}
+
+func (own *Owner) moving() bool {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	return len(own.moves) > 0
+}
+
+// release refuses what waits for the rows that are being released, and reports those with nothing in flight.
+func (own *Owner) release(ctx context.Context, rows []*controlpb.Shard) {
+	for target, part := range own.ready(rows) {
+		go own.finishMove(ctx, target, part)
+	}
+}
+
+// ready updates the moves and returns the rows that can be reported now, by target.
+func (own *Owner) ready(rows []*controlpb.Shard) map[uint64][]*controlpb.Shard {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	own.updateMoves(rows)
+	parts := map[uint64][]*controlpb.Shard{}
+	for _, mov := range own.moves {
+		own.refuseQueued(mov.row)
+		if mov.sending || time.Since(mov.reported) < releaseRepeat || own.inFlight(mov.row) {
+			continue
+		}
+		mov.sending = true
+		parts[mov.row.GetTarget()] = append(parts[mov.row.GetTarget()], mov.row)
+	}
+	return parts
+}
+
+// updateMoves takes up new moves and drops those whose row has changed.
+func (own *Owner) updateMoves(rows []*controlpb.Shard) {
+	seen := map[moveKey]bool{}
+	for _, row := range rows {
+		if row.GetPhase() != controlpb.Phase_PHASE_RELEASING {
+			continue
+		}
+		key := moveKeyOf(row)
+		seen[key] = true
+		if own.moves[key] == nil {
+			own.moves[key] = &move{row: row}
+		}
+	}
+	for key, mov := range own.moves {
+		if !seen[key] && !mov.sending {
+			delete(own.moves, key)
+		}
+	}
+}
+
+// refuseQueued refuses the waiting attempts of a row.
+func (own *Owner) refuseQueued(row *controlpb.Shard) {
+	var tcks []*ticket
+	for _, tck := range own.que {
+		if covers(row, tck) {
+			tcks = append(tcks, tck)
+		}
+	}
+	for _, tck := range tcks {
+		own.dismiss(tck, siskinrill.ReasonMoving)
+	}
+}
+
+// inFlight reports whether an attempt of the row is handed over.
+func (own *Owner) inFlight(row *controlpb.Shard) bool {
+	if own.flt.releaseEarly {
+		return false
+	}
+	for tck := range own.running {
+		if covers(row, tck) {
+			return true
+		}
+	}
+	return false
+}
+
+// covers reports whether a ticket belongs to a row; that of an override also covers what began under the key's partition, before the override existed.
+func covers(row *controlpb.Shard, tck *ticket) bool {
+	if row.GetService() != tck.shard.service {
+		return false
+	}
+	if row.GetKey() != "" {
+		return row.GetKey() == tck.att.Open().GetKey()
+	}
+	return tck.shard.key == "" && row.GetPartition() == tck.shard.partition
+}
+
+// finishMove transfers the records and reports the rows as released.
+func (own *Owner) finishMove(ctx context.Context, target uint64, rows []*controlpb.Shard) {
+	own.handOver(ctx, target, rows)
+	refs := make([]*controlpb.ShardRef, 0, len(rows))
+	for _, row := range rows {
+		refs = append(refs, refOf(row))
+	}
+	own.ses.Release(refs)
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	for _, row := range rows {
+		mov := own.moves[moveKeyOf(row)]
+		mov.sending = false
+		mov.reported = time.Now()
+	}
+	own.wakeRun()
+}
--- /dev/null
+++ b/internal/agent/owner/run.go
@@ -0,0 +1,135 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// ended tells how an attempt ended.
+type ended struct {
+	outcome  peerpb.Outcome
+	reason   siskinrill.Reason
+	response *peerpb.Response // whole answer, nil if it is too long to keep
+}
+
+// result is what the run of an attempt came to.
+type result struct {
+	ans *siskinrill.Answer
+	err error
+}
+
+// run hands an attempt to the backend server.
+func (own *Owner) run(ctx context.Context, tck *ticket, grt siskinrill.Grant) (*siskinrill.Answer, error) {
+	ans, err := own.bck.Do(ctx, tck.attempt(), grt)
+	own.observe(tck, err)
+	if err != nil {
+		ref := refusalOf(err)
+		own.end(tck, ended{outcome: ref.Outcome(), reason: ref.Reason()})
+		return nil, own.noted(ref)
+	}
+	hea := ans.Head()
+	if hea.GetBodyEnd() || ans.Body() == nil {
+		own.end(tck, ended{outcome: peerpb.Outcome_OUTCOME_COMPLETE, response: hea})
+		return ans, nil
+	}
+	return siskinrill.NewAnswer(hea, newAnswerBody(own, tck, ans)), nil
+}
+
+// refusalOf returns the refusal in an error of the backend; any other error proves nothing.
+func refusalOf(err error) *siskinrill.Refusal {
+	var ref *siskinrill.Refusal
+	if errors.As(err, &ref) {
+		return ref
+	}
+	return siskinrill.Unknown(siskinrill.ReasonInternal, err)
+}
+
+// runOnce runs an attempt that must not run twice: it goes on when its caller goes away, so that its answer can be asked for.
+func (own *Owner) runOnce(ctx context.Context, tck *ticket, grt siskinrill.Grant) (*siskinrill.Answer, error) {
+	long, cancel := context.WithDeadline(context.WithoutCancel(ctx), tck.deadline)
+	short := tck.cancel
+	tck.cancel = func() { short(); cancel() }
+	out := make(chan result)
+	gone := make(chan struct{})
+	go func() {
+		ans, err := own.run(long, tck, grt)
+		select {
+		case out <- result{ans: ans, err: err}:
+		case <-gone:
+			if ans != nil {
+				_ = ans.Close()
+			}
+		}
+	}()
+	res, done := tck.await(ctx, out)
+	if done {
+		return res.ans, res.err
+	}
+	close(gone)
+	own.cnt.Event("caller_gone_while_running")
+	return nil, own.refused(siskinrill.Unknown(siskinrill.ReasonCallerGone, ctx.Err()))
+}
+
+// await returns the result, or false once the caller has gone and the run no longer needs it; a run that still reads the caller's body ends by itself.
+func (tck *ticket) await(ctx context.Context, out <-chan result) (result, bool) {
+	select {
+	case res := <-out:
+		return res, true
+	case <-ctx.Done():
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return <-out, true
+	}
+	if tck.bdy == nil {
+		return result{}, false
+	}
+	select {
+	case res := <-out:
+		return res, true
+	case <-tck.bdy.over:
+	}
+	if !tck.bdy.ended() {
+		return <-out, true
+	}
+	return result{}, false
+}
+
+// observe feeds the concurrency limit; a streamed body is left out, because its time is the caller's.
+func (own *Owner) observe(tck *ticket, err error) {
+	lat := time.Since(tck.started)
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	if err != nil && refusalOf(err).Reason() == siskinrill.ReasonBackendShed {
+		own.lim.shed()
+		return
+	}
+	if tck.bdy == nil && (err == nil || !refusalOf(err).NotRun()) {
+		own.lim.observe(lat, own.taken)
+	}
+}
+
+// end releases what an attempt holds and records how it ended.
+func (own *Owner) end(tck *ticket, how ended) {
+	own.mu.Lock()
+	if _, ok := own.running[tck]; ok {
+		delete(own.running, tck)
+		own.lds.ran(tck, how)
+	}
+	if tck.holds {
+		tck.holds = false
+		own.taken--
+	}
+	own.resolve(tck, how)
+	own.settle(tck, how.outcome, how.response)
+	own.pump()
+	own.mu.Unlock()
+	if tck.cancel != nil {
+		tck.cancel()
+	}
+	own.wakeRun()
+}
--- /dev/null
+++ b/internal/agent/owner/transfer.go
@@ -0,0 +1,171 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// Bounds of the transfer of idempotency records.
+const (
+	// transferTries is how often one message is tried; the move must not wait long for a lost target.
+	transferTries = 3
+	// transferTimeout bounds one try.
+	transferTimeout = 500 * time.Millisecond
+	// transferPause is the time between two tries.
+	transferPause = 100 * time.Millisecond
+	// transferBytes bounds the answers in one message; gRPC refuses messages over 4 MB by default.
+	transferBytes = 1 << 20
+	// transferRecords bounds the records in one message.
+	transferRecords = 2048
+)
+
+// Transfer stores idempotency records handed over by an earlier owner; records for another session are not kept.
+func (own *Owner) Transfer(_ context.Context, req *peerpb.TransferRequest) (*peerpb.TransferAnswer, error) {
+	if req.GetToSession() != own.ses.Session() {
+		return &peerpb.TransferAnswer{}, nil
+	}
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	ans := &peerpb.TransferAnswer{}
+	for _, rec := range req.GetRecords() {
+		if own.store(rec) {
+			ans.Kept++
+		}
+	}
+	return ans, nil
+}
+
+// store takes over a record unless there is one already; the caller holds the mutex.
+func (own *Owner) store(rec *peerpb.IdempotencyRecord) bool {
+	idt := claimKey{service: rec.GetService(), key: rec.GetKey(), idem: rec.GetIdempotencyKey()}
+	if own.claims[idt] != nil {
+		return true
+	}
+	if len(own.claims) >= own.opt.MaxIdempotency {
+		own.cnt.Event("transfer_records_full")
+		return false
+	}
+	clm := &claim{id: idt, print: rec.GetFingerprint(), outcome: rec.GetOutcome(), reason: siskinrill.ReasonBackendLost}
+	clm.kept = own.keep(rec.GetResponse())
+	clm.until = time.Now().Add(time.Duration(rec.GetTtlMs()) * time.Millisecond)
+	own.claims[idt] = clm
+	own.whe.add(clm.until, clm)
+	return true
+}
+
+// handOver sends the records of released shards to their next owner; after a few failures the move goes on without them.
+func (own *Owner) handOver(ctx context.Context, target uint64, rows []*controlpb.Shard) {
+	recs := own.recordsOf(rows)
+	if len(recs) == 0 {
+		return
+	}
+	addr := own.ses.Node(target).GetPeerAddress()
+	if addr == "" {
+		own.cnt.Event("transfer_without_target")
+		return
+	}
+	for _, part := range batches(recs) {
+		req := &peerpb.TransferRequest{FromSession: own.ses.Session(), ToSession: target, Records: part}
+		if !own.send(ctx, addr, req) {
+			own.cnt.Event("transfer_failed")
+			logrus.Warnf("owner: idempotency records of %d shards did not reach session %d", len(rows), target)
+			return
+		}
+	}
+}
+
+func (own *Owner) send(ctx context.Context, addr string, req *peerpb.TransferRequest) bool {
+	for try := range transferTries {
+		if try > 0 && !sleep(ctx, transferPause) {
+			return false
+		}
+		tctx, cancel := context.WithTimeout(ctx, transferTimeout)
+		ans, err := own.fwd.Transfer(tctx, addr, req)
+		cancel()
+		if err == nil {
+			return int(ans.GetKept()) == len(req.GetRecords())
+		}
+		own.cnt.Event("transfer_retried")
+	}
+	return false
+}
+
+func sleep(ctx context.Context, dur time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(dur):
+		return true
+	}
+}
+
+// recordsOf returns the ended records of the keys in the rows.
+func (own *Owner) recordsOf(rows []*controlpb.Shard) []*peerpb.IdempotencyRecord {
+	now := time.Now()
+	nums := own.partitions(rows)
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	var recs []*peerpb.IdempotencyRecord
+	for _, clm := range own.claims {
+		if clm.running || !now.Before(clm.until) || !covered(rows, nums, clm.id) {
+			continue
+		}
+		recs = append(recs, &peerpb.IdempotencyRecord{
+			Service: clm.id.service, Key: clm.id.key, IdempotencyKey: clm.id.idem, Fingerprint: clm.print,
+			Outcome: clm.outcome, Response: clm.kept, TtlMs: uint32(clm.until.Sub(now).Milliseconds()),
+		})
+	}
+	return recs
+}
+
+// partitions returns the number of partitions of each service in the rows.
+func (own *Owner) partitions(rows []*controlpb.Shard) map[string]uint32 {
+	nums := map[string]uint32{}
+	for _, row := range rows {
+		nums[row.GetService()] = own.ses.Service(row.GetService()).GetPartitions()
+	}
+	return nums
+}
+
+// covered reports whether a key belongs to one of the rows; a key with an override may be sent with its partition as well, which does no harm.
+func covered(rows []*controlpb.Shard, nums map[string]uint32, idt claimKey) bool {
+	for _, row := range rows {
+		if row.GetService() != idt.service {
+			continue
+		}
+		if row.GetKey() != "" {
+			if row.GetKey() == idt.key {
+				return true
+			}
+			continue
+		}
+		num := nums[idt.service]
+		if num > 0 && siskinrill.Partition(idt.service, idt.key, num) == row.GetPartition() {
+			return true
+		}
+	}
+	return false
+}
+
+// batches splits records into messages of bounded size.
+func batches(recs []*peerpb.IdempotencyRecord) [][]*peerpb.IdempotencyRecord {
+	var parts [][]*peerpb.IdempotencyRecord
+	from, size := 0, 0
+	for num, rec := range recs {
+		size += keptSize(rec.GetResponse()) + len(rec.GetKey()) + len(rec.GetIdempotencyKey())
+		if size > transferBytes || num-from >= transferRecords {
+			parts = append(parts, recs[from:num+1])
+			from, size = num+1, 0
+		}
+	}
+	if from < len(recs) {
+		parts = append(parts, recs[from:])
+	}
+	return parts
+}
--- /dev/null
+++ b/internal/agent/owner/withdraw.go
@@ -0,0 +1,104 @@
+package owner
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// maxWithdrawWait bounds the wait for a running attempt.
+const maxWithdrawWait = 30 * time.Second
+
+// Withdraw stops an attempt that has not started, or tells what became of it; it waits up to req.WaitMs for a running one.
+func (own *Owner) Withdraw(ctx context.Context, req *peerpb.WithdrawRequest) (*peerpb.WithdrawAnswer, error) {
+	rec, ans := own.withdraw(req)
+	if rec == nil {
+		return ans, nil
+	}
+	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxWithdrawWait)
+	tmr := time.NewTimer(wait)
+	defer tmr.Stop()
+	select {
+	case <-rec.ended:
+		return own.ended(rec), nil
+	case <-tmr.C:
+	case <-ctx.Done():
+	}
+	return withdrawAnswer(peerpb.WithdrawResult_WITHDRAW_RESULT_RUNNING), nil
+}
+
+// withdraw returns the answer, or the record of a running attempt to wait for.
+func (own *Owner) withdraw(req *peerpb.WithdrawRequest) (*record, *peerpb.WithdrawAnswer) {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	idt := idOf(req.GetAttempt())
+	rec := own.records[idt]
+	switch {
+	case rec == nil:
+		return nil, own.withdrawAbsent(idt, req.GetOwnerSession())
+	case rec.phase == phaseDone:
+		return nil, endedAnswer(rec)
+	case rec.phase == phaseQueued:
+		return nil, own.withdrawQueued(rec)
+	}
+	if rec.ended == nil {
+		rec.ended = make(chan struct{})
+	}
+	return rec, nil
+}
+
+// withdrawAbsent leaves a tombstone for an attempt that has not arrived; only the session that it was sent to can prove that it never will.
+func (own *Owner) withdrawAbsent(idt attemptID, ses uint64) *peerpb.WithdrawAnswer {
+	out, ok := own.past.find(idt)
+	if ok && out == peerpb.Outcome_OUTCOME_NOT_RUN {
+		return withdrawAnswer(peerpb.WithdrawResult_WITHDRAW_RESULT_WITHDRAWN)
+	}
+	if ok || !slices.Contains(own.sessions, ses) {
+		return withdrawAnswer(peerpb.WithdrawResult_WITHDRAW_RESULT_UNKNOWN)
+	}
+	if !own.flt.noTombstone {
+		own.past.add(idt, peerpb.Outcome_OUTCOME_NOT_RUN)
+	}
+	return withdrawAnswer(peerpb.WithdrawResult_WITHDRAW_RESULT_WITHDRAWN)
+}
+
+// withdrawQueued stops a waiting attempt; one that waits for another with the same Idempotency-Key proves nothing about that one.
+func (own *Owner) withdrawQueued(rec *record) *peerpb.WithdrawAnswer {
+	rec.withdrawn = true
+	ref := siskinrill.NotRun(siskinrill.ReasonWithdrawn)
+	if rec.repeats {
+		ref = siskinrill.Unknown(siskinrill.ReasonWithdrawn, nil)
+	}
+	own.que.remove(rec.tck)
+	rec.tck.signal(ref)
+	if rec.repeats {
+		return withdrawAnswer(peerpb.WithdrawResult_WITHDRAW_RESULT_UNKNOWN)
+	}
+	return withdrawAnswer(peerpb.WithdrawResult_WITHDRAW_RESULT_WITHDRAWN)
+}
+
+func (own *Owner) ended(rec *record) *peerpb.WithdrawAnswer {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	return endedAnswer(rec)
+}
+
+func endedAnswer(rec *record) *peerpb.WithdrawAnswer {
+	switch rec.outcome {
+	case peerpb.Outcome_OUTCOME_NOT_RUN:
+		return withdrawAnswer(peerpb.WithdrawResult_WITHDRAW_RESULT_WITHDRAWN)
+	case peerpb.Outcome_OUTCOME_COMPLETE:
+		ans := withdrawAnswer(peerpb.WithdrawResult_WITHDRAW_RESULT_DONE)
+		ans.Response = rec.kept
+		return ans
+	default:
+		return withdrawAnswer(peerpb.WithdrawResult_WITHDRAW_RESULT_UNKNOWN)
+	}
+}
+
+func withdrawAnswer(res peerpb.WithdrawResult) *peerpb.WithdrawAnswer {
+	return &peerpb.WithdrawAnswer{Result: res}
+}
--- /dev/null
+++ b/internal/bench/standin/announce.go
@@ -0,0 +1,136 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// announceInterval is the time between announcements.
+	announceInterval = time.Second
+	// leavingInterval is the time between announcements while the server waits for permission to stop.
+	leavingInterval = 200 * time.Millisecond
+	// announceTimeout bounds one announcement.
+	announceTimeout = time.Second
+	grantsPath      = "/grants"
+	healthPath      = "/health"
+)
+
+// announcement is the body of POST /announce.
+type announcement struct {
+	ID          string `json:"id"`
+	Service     string `json:"service"`
+	URL         string `json:"url"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	ChecksFence bool   `json:"checks_fence"`
+	HealthPath  string `json:"health_path"`
+	GrantsPath  string `json:"grants_path"`
+	Leaving     bool   `json:"leaving"`
+}
+
+// standing is the agent's answer to an announcement.
+type standing struct {
+	Accepted bool   `json:"accepted"`
+	Draining bool   `json:"draining"`
+	MayStop  bool   `json:"may_stop"`
+	Reason   string `json:"reason"`
+}
+
+// Run announces the server every second until the context ends; then it closes the server.
+func (srv *Server) Run(ctx context.Context) error {
+	defer srv.Close()
+	tck := time.NewTicker(announceInterval)
+	defer tck.Stop()
+	smp := time.NewTicker(sampleInterval)
+	defer smp.Stop()
+	srv.announceQuietly(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-srv.ctx.Done():
+			return nil
+		case <-tck.C:
+			srv.announceQuietly(ctx)
+		case <-smp.C:
+			srv.sample()
+		}
+	}
+}
+
+// Stop announces that the server is leaving, waits until the agent lets it stop, and closes it; an error means that the context ended first.
+func (srv *Server) Stop(ctx context.Context) error {
+	srv.mu.Lock()
+	srv.leaving = true
+	srv.mu.Unlock()
+	for {
+		ans, err := srv.announce(ctx)
+		if err == nil && ans.MayStop {
+			srv.Close()
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for permission to stop")
+		case <-time.After(leavingInterval):
+		}
+	}
+}
+
+func (srv *Server) announceQuietly(ctx context.Context) {
+	flt := srv.flt.get()
+	if srv.opt.Agent == "" || (flt.Frozen && !flt.MisleadHealth) {
+		return
+	}
+	ans, err := srv.announce(ctx)
+	if err != nil {
+		logrus.Debugf("standin: %s was not announced: %v", srv.opt.ID, err)
+		return
+	}
+	if !ans.Accepted {
+		logrus.Warnf("standin: the agent refuses %s: %s", srv.opt.ID, ans.Reason)
+	}
+}
+
+func (srv *Server) announce(ctx context.Context) (*standing, error) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	buf, err := json.Marshal(srv.announcement())
+	if err != nil {
+		return nil, errors.Wrap(err, "encode")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+srv.opt.Agent+"/announce", bytes.NewReader(buf))
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "announce")
+	}
+	defer res.Body.Close()
+	ans := &standing{}
+	if err := json.NewDecoder(res.Body).Decode(ans); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	return ans, nil
+}
+
+func (srv *Server) announcement() announcement {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	ann := announcement{
+		ID: srv.opt.ID, Service: srv.opt.Service, URL: "http://" + srv.addr, Slots: srv.opt.Slots,
+		Connections: srv.opt.Connections, ChecksFence: srv.opt.CheckFence, HealthPath: healthPath, Leaving: srv.leaving,
+	}
+	if !srv.opt.NoGrants {
+		ann.GrantsPath = grantsPath
+	}
+	return ann
+}
--- /dev/null
+++ b/internal/bench/standin/faults.go
@@ -0,0 +1,167 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+)
+
+// Faults are the faults in force; the counts apply to the next requests.
+type Faults struct {
+	// Frozen stops all work and the announcements until it is lifted; what was waiting then goes on.
+	Frozen bool `json:"frozen"`
+	// SlowFactor multiplies the service time; 0 and 1: not slow.
+	SlowFactor float64 `json:"slow_factor"`
+	// Refuse closes the listener for requests; the control listener stays open.
+	Refuse bool `json:"refuse"`
+	// FailRate is the share of requests that run and are answered with 500.
+	FailRate float64 `json:"fail_rate"`
+	// ShedRate is the share of requests that are refused without a run.
+	ShedRate float64 `json:"shed_rate"`
+	// CutAnswers is the number of answers that end in the middle.
+	CutAnswers int `json:"cut_answers"`
+	// DuplicateRuns is the number of requests that run twice.
+	DuplicateRuns int `json:"duplicate_runs"`
+	// LoseAnswers is the number of requests that run and get no answer.
+	LoseAnswers int `json:"lose_answers"`
+	// CutRequests is the number of requests whose connection is closed before they run.
+	CutRequests int `json:"cut_requests"`
+	// MisleadHealth makes the health endpoint and the announcements go on as if all was well.
+	MisleadHealth bool `json:"mislead_health"`
+	// MisleadLoad makes the load endpoint report an idle server.
+	MisleadLoad bool `json:"mislead_load"`
+}
+
+// faultState holds the faults in force.
+type faultState struct {
+	mu   sync.Mutex
+	flt  Faults
+	thaw chan struct{} // closed while not frozen
+	rnd  *rand.Rand
+}
+
+func newFaultState(seed uint64) *faultState {
+	fst := &faultState{thaw: make(chan struct{}), rnd: rand.New(rand.NewPCG(seed, seed))}
+	close(fst.thaw)
+	return fst
+}
+
+func (fst *faultState) set(flt Faults) {
+	fst.mu.Lock()
+	defer fst.mu.Unlock()
+	switch {
+	case flt.Frozen && !fst.flt.Frozen:
+		fst.thaw = make(chan struct{})
+	case !flt.Frozen && fst.flt.Frozen:
+		close(fst.thaw)
+	}
+	fst.flt = flt
+}
+
+func (fst *faultState) get() Faults {
+	fst.mu.Lock()
+	defer fst.mu.Unlock()
+	return fst.flt
+}
+
+// wait blocks while the server is frozen, however long the client waits; it ends only with the server.
+func (fst *faultState) wait(ctx context.Context) {
+	for {
+		fst.mu.Lock()
+		thaw, frozen := fst.thaw, fst.flt.Frozen
+		fst.mu.Unlock()
+		if !frozen {
+			return
+		}
+		select {
+		case <-thaw:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// chance draws with a probability.
+func (fst *faultState) chance(rate float64) bool {
+	if rate <= 0 {
+		return false
+	}
+	fst.mu.Lock()
+	defer fst.mu.Unlock()
+	return fst.rnd.Float64() < rate
+}
+
+// normal draws from the standard normal distribution.
+func (fst *faultState) normal() float64 {
+	fst.mu.Lock()
+	defer fst.mu.Unlock()
+	return fst.rnd.NormFloat64()
+}
+
+// plan is what is injected into one run.
+type plan struct {
+	cutAnswer  bool
+	duplicate  bool
+	loseAnswer bool
+}
+
+// name returns the fault for the ledger.
+func (pla plan) name() string {
+	switch {
+	case pla.duplicate:
+		return "duplicate_run"
+	case pla.loseAnswer:
+		return "lost_answer"
+	case pla.cutAnswer:
+		return "cut_answer"
+	default:
+		return ""
+	}
+}
+
+// plan takes the next counted faults.
+func (fst *faultState) plan() plan {
+	fst.mu.Lock()
+	defer fst.mu.Unlock()
+	return plan{
+		cutAnswer: take(&fst.flt.CutAnswers), duplicate: take(&fst.flt.DuplicateRuns), loseAnswer: take(&fst.flt.LoseAnswers),
+	}
+}
+
+func (fst *faultState) cutRequest() bool {
+	fst.mu.Lock()
+	defer fst.mu.Unlock()
+	return take(&fst.flt.CutRequests)
+}
+
+func take(num *int) bool {
+	if *num <= 0 {
+		return false
+	}
+	*num--
+	return true
+}
+
+// SetFaults puts faults in force in place of the earlier ones; an error means that the listener could not be opened again.
+func (srv *Server) SetFaults(flt Faults) error {
+	srv.flt.set(flt)
+	return srv.listen(!flt.Refuse)
+}
+
+// Faults returns the faults in force, with the counts that are left.
+func (srv *Server) Faults() Faults { return srv.flt.get() }
+
+func (srv *Server) putFaults(wri http.ResponseWriter, req *http.Request) {
+	flt := Faults{}
+	if err := json.NewDecoder(req.Body).Decode(&flt); err != nil {
+		http.Error(wri, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := srv.SetFaults(flt); err != nil {
+		http.Error(wri, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	writeJSON(wri, http.StatusOK, map[string]string{"control": srv.ControlURL()})
+}
--- /dev/null
+++ b/internal/bench/standin/health.go
@@ -0,0 +1,119 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// sampleInterval is the time between samples of the load.
+	sampleInterval = 100 * time.Millisecond
+	// maxSamples bounds the samples to one minute.
+	maxSamples = 600
+	// pageRows is the number of ledger rows in one answer, unless limit asks for another.
+	pageRows = 10_000
+	// headerFirst names the oldest sequence that the ledger still has.
+	headerFirst = "Standin-Ledger-First"
+)
+
+// sample is the load at one time.
+type sample struct {
+	at      time.Time
+	Status  string `json:"status"`
+	Busy    int    `json:"busy"`
+	Waiting int    `json:"waiting"`
+	Slots   int    `json:"slots"`
+}
+
+// samples are past figures, for endpoints that lag.
+type samples struct {
+	mu   sync.Mutex
+	list []sample
+}
+
+func (sms *samples) add(smp sample) {
+	sms.mu.Lock()
+	defer sms.mu.Unlock()
+	if len(sms.list) >= maxSamples {
+		sms.list = append(sms.list[:0], sms.list[1:]...)
+	}
+	sms.list = append(sms.list, smp)
+}
+
+// before returns the newest sample that is at least so old, false if there is none.
+func (sms *samples) before(age time.Duration) (sample, bool) {
+	sms.mu.Lock()
+	defer sms.mu.Unlock()
+	for num := len(sms.list) - 1; num >= 0; num-- {
+		if time.Since(sms.list[num].at) >= age {
+			return sms.list[num], true
+		}
+	}
+	return sample{}, false
+}
+
+func (srv *Server) sample() { srv.past.add(srv.now()) }
+
+func (srv *Server) now() sample {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	return sample{at: time.Now(), Status: "ok", Busy: len(srv.slots), Waiting: srv.waiting, Slots: srv.opt.Slots}
+}
+
+// lagged returns the figures of the lag ago.
+func (srv *Server) lagged() sample {
+	if smp, ok := srv.past.before(srv.opt.Lag); ok && srv.opt.Lag > 0 {
+		return smp
+	}
+	return srv.now()
+}
+
+func (srv *Server) getHealth(wri http.ResponseWriter, _ *http.Request) {
+	if !srv.flt.get().MisleadHealth {
+		srv.flt.wait(srv.ctx)
+	}
+	writeJSON(wri, http.StatusOK, map[string]string{"status": srv.lagged().Status})
+}
+
+func (srv *Server) getLoad(wri http.ResponseWriter, _ *http.Request) {
+	flt := srv.flt.get()
+	smp := srv.lagged()
+	if flt.MisleadLoad {
+		smp.Busy, smp.Waiting = 0, 0
+	} else {
+		srv.flt.wait(srv.ctx)
+	}
+	writeJSON(wri, http.StatusOK, smp)
+}
+
+func (srv *Server) getLedger(wri http.ResponseWriter, req *http.Request) {
+	after, err := strconv.ParseUint(orText(req.FormValue("after"), "0"), 10, 64)
+	if err != nil {
+		http.Error(wri, "after is not a number", http.StatusBadRequest)
+		return
+	}
+	limit, err := strconv.Atoi(orText(req.FormValue("limit"), strconv.Itoa(pageRows)))
+	if err != nil || limit < 1 {
+		http.Error(wri, "limit is not a positive number", http.StatusBadRequest)
+		return
+	}
+	rows, first := srv.led.page(after, limit)
+	wri.Header().Set(headerFirst, strconv.FormatUint(first, 10))
+	writeJSON(wri, http.StatusOK, rows)
+}
+
+func orText(val, def string) string {
+	if val == "" {
+		return def
+	}
+	return val
+}
+
+func writeJSON(wri http.ResponseWriter, status int, val any) {
+	wri.Header().Set("Content-Type", "application/json")
+	wri.WriteHeader(status)
+	_ = json.NewEncoder(wri).Encode(val)
+}
--- /dev/null
+++ b/internal/bench/standin/options.go
@@ -0,0 +1,70 @@
+package standin
+
+import "time"
+
+// Defaults of the options.
+const (
+	defaultSlots       = 18
+	defaultConnections = 120
+	defaultRows        = 100_000
+	defaultListen      = "127.0.0.1:0"
+	// maxTimeFactor bounds a drawn service time, in medians.
+	maxTimeFactor = 20
+)
+
+// Options configure a stand-in backend server.
+type Options struct {
+	// ID names the upstream.
+	ID string
+	// Service is the service that the upstream announces.
+	Service string
+	// Listen is the IP:port for requests; default 127.0.0.1:0.
+	Listen string
+	// Agent is the IP:port to which the server announces itself; empty: it does not.
+	Agent string
+	// Slots is how many requests run at once; default 18.
+	Slots int
+	// Connections is announced as the number of connections; default 120.
+	Connections int
+	// Backlog is how many requests wait for a slot before the server sheds; default: the number of slots.
+	Backlog int
+	// CheckFence makes the server refuse old fencing tokens and expired leases.
+	CheckFence bool
+	// NoGrants leaves out the endpoint for grants.
+	NoGrants bool
+	// Median is the median of the service time, which is log-normal; 0: none.
+	Median time.Duration
+	// Sigma is the standard deviation of the logarithm of the service time.
+	Sigma float64
+	// ColdTime is how long the server is slow after its start.
+	ColdTime time.Duration
+	// ColdFactor multiplies the service time at the start; it falls to 1 over ColdTime.
+	ColdFactor float64
+	// Lag is the age of the figures that health and load endpoints give.
+	Lag time.Duration
+	// LedgerRows bounds the rows kept in memory; default 100,000.
+	LedgerRows int
+	// Seed seeds the random numbers; 0: from the clock.
+	Seed uint64
+}
+
+func (opt Options) withDefaults() Options {
+	opt.Slots = orDefault(opt.Slots, defaultSlots)
+	opt.Connections = orDefault(opt.Connections, defaultConnections)
+	opt.Backlog = orDefault(opt.Backlog, opt.Slots)
+	opt.LedgerRows = orDefault(opt.LedgerRows, defaultRows)
+	if opt.Listen == "" {
+		opt.Listen = defaultListen
+	}
+	if opt.Seed == 0 {
+		opt.Seed = uint64(time.Now().UnixNano())
+	}
+	return opt
+}
+
+func orDefault(val, def int) int {
+	if val == 0 {
+		return def
+	}
+	return val
+}
--- /dev/null
+++ b/internal/bench/standin/request.go
@@ -0,0 +1,232 @@
+package standin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/siskinrill/siskinrill"
+)
+
+const (
+	headerRequestID = "X-Request-Id"
+	// statusClientClosed marks runs whose client went away.
+	statusClientClosed = 499
+	// maxPadding bounds the padding that a request may ask for.
+	maxPadding = 64 << 20
+)
+
+// reply is the answer to a request.
+type reply struct {
+	Upstream   string `json:"upstream"`
+	Service    string `json:"service"`
+	Key        string `json:"key"`
+	Method     string `json:"method"`
+	Path       string `json:"path"`
+	RequestID  string `json:"request_id"`
+	Sequence   uint64 `json:"sequence"`
+	BodyBytes  int64  `json:"body_bytes"`
+	BodySha256 string `json:"body_sha256"`
+	Padding    string `json:"padding"`
+}
+
+// bodySum is what was read of a body.
+type bodySum struct {
+	length int64
+	hash   string
+	err    error
+}
+
+// request serves one request of the service.
+func (srv *Server) request(wri http.ResponseWriter, req *http.Request) {
+	srv.flt.wait(srv.ctx)
+	if srv.flt.cutRequest() {
+		panic(http.ErrAbortHandler)
+	}
+	if !srv.fenced(wri, req) {
+		return
+	}
+	if srv.flt.chance(srv.flt.get().ShedRate) || !srv.acquire(req) {
+		refuse(wri, http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-srv.slots }()
+	srv.flt.wait(srv.ctx)
+	if srv.fenced(wri, req) {
+		srv.run(wri, req)
+	}
+}
+
+// fenced reports whether the request may run by its fencing token, and refuses it otherwise.
+func (srv *Server) fenced(wri http.ResponseWriter, req *http.Request) bool {
+	if !srv.opt.CheckFence || srv.fns.check(req) {
+		return true
+	}
+	refuse(wri, http.StatusPreconditionFailed)
+	return false
+}
+
+// refuse answers with the proof that the request did not run.
+func refuse(wri http.ResponseWriter, status int) {
+	wri.Header().Set(siskinrill.HeaderNotRun, "true")
+	if status == http.StatusServiceUnavailable {
+		wri.Header().Set("Retry-After", "1")
+	}
+	wri.WriteHeader(status)
+}
+
+// acquire waits for a slot within the deadline of the request; false means that the server sheds it.
+func (srv *Server) acquire(req *http.Request) bool {
+	select {
+	case srv.slots <- struct{}{}:
+		return true
+	default:
+	}
+	if !srv.enqueue() {
+		return false
+	}
+	defer srv.dequeue()
+	ctx, cancel := withDeadline(req)
+	defer cancel()
+	select {
+	case srv.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (srv *Server) enqueue() bool {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	if srv.waiting >= srv.opt.Backlog {
+		return false
+	}
+	srv.waiting++
+	return true
+}
+
+func (srv *Server) dequeue() {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	srv.waiting--
+}
+
+func withDeadline(req *http.Request) (context.Context, context.CancelFunc) {
+	dur, err := time.ParseDuration(req.Header.Get(siskinrill.HeaderTimeout))
+	if err != nil || dur <= 0 {
+		return context.WithCancel(req.Context())
+	}
+	return context.WithTimeout(req.Context(), dur)
+}
+
+// run runs the request, twice if that is injected, and answers.
+func (srv *Server) run(wri http.ResponseWriter, req *http.Request) {
+	pla := srv.flt.plan()
+	first := pla
+	first.duplicate = false
+	seq := srv.led.start(srv.row(req, first.name()))
+	bdy := readBody(req.Body)
+	ctx, cancel := withDeadline(req)
+	defer cancel()
+	status := srv.work(ctx)
+	if bdy.err != nil {
+		status = http.StatusBadRequest
+	}
+	srv.led.end(seq, status, bdy)
+	if pla.duplicate {
+		again := srv.led.start(srv.row(req, pla.name()))
+		srv.led.end(again, status, bdy)
+	}
+	srv.flt.wait(srv.ctx)
+	if pla.loseAnswer {
+		panic(http.ErrAbortHandler)
+	}
+	srv.answer(wri, req, status, srv.reply(req, seq, bdy), pla.cutAnswer)
+}
+
+func (srv *Server) row(req *http.Request, injected string) Row {
+	return Row{
+		RequestID: req.Header.Get(headerRequestID), IdempotencyKey: req.Header.Get(siskinrill.HeaderIdempotencyKey),
+		Attempt: req.Header.Get(siskinrill.HeaderAttempt), Service: srv.opt.Service, Key: req.Header.Get(siskinrill.HeaderKey),
+		Method: req.Method, Path: req.URL.Path, FencePartition: req.Header.Get(siskinrill.HeaderFencePartition),
+		FenceToken: fenceToken(req), Injected: injected,
+	}
+}
+
+func readBody(src io.Reader) bodySum {
+	dig := sha256.New()
+	num, err := io.Copy(dig, src)
+	return bodySum{length: num, hash: hex.EncodeToString(dig.Sum(nil)), err: err}
+}
+
+// work takes the service time and returns the status; it ends early with the client or the deadline.
+func (srv *Server) work(ctx context.Context) int {
+	tmr := time.NewTimer(srv.serviceTime())
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+	case <-ctx.Done():
+		return statusClientClosed
+	}
+	if srv.flt.chance(srv.flt.get().FailRate) {
+		return http.StatusInternalServerError
+	}
+	return http.StatusOK
+}
+
+// serviceTime draws a service time.
+func (srv *Server) serviceTime() time.Duration {
+	if srv.opt.Median <= 0 {
+		return 0
+	}
+	factor := min(math.Exp(srv.opt.Sigma*srv.flt.normal()), maxTimeFactor)
+	if slow := srv.flt.get().SlowFactor; slow > 0 {
+		factor *= slow
+	}
+	if age := time.Since(srv.born); age < srv.opt.ColdTime && srv.opt.ColdFactor > 1 {
+		factor *= 1 + (srv.opt.ColdFactor-1)*(1-float64(age)/float64(srv.opt.ColdTime))
+	}
+	return time.Duration(factor * float64(srv.opt.Median))
+}
+
+func (srv *Server) reply(req *http.Request, seq uint64, bdy bodySum) reply {
+	size, err := strconv.Atoi(req.URL.Query().Get("size"))
+	if err != nil || size < 0 || size > maxPadding {
+		size = 0
+	}
+	return reply{
+		Upstream: srv.opt.ID, Service: srv.opt.Service, Key: req.Header.Get(siskinrill.HeaderKey), Method: req.Method,
+		Path: req.URL.Path, RequestID: req.Header.Get(headerRequestID), Sequence: seq,
+		BodyBytes: bdy.length, BodySha256: bdy.hash, Padding: strings.Repeat("x", size),
+	}
+}
+
+// answer writes the answer, or only half of it.
+func (srv *Server) answer(wri http.ResponseWriter, req *http.Request, status int, rep reply, cut bool) {
+	buf, err := json.Marshal(rep)
+	if err != nil {
+		http.Error(wri, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	wri.Header().Set("Content-Type", "application/json")
+	wri.Header().Set("Content-Length", strconv.Itoa(len(buf)))
+	wri.WriteHeader(status)
+	if req.Method == http.MethodHead {
+		return
+	}
+	if !cut {
+		_, _ = wri.Write(buf)
+		return
+	}
+	_, _ = wri.Write(buf[:len(buf)/2])
+	_ = http.NewResponseController(wri).Flush()
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/bench/standin/server.go
@@ -0,0 +1,132 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// headerTimeout bounds the time for the headers of a request.
+const headerTimeout = 10 * time.Second
+
+// Server is a stand-in backend server.
+type Server struct {
+	opt   Options
+	mux   *http.ServeMux
+	http  *http.Server
+	led   *ledger
+	flt   *faultState
+	fns   fences
+	slots chan struct{}
+	past  samples
+	born  time.Time
+
+	ctx    context.Context // ends with Close
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	granted map[string]uint64
+	waiting int
+	leaving bool
+	lis     net.Listener // nil while connections are refused
+	addr    string       // of the listener for requests
+	control net.Listener
+}
+
+// New opens the listeners of a stand-in backend server and serves requests; Run announces it.
+func New(opt Options) (*Server, error) {
+	opt = opt.withDefaults()
+	if opt.ID == "" || opt.Service == "" {
+		return nil, errors.New("a stand-in needs an id and a service")
+	}
+	srv := &Server{
+		opt: opt, led: newLedger(opt.LedgerRows), flt: newFaultState(opt.Seed), slots: make(chan struct{}, opt.Slots),
+		born: time.Now(), granted: map[string]uint64{}, addr: opt.Listen,
+	}
+	srv.fns.newest = map[string]uint64{}
+	srv.ctx, srv.cancel = context.WithCancel(context.Background())
+	srv.routes()
+	srv.http = &http.Server{Handler: srv, ReadHeaderTimeout: headerTimeout}
+	if err := srv.listen(true); err != nil {
+		return nil, err
+	}
+	lis, err := net.Listen("tcp", defaultListen)
+	if err != nil {
+		srv.Close()
+		return nil, errors.Wrap(err, "control listener")
+	}
+	srv.control = lis
+	go srv.serve(lis)
+	return srv, nil
+}
+
+func (srv *Server) routes() {
+	srv.mux = http.NewServeMux()
+	srv.mux.HandleFunc("GET /standin/ledger", srv.getLedger)
+	srv.mux.HandleFunc("PUT /standin/faults", srv.putFaults)
+	srv.mux.HandleFunc("GET /health", srv.getHealth)
+	srv.mux.HandleFunc("GET /load", srv.getLoad)
+	if !srv.opt.NoGrants {
+		srv.mux.HandleFunc("POST "+grantsPath, srv.putGrants)
+	}
+	srv.mux.HandleFunc("/", srv.request)
+}
+
+// ServeHTTP serves requests and the endpoints of the stand-in.
+func (srv *Server) ServeHTTP(wri http.ResponseWriter, req *http.Request) { srv.mux.ServeHTTP(wri, req) }
+
+// listen opens or closes the listener for requests.
+func (srv *Server) listen(open bool) error {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	switch {
+	case open && srv.lis == nil:
+		lis, err := net.Listen("tcp", srv.addr)
+		if err != nil {
+			return errors.Wrap(err, "listener")
+		}
+		srv.lis = lis
+		srv.addr = lis.Addr().String()
+		go srv.serve(lis)
+	case !open && srv.lis != nil:
+		err := srv.lis.Close()
+		srv.lis = nil
+		return err
+	}
+	srv.http.SetKeepAlivesEnabled(open)
+	return nil
+}
+
+func (srv *Server) serve(lis net.Listener) {
+	err := srv.http.Serve(lis)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		logrus.Warnf("standin: %s: %v", srv.opt.ID, err)
+	}
+}
+
+// URL returns the base URL for requests.
+func (srv *Server) URL() string {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	return "http://" + srv.addr
+}
+
+// ControlURL returns the base URL of a second listener, which stays open while connections for requests are refused.
+func (srv *Server) ControlURL() string { return "http://" + srv.control.Addr().String() }
+
+// Ledger returns up to limit rows after a sequence.
+func (srv *Server) Ledger(after uint64, limit int) []Row {
+	rows, _ := srv.led.page(after, limit)
+	return rows
+}
+
+// Close ends the server at once, as a crash does.
+func (srv *Server) Close() {
+	srv.cancel()
+	_ = srv.http.Close()
+}
--- a/reason.go
+++ b/reason.go
@@ -57,6 +57,10 @@
 	ReasonRetryBudget Reason = "retry_budget"
 	// ReasonRecordsFull means that the owner can keep no further attempt records.
 	ReasonRecordsFull Reason = "records_full"
+	// ReasonDuplicateAttempt means that an attempt arrived again after it ended or while it runs.
+	ReasonDuplicateAttempt Reason = "duplicate_attempt"
+	// ReasonAnswerNotKept means that the request with this Idempotency-Key ran, but its answer was too long to keep.
+	ReasonAnswerNotKept Reason = "answer_not_kept"
 	// ReasonInternal means a fault of the router itself.
 	ReasonInternal Reason = "internal"
 )
