Assemble control, agent, stand-in and dev processes

Change: internal/process/control, agent, standin and dev build the roles with oklog/run; the commands control, agent, standin, dev and ready run them.

--- /dev/null
+++ b/cmd/siskinrill/ready.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	adminhttp "github.com/siskinrill/siskinrill/internal/admin/http"
+)
+
+// readyPoll is the time between two checks of ready.
+const readyPoll = 50 * time.Millisecond
+
+func init() { register("", newReady) }
+
+func newReady() *cobra.Command {
+	lim, own := time.Duration(0), false
+	cmd := &cobra.Command{
+		Use:     "ready [ADMIN_ADDRESS...]",
+		Short:   "Wait until processes are ready",
+		Long:    "Asks the admin API of each address, or of --admin, until all are ready: a control process knows the leader, an agent has a lease and a backend server.",
+		Example: "  siskinrill ready 127.0.0.1:18111 127.0.0.1:18261 --timeout 10s --owners",
+		RunE: action(func(cmd *cobra.Command, args []string) error {
+			if len(args) == 0 {
+				adm, _ := cmd.Flags().GetString("admin")
+				args = []string{adm}
+			}
+			return runReady(cmd, args, lim, own)
+		}),
+	}
+	cmd.Flags().DurationVar(&lim, "timeout", 10*time.Second, "longest wait")
+	cmd.Flags().BoolVar(&own, "owners", false, "also wait until every partition of every service has an owner")
+	return cmd
+}
+
+func runReady(cmd *cobra.Command, adrs []string, lim time.Duration, own bool) error {
+	tok, _ := cmd.Flags().GetString("token")
+	ctx, cancel := context.WithTimeout(cmd.Context(), lim)
+	defer cancel()
+	for _, adr := range adrs {
+		cli := adminhttp.NewClient(adr, tok)
+		if err := until(ctx, func() error { return isReady(ctx, cli) }); err != nil {
+			return errors.Wrap(err, adr)
+		}
+	}
+	if own {
+		cli := adminhttp.NewClient(adrs[0], tok)
+		if err := until(ctx, func() error { return isOwned(ctx, cli) }); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintln(textOut(cmd), "ready")
+	return nil
+}
+
+// until calls fn until it returns nil, or returns its last error when the context ends.
+func until(ctx context.Context, fn func() error) error {
+	last := errors.New("no time left")
+	for ctx.Err() == nil {
+		err := fn()
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() == nil {
+			last = err
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(readyPoll):
+		}
+	}
+	return last
+}
+
+func isReady(ctx context.Context, cli *adminhttp.Client) error {
+	rdy, err := cli.Ready(ctx)
+	if err != nil {
+		return err
+	}
+	if !rdy.Ready {
+		return errors.Errorf("%s %s is not ready: %s", rdy.Role, rdy.Name, rdy.Reason)
+	}
+	return nil
+}
+
+func isOwned(ctx context.Context, cli *adminhttp.Client) error {
+	sta, err := cli.Status(ctx)
+	if err != nil {
+		return err
+	}
+	for _, svc := range sta.GetServices() {
+		if svc.GetOrphans() > 0 {
+			return errors.Errorf("service %s has %d partitions without an owner", svc.GetService(), svc.GetOrphans())
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/siskinrill/role.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"github.com/siskinrill/siskinrill/internal/config/settings"
+	"github.com/siskinrill/siskinrill/internal/process/actor"
+)
+
+// process is an assembled role; Run returns nil after a planned stop, which begins when the context ends.
+type process interface {
+	Run(ctx context.Context) error
+}
+
+// role returns a command that runs one process with a settings file; load checks the file and returns a constructor.
+func role(nam, sht, exm string, load func(fil string) (settings.Log, func() (process, error), error)) *cobra.Command {
+	fil, chk := "", false
+	cmd := &cobra.Command{
+		Use: nam, Short: sht, Example: exm, Args: cobra.NoArgs,
+		RunE: action(func(cmd *cobra.Command, _ []string) error {
+			log, build, err := load(fil)
+			if err != nil {
+				return err
+			}
+			if chk {
+				fmt.Fprintln(cmd.OutOrStdout(), "valid")
+				return nil
+			}
+			actor.ConfigureLog(log)
+			prc, err := build()
+			if err != nil {
+				return err
+			}
+			return prc.Run(cmd.Context())
+		}),
+	}
+	cmd.Flags().StringVar(&fil, "settings", "", "settings file (required)")
+	cmd.Flags().BoolVar(&chk, "check", false, "only check the settings file")
+	_ = cmd.MarkFlagRequired("settings")
+	return cmd
+}
+
+// logger returns the logger that role has configured.
+func logger() *logrus.Logger { return logrus.StandardLogger() }
--- a/internal/config/file/section.go
+++ b/internal/config/file/section.go
@@ -9,7 +9,7 @@
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
-// Limits of the values; the defaults are those of the design page.
+// Limits of the values; the defaults are those of the design page. Agents take 0 for their own default, so only hedge_after, which it switches off, may be 0.
 const (
 	minPartitions      = 16
 	maxPartitions      = 16384
@@ -65,12 +65,12 @@
 		mrg.checker,
 		source.Whole("partitions", &svc.Partitions, minPartitions, maxPartitions),
 		source.Whole("queue_limit", &svc.QueueLimit, 1, maxQueue),
-		source.Millis("ramp", &svc.RampMs, 0, maxRamp),
+		source.Millis("ramp", &svc.RampMs, time.Millisecond, maxRamp),
 		source.Whole("max_attempts", &svc.MaxAttempts, 1, maxAttempts),
-		source.Whole("retry_budget_percent", &svc.RetryBudgetPercent, 0, 100),
-		source.Whole("retry_min_per_second", &svc.RetryMinPerSecond, 0, maxRetryMin),
+		source.Whole("retry_budget_percent", &svc.RetryBudgetPercent, 1, 100),
+		source.Whole("retry_min_per_second", &svc.RetryMinPerSecond, 1, maxRetryMin),
 		source.Millis("hedge_after", &svc.HedgeAfterMs, 0, maxHedgeAfter),
-		source.Millis("hold", &svc.HoldMs, 0, maxHold),
+		source.Millis("hold", &svc.HoldMs, time.Millisecond, maxHold),
 		source.Seconds("idempotency_ttl", &svc.IdempotencyTtlS, time.Second, maxIdempotency),
 		source.Whole("max_outstanding_per_owner", &svc.MaxOutstandingPerOwner, 1, maxOutstanding),
 	)
@@ -89,7 +89,7 @@
 		source.Text("service", &rte.Service).Required(),
 		source.Choice("kind", &knd, "idempotent", "non_idempotent", "upload").Required(),
 		source.Millis("timeout", &rte.TimeoutMs, time.Millisecond, maxTimeout),
-		source.Whole64("max_body_bytes", &rte.MaxBodyBytes, 0, maxBody),
+		source.Whole64("max_body_bytes", &rte.MaxBodyBytes, 1, maxBody),
 	)
 	rte.Kind = kinds[knd]
 	if !sec.Has("max_body_bytes") {
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -75,8 +75,12 @@
 	Slots       uint32
 	Connections uint32
 	ChecksFence bool
-	ServiceTime time.Duration
-	HealthTime  time.Duration
+	Grants      bool          // has the endpoint for grants
+	ServiceTime time.Duration // median of a request
+	ColdTime    time.Duration // from the start until requests take their normal time
+	ColdFactor  uint32        // multiplies the time of a request at the start
+	HealthLag   time.Duration // age of the figures of the health and load endpoints
+	StopTimeout time.Duration // longest wait for the agent's permission to stop
 	Log         Log
 }
 
@@ -156,7 +160,7 @@
 
 // ParseStandin checks the settings of a stand-in; the error is a *source.ProblemsError.
 func ParseStandin(fil string, dat []byte) (Standin, error) {
-	set := Standin{Slots: 18, Connections: 120, ServiceTime: 2 * time.Millisecond, HealthTime: time.Millisecond}
+	set := Standin{Slots: 18, Connections: 120, Grants: true, ServiceTime: 2 * time.Millisecond, ColdFactor: 1, StopTimeout: DefaultDrainTimeout}
 	doc := newDocument(fil, dat, "standin", "log")
 	doc.decode(
 		"standin",
@@ -168,7 +172,11 @@
 		source.Whole("connections", &set.Connections, 1, 100000),
 		source.Flag("checks_fence", &set.ChecksFence),
 		source.Duration("service_time", &set.ServiceTime, 0, time.Minute),
-		source.Duration("health_time", &set.HealthTime, 0, time.Minute),
+		source.Flag("grants", &set.Grants),
+		source.Duration("cold_time", &set.ColdTime, 0, time.Hour),
+		source.Whole("cold_factor", &set.ColdFactor, 1, 100),
+		source.Duration("health_lag", &set.HealthLag, 0, time.Minute),
+		source.Duration("stop_timeout", &set.StopTimeout, 0, maxStop),
 	)
 	doc.log(&set.Log)
 	doc.distinct(place{"standin", "listen", set.Listen}, place{"standin", "agent", set.Agent})
--- /dev/null
+++ b/internal/process/agent/doc.go
@@ -0,0 +1,2 @@
+// Package agent assembles one agent: session, entry for callers, forwarding, owner, backend connection and admin API.
+package agent
--- /dev/null
+++ b/internal/process/agent/process.go
@@ -0,0 +1,186 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+
+	"github.com/siskinrill/siskinrill"
+	adminhttp "github.com/siskinrill/siskinrill/internal/admin/http"
+	"github.com/siskinrill/siskinrill/internal/agent/backend"
+	"github.com/siskinrill/siskinrill/internal/agent/caller"
+	"github.com/siskinrill/siskinrill/internal/agent/control"
+	"github.com/siskinrill/siskinrill/internal/agent/owner"
+	"github.com/siskinrill/siskinrill/internal/agent/peer"
+	"github.com/siskinrill/siskinrill/internal/config/settings"
+	"github.com/siskinrill/siskinrill/internal/process/actor"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	// adminGrace is how long requests to the admin and backend listeners have to finish at a stop.
+	adminGrace = 500 * time.Millisecond
+	// drainPoll is the time between two checks of a drain.
+	drainPoll = 20 * time.Millisecond
+)
+
+// Options configures an agent.
+type Options struct {
+	Settings settings.Agent
+	Callers  net.Listener // for callers, opened at Settings.CallerListen when nil
+	Peers    net.Listener // for other agents, opened at Settings.PeerListen when nil
+	Backend  net.Listener // for announcements, opened at Settings.BackendListen when nil
+	Admin    net.Listener // for the admin API, opened at Settings.Admin.Listen when nil
+	Logger   *logrus.Logger
+}
+
+// Process is an assembled agent.
+type Process struct {
+	options  Options
+	counters *siskinrill.Counters
+	session  *control.Session
+	pool     *peer.Pool
+	backend  *backend.Client
+	owner    *owner.Owner
+	server   *grpc.Server
+	callers  http.Handler
+	operator *adminhttp.Operator
+	admin    *adminhttp.Handler
+	stopping atomic.Bool
+}
+
+// New opens the listeners.
+func New(opt Options) (*Process, error) {
+	if err := opt.listen(); err != nil {
+		return nil, err
+	}
+	prc := &Process{options: opt, counters: siskinrill.NewCounters()}
+	prc.session = control.New(control.Options{Node: node(opt), Control: opt.Settings.Control, Logger: opt.Logger})
+	prc.pool = peer.NewPool(peer.Options{Logger: opt.Logger, Counters: prc.counters})
+	prc.backend = backend.New(backend.Options{
+		OnUpstream: prc.session.SetUpstream, OnDrain: prc.session.Drain, Draining: prc.session.Draining,
+		MayStop: func() bool { return prc.owner.Idle() },
+	}, prc.counters)
+	prc.owner = owner.New(owner.Options{Slots: prc.backend.Slots}, prc.session, prc.pool, prc.backend, prc.counters)
+	prc.session.SetLoadSource(prc.owner)
+	prc.server = grpc.NewServer(peer.ServerOptions()...)
+	peer.NewServer(prc.owner, prc.session).Register(prc.server)
+	hdl := caller.New(caller.Options{Logger: opt.Logger}, prc.session, prc.pool, prc.owner, prc.counters)
+	prc.callers = prc.closing(hdl)
+	prc.operator = adminhttp.NewOperator(opt.Settings.Control...)
+	prc.admin = adminhttp.New(adminhttp.Options{
+		Role: "agent", Name: opt.Settings.Name, Token: opt.Settings.Admin.Token,
+		Operator: prc.operator, Counters: prc.counters, Ready: prc.Ready,
+	})
+	return prc, nil
+}
+
+// listen opens the listeners that were not given.
+func (opt *Options) listen() error {
+	for _, itm := range []struct {
+		lis *net.Listener
+		adr string
+	}{
+		{&opt.Callers, opt.Settings.CallerListen},
+		{&opt.Peers, opt.Settings.PeerListen},
+		{&opt.Backend, opt.Settings.BackendListen},
+		{&opt.Admin, opt.Settings.Admin.Listen},
+	} {
+		if *itm.lis != nil {
+			continue
+		}
+		lis, err := actor.Listen(itm.adr, opt.Callers, opt.Peers, opt.Backend, opt.Admin)
+		if err != nil {
+			return err
+		}
+		*itm.lis = lis
+	}
+	return nil
+}
+
+func node(opt Options) *controlpb.Node {
+	return &controlpb.Node{
+		Name: opt.Settings.Name, Zone: opt.Settings.Zone, Region: opt.Settings.Region,
+		PeerAddress: opt.Peers.Addr().String(), CallerAddress: opt.Callers.Addr().String(),
+		AdminAddress: opt.Admin.Addr().String(),
+	}
+}
+
+// closing asks callers to close their connections once the agent stops, so that few requests meet a closing one.
+func (prc *Process) closing(hdl http.Handler) http.Handler {
+	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if prc.stopping.Load() {
+			wri.Header().Set("Connection", "close")
+		}
+		hdl.ServeHTTP(wri, req)
+	})
+}
+
+// Ready returns an error while the agent has no lease or no backend server in service.
+func (prc *Process) Ready() error {
+	if _, valid := prc.session.Expires(); !valid {
+		return errors.New("no lease from control")
+	}
+	if prc.session.Draining() {
+		return errors.New("the upstream drains")
+	}
+	ups := prc.session.Node(prc.session.Session()).GetUpstream()
+	if ups.GetState() != controlpb.UpstreamState_UPSTREAM_STATE_SERVING {
+		return errors.New("no backend server is in service")
+	}
+	return nil
+}
+
+// Run serves until the context ends, then drains; it returns nil after a planned stop.
+func (prc *Process) Run(ctx context.Context) error {
+	defer prc.operator.Close()
+	defer prc.pool.Close()
+	set := prc.options.Settings
+	prc.options.Logger.WithFields(logrus.Fields{
+		"name": set.Name, "zone": set.Zone, "callers": prc.options.Callers.Addr().String(),
+		"peers": prc.options.Peers.Addr().String(), "backend": prc.options.Backend.Addr().String(),
+		"admin": prc.options.Admin.Addr().String(),
+	}).Info("agent: Started.")
+	var grp run.Group
+	actor.Until(ctx, &grp, prc.drain)
+	// Interrupts run in this order, so callers' requests finish while everything that they need still runs.
+	actor.HTTP(&grp, prc.options.Callers, prc.callers, max(set.DrainTimeout, adminGrace))
+	actor.HTTP(&grp, prc.options.Backend, prc.backend.Handler(), adminGrace)
+	actor.HTTP(&grp, prc.options.Admin, prc.admin, adminGrace)
+	actor.GRPC(&grp, prc.options.Peers, prc.server)
+	actor.Loop(&grp, prc.owner.Run)
+	actor.Loop(&grp, prc.backend.Run)
+	actor.Loop(&grp, prc.session.Run)
+	err := grp.Run()
+	prc.options.Logger.WithField("name", set.Name).Info("agent: Stopped.")
+	return err
+}
+
+// drain waits until the agent owns nothing and has no request in flight, its lease is over, or the time is up.
+func (prc *Process) drain() {
+	log := prc.options.Logger.WithField("name", prc.options.Settings.Name)
+	log.Info("agent: Draining.")
+	prc.stopping.Store(true)
+	prc.session.Drain()
+	end := time.Now().Add(prc.options.Settings.DrainTimeout)
+	for time.Now().Before(end) {
+		if prc.owner.Idle() {
+			log.Info("agent: Drained.")
+			return
+		}
+		// Without a lease the agent serves nothing, and control grants its keys elsewhere.
+		if _, valid := prc.session.Expires(); !valid {
+			log.Warn("agent: The lease ended during the drain.")
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+	log.Warn("agent: The drain took too long.")
+}
--- /dev/null
+++ b/internal/process/control/process.go
@@ -0,0 +1,137 @@
+package control
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+
+	"github.com/siskinrill/siskinrill"
+	adminhttp "github.com/siskinrill/siskinrill/internal/admin/http"
+	"github.com/siskinrill/siskinrill/internal/config/settings"
+	"github.com/siskinrill/siskinrill/internal/control/agent"
+	"github.com/siskinrill/siskinrill/internal/control/assign"
+	"github.com/siskinrill/siskinrill/internal/control/member"
+	"github.com/siskinrill/siskinrill/internal/control/operator"
+	"github.com/siskinrill/siskinrill/internal/control/registry"
+	"github.com/siskinrill/siskinrill/internal/process/actor"
+)
+
+// adminGrace is how long requests to the admin API have to finish at a stop.
+const adminGrace = 500 * time.Millisecond
+
+// Options configures a control process.
+type Options struct {
+	Settings settings.Control
+	Listener net.Listener // for gRPC, opened at Settings.Listen when nil
+	Admin    net.Listener // for the admin API, opened at Settings.Admin.Listen when nil
+	Logger   *logrus.Logger
+}
+
+// Process is an assembled control process.
+type Process struct {
+	options  Options
+	group    *member.Group
+	sessions *agent.Sessions
+	server   *grpc.Server
+	operator *adminhttp.Operator
+	handler  *adminhttp.Handler
+}
+
+// New opens the data directory and the listeners; an error may be a *wal.DamageError or a *wal.LockedError.
+func New(opt Options) (*Process, error) {
+	reg := registry.New()
+	grp, err := member.New(member.Options{
+		Name: opt.Settings.Name, Address: opt.Settings.Listen, DataDir: opt.Settings.Data,
+		InitialMembers: peers(opt.Settings), Registry: reg, Logger: opt.Logger,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "open data directory")
+	}
+	if err := opt.listen(); err != nil {
+		return nil, err
+	}
+	prc := &Process{options: opt, group: grp}
+	prc.sessions = agent.New(agent.Options{}, grp, reg, assign.New(assign.Limits{}))
+	prc.server = grpc.NewServer(grpc.MaxRecvMsgSize(member.MaxMessageBytes))
+	grp.Register(prc.server)
+	prc.sessions.Register(prc.server)
+	operator.New(grp, reg, prc.sessions).Register(prc.server)
+	prc.operator = adminhttp.NewOperator(append([]string{opt.Settings.Listen}, addresses(opt.Settings)...)...)
+	prc.handler = adminhttp.New(adminhttp.Options{
+		Role: "control", Name: opt.Settings.Name, Token: opt.Settings.Admin.Token,
+		Operator: prc.operator, Counters: siskinrill.NewCounters(), Ready: prc.Ready,
+	})
+	return prc, nil
+}
+
+func (opt *Options) listen() (err error) {
+	if opt.Listener == nil {
+		if opt.Listener, err = actor.Listen(opt.Settings.Listen, opt.Admin); err != nil {
+			return err
+		}
+	}
+	if opt.Admin == nil {
+		opt.Admin, err = actor.Listen(opt.Settings.Admin.Listen, opt.Listener)
+	}
+	return err
+}
+
+func peers(set settings.Control) []member.Peer {
+	var out []member.Peer
+	for _, nam := range set.MemberOrder {
+		out = append(out, member.Peer{Name: nam, Address: set.InitialMembers[nam]})
+	}
+	return out
+}
+
+func addresses(set settings.Control) []string {
+	var out []string
+	for _, nam := range set.MemberOrder {
+		if nam != set.Name {
+			out = append(out, set.InitialMembers[nam])
+		}
+	}
+	return out
+}
+
+// Ready returns an error while no leader is known.
+func (prc *Process) Ready() error {
+	ldr, _ := prc.group.Leadership()
+	if ldr.Address() == "" {
+		return errors.New("no control leader is known")
+	}
+	return nil
+}
+
+// Run serves until the context ends, then hands leadership over; it returns nil after a planned stop.
+func (prc *Process) Run(ctx context.Context) error {
+	defer prc.operator.Close()
+	prc.options.Logger.WithFields(logrus.Fields{
+		"name": prc.options.Settings.Name, "zone": prc.options.Settings.Zone, "data": prc.options.Settings.Data,
+		"listen": prc.options.Listener.Addr().String(), "admin": prc.options.Admin.Addr().String(),
+	}).Info("control: Started.")
+	var grp run.Group
+	actor.Until(ctx, &grp, prc.stop)
+	actor.HTTP(&grp, prc.options.Admin, prc.handler, adminGrace)
+	actor.Loop(&grp, prc.sessions.Run)
+	actor.Loop(&grp, prc.group.Run)
+	actor.GRPC(&grp, prc.options.Listener, prc.server)
+	err := grp.Run()
+	prc.options.Logger.WithField("name", prc.options.Settings.Name).Info("control: Stopped.")
+	return err
+}
+
+// stop hands leadership over while the other parts still serve.
+func (prc *Process) stop() {
+	prc.options.Logger.WithField("name", prc.options.Settings.Name).Info("control: Stopping.")
+	ctx, cancel := context.WithTimeout(context.Background(), prc.options.Settings.StopTimeout)
+	defer cancel()
+	if err := prc.group.Stop(ctx); err != nil {
+		prc.options.Logger.WithError(err).Warn("control: Leadership was not handed over.")
+	}
+}
--- /dev/null
+++ b/internal/process/dev/prepare.go
@@ -0,0 +1,108 @@
+package dev
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	adminhttp "github.com/siskinrill/siskinrill/internal/admin/http"
+	"github.com/siskinrill/siskinrill/internal/config/file"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	// readyTimeout bounds the start; it usually takes about a second.
+	readyTimeout = 15 * time.Second
+	// readyPoll is the time between two checks.
+	readyPoll = 25 * time.Millisecond
+)
+
+// prepare applies the configuration, waits until everything serves, and then waits for the end.
+func (prc *Process) prepare(ctx context.Context, ready func()) error {
+	opr := adminhttp.NewOperator(prc.member)
+	defer opr.Close()
+	wait, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	// Applied once every upstream is known, so that the first grants are spread over all of them.
+	err := prc.await(wait, prc.agentsReady)
+	if err == nil {
+		err = prc.await(wait, func() error { return prc.apply(wait, opr) })
+	}
+	if err == nil {
+		err = prc.await(wait, func() error { return prc.serving(wait, opr) })
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "start")
+	}
+	ready()
+	<-ctx.Done()
+	return nil
+}
+
+// await calls fn until it returns nil, or returns its last error when the context ends.
+func (prc *Process) await(ctx context.Context, fn func() error) error {
+	for {
+		err := fn()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+func (prc *Process) apply(ctx context.Context, opr *adminhttp.Operator) error {
+	cur, err := opr.Show(ctx)
+	if err != nil {
+		return err
+	}
+	if file.Difference(cur.GetConfiguration(), prc.config) == "" {
+		return nil
+	}
+	prc.config.Number = cur.GetConfiguration().GetNumber() + 1
+	ans, err := opr.Apply(ctx, &controlpb.ApplyRequest{ChangeId: uuid.NewString(), Configuration: prc.config, Operator: "dev"})
+	if err != nil {
+		return err
+	}
+	if !ans.GetRecord().GetAccepted() {
+		return errors.Errorf("the configuration was refused: %s", ans.GetRecord().GetReason())
+	}
+	return nil
+}
+
+// agentsReady returns an error while an agent lacks a lease or its backend server.
+func (prc *Process) agentsReady() error {
+	for _, agt := range prc.agents {
+		if err := agt.Ready(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serving returns an error while a partition has no owner or an agent lags behind.
+func (prc *Process) serving(ctx context.Context, opr *adminhttp.Operator) error {
+	sta, err := opr.Status(ctx)
+	if err != nil {
+		return err
+	}
+	for _, svc := range sta.GetServices() {
+		if svc.GetOrphans() > 0 {
+			return errors.Errorf("service %s has %d partitions without an owner", svc.GetService(), svc.GetOrphans())
+		}
+	}
+	for _, ups := range sta.GetUpstreams() {
+		if ups.GetVersion() < sta.GetCommit() {
+			return errors.Errorf("agent %s is behind", ups.GetNode().GetName())
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/dev/process.go
@@ -0,0 +1,210 @@
+package dev
+
+import (
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
+
+	"github.com/siskinrill/siskinrill/examples"
+	"github.com/siskinrill/siskinrill/internal/config/file"
+	"github.com/siskinrill/siskinrill/internal/config/settings"
+	"github.com/siskinrill/siskinrill/internal/process/actor"
+	"github.com/siskinrill/siskinrill/internal/process/agent"
+	"github.com/siskinrill/siskinrill/internal/process/control"
+	"github.com/siskinrill/siskinrill/internal/process/standin"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	// anyPort lets the system choose the port.
+	anyPort = "127.0.0.1:0"
+	// controlName names the only control process.
+	controlName = "control-1"
+	// addressFile keeps the address of the control process in a data directory, because the log stores it as the member's address.
+	addressFile = "dev_address"
+)
+
+// Options configures a dev process.
+type Options struct {
+	Config string // configuration directory, empty for the built-in example
+	Listen string // IP:port for callers
+	Admin  string // IP:port of the admin API
+	Data   string // data directory, empty for a temporary one
+	Logger *logrus.Logger
+}
+
+// Process is a whole deployment in one process.
+type Process struct {
+	options  Options
+	config   *controlpb.Configuration
+	remove   string // temporary data directory
+	control  *control.Process
+	agents   []*agent.Process
+	standins []*standin.Process
+	listen   string
+	admin    string
+	member   string   // address of the control process
+	admins   []string // of every part, the first agent's first
+}
+
+// New reads the configuration and opens every listener; an invalid configuration gives a *source.ProblemsError.
+func New(opt Options) (*Process, error) {
+	cfg, err := config(opt.Config)
+	if err != nil {
+		return nil, err
+	}
+	ups, err := upstreams(cfg)
+	if err != nil {
+		return nil, err
+	}
+	prc := &Process{options: opt, config: cfg}
+	if opt.Data == "" {
+		if prc.remove, err = os.MkdirTemp("", "siskinrill-dev-"); err != nil {
+			return nil, errors.Wrap(err, "make data directory")
+		}
+		prc.options.Data = prc.remove
+	}
+	if err := prc.assemble(ups); err != nil {
+		prc.clean()
+		return nil, err
+	}
+	return prc, nil
+}
+
+// Listen returns the IP:port for callers.
+func (prc *Process) Listen() string { return prc.listen }
+
+// Admin returns the IP:port of the admin API of the agent behind Listen.
+func (prc *Process) Admin() string { return prc.admin }
+
+// Admins returns the IP:port of the admin APIs of all parts.
+func (prc *Process) Admins() []string { return prc.admins }
+
+func config(dir string) (*controlpb.Configuration, error) {
+	if dir != "" {
+		return file.Load(dir)
+	}
+	fsy, err := examples.Config(examples.Rangsudhar)
+	if err != nil {
+		return nil, err
+	}
+	return file.LoadFS(fsy)
+}
+
+func (prc *Process) assemble(ups []upstream) error {
+	if err := prc.addControl(); err != nil {
+		return err
+	}
+	for num, itm := range ups {
+		cal, adm := anyPort, anyPort
+		if num == 0 {
+			cal, adm = prc.options.Listen, prc.options.Admin
+		}
+		if err := prc.addUpstream(itm, cal, adm); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// listeners opens one listener for each address, or none.
+func listeners(adrs ...string) ([]net.Listener, error) {
+	var out []net.Listener
+	for _, adr := range adrs {
+		lis, err := actor.Listen(adr, out...)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, lis)
+	}
+	return out, nil
+}
+
+func (prc *Process) addControl() error {
+	lst, err := listeners(prc.memberAddress(), anyPort)
+	if err != nil {
+		return err
+	}
+	prc.member = lst[0].Addr().String()
+	prc.admins = append(prc.admins, lst[1].Addr().String())
+	set := settings.Control{
+		Place:  settings.Place{Name: controlName, Zone: "in-west-a", Region: "in-west"},
+		Listen: prc.member, Data: filepath.Join(prc.options.Data, controlName), StopTimeout: stopTimeout,
+		InitialMembers: map[string]string{controlName: prc.member}, MemberOrder: []string{controlName},
+	}
+	prc.control, err = control.New(control.Options{Settings: set, Listener: lst[0], Admin: lst[1], Logger: prc.options.Logger})
+	if err != nil {
+		actor.Close(lst...)
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(prc.options.Data, addressFile), []byte(prc.member+"\n"), 0o600); err != nil {
+		return errors.Wrap(err, "keep the control address")
+	}
+	return nil
+}
+
+// memberAddress returns the address that the data directory was used with before, or any.
+func (prc *Process) memberAddress() string {
+	dat, err := os.ReadFile(filepath.Join(prc.options.Data, addressFile))
+	if err != nil {
+		return anyPort
+	}
+	return strings.TrimSpace(string(dat))
+}
+
+func (prc *Process) addUpstream(ups upstream, cal, adm string) error {
+	lst, err := listeners(cal, adm, anyPort, anyPort)
+	if err != nil {
+		return err
+	}
+	set := ups.agent
+	set.Control, set.DrainTimeout = []string{prc.member}, stopTimeout
+	agt, err := agent.New(agent.Options{
+		Settings: set, Callers: lst[0], Admin: lst[1], Peers: lst[2], Backend: lst[3], Logger: prc.options.Logger,
+	})
+	if err != nil {
+		actor.Close(lst...)
+		return err
+	}
+	if len(prc.agents) == 0 {
+		prc.listen, prc.admin = lst[0].Addr().String(), lst[1].Addr().String()
+	}
+	prc.agents = append(prc.agents, agt)
+	prc.admins = append(prc.admins, lst[1].Addr().String())
+	std := ups.standin
+	std.Listen, std.Agent, std.StopTimeout = anyPort, lst[3].Addr().String(), stopTimeout
+	srv, err := standin.New(standin.Options{Settings: std, Logger: prc.options.Logger})
+	if err != nil {
+		return err
+	}
+	prc.standins = append(prc.standins, srv)
+	return nil
+}
+
+func (prc *Process) clean() {
+	if prc.remove != "" {
+		_ = os.RemoveAll(prc.remove)
+	}
+}
+
+// Run serves until the context ends and calls ready once every service has owners and the configuration is in force.
+func (prc *Process) Run(ctx context.Context, ready func()) error {
+	defer prc.clean()
+	var grp run.Group
+	actor.Until(ctx, &grp, func() {})
+	actor.Loop(&grp, prc.control.Run)
+	for _, agt := range prc.agents {
+		actor.Loop(&grp, agt.Run)
+	}
+	for _, std := range prc.standins {
+		actor.Loop(&grp, std.Run)
+	}
+	actor.Loop(&grp, func(ctx context.Context) error { return prc.prepare(ctx, ready) })
+	return grp.Run()
+}
--- /dev/null
+++ b/internal/process/dev/upstream.go
@@ -0,0 +1,102 @@
+package dev
+
+import (
+	"fmt"
+	"io/fs"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill/examples"
+	"github.com/siskinrill/siskinrill/internal/config/settings"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	// extraUpstreams is how many upstreams a service gets that the built-in example does not have.
+	extraUpstreams = 2
+	// stopTimeout bounds the stop of each part; all parts stop at once, so no key can move and a drain never ends.
+	stopTimeout = 500 * time.Millisecond
+)
+
+// upstream holds the settings of an agent and of the stand-in beside it.
+type upstream struct {
+	agent   settings.Agent
+	standin settings.Standin
+}
+
+// upstreams returns the built-in upstreams of the configured services, and a few for each other service.
+func upstreams(cfg *controlpb.Configuration) ([]upstream, error) {
+	all, err := builtIn()
+	if err != nil {
+		return nil, err
+	}
+	var out []upstream
+	for _, svc := range cfg.GetServices() {
+		fnd := all[svc.GetName()]
+		if fnd == nil {
+			fnd = extra(svc.GetName())
+		}
+		out = append(out, fnd...)
+	}
+	if out == nil {
+		return nil, errors.New("the configuration has no service")
+	}
+	return out, nil
+}
+
+// builtIn returns the upstreams of the Rangsudhar example by service.
+func builtIn() (map[string][]upstream, error) {
+	dir, err := examples.Settings(examples.Rangsudhar)
+	if err != nil {
+		return nil, err
+	}
+	nams, err := fs.Glob(dir, "standin-*.toml")
+	if err != nil {
+		return nil, err
+	}
+	sort.Strings(nams)
+	out := map[string][]upstream{}
+	for _, nam := range nams {
+		ups, err := read(dir, nam)
+		if err != nil {
+			return nil, errors.Wrap(err, "built-in settings")
+		}
+		out[ups.standin.Service] = append(out[ups.standin.Service], ups)
+	}
+	return out, nil
+}
+
+func read(dir fs.FS, nam string) (upstream, error) {
+	var ups upstream
+	dat, err := fs.ReadFile(dir, nam)
+	if err != nil {
+		return ups, err
+	}
+	if ups.standin, err = settings.ParseStandin(nam, dat); err != nil {
+		return ups, err
+	}
+	nam = "agent-" + strings.TrimPrefix(nam, "standin-")
+	if dat, err = fs.ReadFile(dir, nam); err != nil {
+		return ups, err
+	}
+	ups.agent, err = settings.ParseAgent(nam, dat)
+	return ups, err
+}
+
+func extra(svc string) []upstream {
+	var out []upstream
+	for num := range extraUpstreams {
+		nam := fmt.Sprintf("%s-%d", svc, num+1)
+		out = append(out, upstream{
+			agent: settings.Agent{Place: settings.Place{Name: "agent-" + nam, Zone: "in-west-a", Region: "in-west"}},
+			standin: settings.Standin{
+				ID: nam, Service: svc, Slots: 18, Connections: 120, ChecksFence: true, Grants: true,
+				ServiceTime: 4 * time.Millisecond, ColdFactor: 1,
+			},
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin assembles one stand-in backend server.
+package standin
--- /dev/null
+++ b/internal/process/standin/process.go
@@ -0,0 +1,94 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
+
+	"github.com/siskinrill/siskinrill/internal/bench/standin"
+	"github.com/siskinrill/siskinrill/internal/config/settings"
+	"github.com/siskinrill/siskinrill/internal/process/actor"
+)
+
+const (
+	// agentPoll is the time between two checks that the agent still listens.
+	agentPoll = 200 * time.Millisecond
+	// agentMisses is how many checks in a row may fail before the agent counts as gone.
+	agentMisses = 3
+)
+
+// Options configures a stand-in.
+type Options struct {
+	Settings settings.Standin
+	Logger   *logrus.Logger
+}
+
+// Process is an assembled stand-in.
+type Process struct {
+	options Options
+	server  *standin.Server
+}
+
+// New opens the listener; an address with port 0 gets a free port.
+func New(opt Options) (*Process, error) {
+	set := opt.Settings
+	srv, err := standin.New(standin.Options{
+		ID: set.ID, Service: set.Service, Listen: set.Listen, Agent: set.Agent,
+		Slots: int(set.Slots), Connections: int(set.Connections), CheckFence: set.ChecksFence, NoGrants: !set.Grants,
+		Median: set.ServiceTime, ColdTime: set.ColdTime, ColdFactor: float64(set.ColdFactor), Lag: set.HealthLag,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &Process{options: opt, server: srv}, nil
+}
+
+// URL returns the base URL of the stand-in.
+func (prc *Process) URL() string { return prc.server.URL() }
+
+// Run announces the stand-in and serves until the context ends; it returns nil after a planned stop.
+func (prc *Process) Run(ctx context.Context) error {
+	set := prc.options.Settings
+	log := prc.options.Logger.WithFields(logrus.Fields{"id": set.ID, "service": set.Service, "url": prc.URL()})
+	log.Info("standin: Started.")
+	var grp run.Group
+	actor.Until(ctx, &grp, prc.leave)
+	actor.Loop(&grp, prc.server.Run)
+	err := grp.Run()
+	prc.server.Close()
+	log.Info("standin: Stopped.")
+	return err
+}
+
+// leave announces that the stand-in is leaving and waits for the agent's permission to stop, which an agent that is gone cannot give.
+func (prc *Process) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), prc.options.Settings.StopTimeout)
+	defer cancel()
+	go func() {
+		defer cancel()
+		prc.watchAgent(ctx)
+	}()
+	if err := prc.server.Stop(ctx); err != nil {
+		prc.options.Logger.WithField("id", prc.options.Settings.ID).Warn("standin: The agent gave no permission to stop.")
+	}
+}
+
+// watchAgent returns once the agent is gone or the context ends.
+func (prc *Process) watchAgent(ctx context.Context) {
+	for mss := 0; mss < agentMisses; {
+		con, err := net.DialTimeout("tcp", prc.options.Settings.Agent, agentPoll)
+		mss++
+		if err == nil {
+			_ = con.Close()
+			mss = 0
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(agentPoll):
+		}
+	}
+}
