--- a/internal/agent/caller/body.go
+++ b/internal/agent/caller/body.go
@@ -76,7 +76,11 @@
 	if err == io.EOF {
 		return buf[:num], true, nil
 	}
-	return buf[:num], false, errors.Wrap(err, "read body")
+	// errors.Wrap turns nil into an error.
+	if err != nil {
+		return nil, false, errors.Wrap(err, "read body")
+	}
+	return buf, false, nil
 }
 
 // fill reads until buf is full or the reader fails; unlike io.ReadFull it keeps io.EOF apart from the io.ErrUnexpectedEOF of a cut body.
