Stop the agents of dev first and skip drains that cannot end

Cause: all parts of dev stop at once, so drains always ran into their limit of 500 ms and wrote 25 warnings. Change: dev ends its agents first, then the rest; a timeout of 0 skips the drain of an agent and the leave of a stand-in.

--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -163,11 +163,14 @@
 	return err
 }
 
-// drain waits until the agent owns nothing and has no request in flight, its lease is over, or the time is up.
+// drain waits until the agent owns nothing and has no request in flight, its lease is over, or the time is up; a drain timeout of 0 skips it.
 func (prc *Process) drain() {
 	log := prc.options.Logger.WithField("name", prc.options.Settings.Name)
-	log.Info("agent: Draining.")
 	prc.stopping.Store(true)
+	if prc.options.Settings.DrainTimeout == 0 {
+		return
+	}
+	log.Info("agent: Draining.")
 	prc.session.Drain()
 	end := time.Now().Add(prc.options.Settings.DrainTimeout)
 	for time.Now().Before(end) {
--- a/internal/process/dev/process.go
+++ b/internal/process/dev/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/oklog/run"
@@ -135,7 +136,7 @@
 	prc.admins = append(prc.admins, lst[1].Addr().String())
 	set := settings.Control{
 		Place:  settings.Place{Name: controlName, Zone: "in-west-a", Region: "in-west"},
-		Listen: prc.member, Data: filepath.Join(prc.options.Data, controlName), StopTimeout: stopTimeout,
+		Listen: prc.member, Data: filepath.Join(prc.options.Data, controlName), StopTimeout: time.Second,
 		InitialMembers: map[string]string{controlName: prc.member}, MemberOrder: []string{controlName},
 	}
 	prc.control, err = control.New(control.Options{Settings: set, Listener: lst[0], Admin: lst[1], Logger: prc.options.Logger})
@@ -164,7 +165,8 @@
 		return err
 	}
 	set := ups.agent
-	set.Control, set.DrainTimeout = []string{prc.member}, stopTimeout
+	// All agents stop at once, so no key can move and a drain would never end.
+	set.Control, set.DrainTimeout = []string{prc.member}, 0
 	agt, err := agent.New(agent.Options{
 		Settings: set, Callers: lst[0], Admin: lst[1], Peers: lst[2], Backend: lst[3], Logger: prc.options.Logger,
 	})
@@ -178,7 +180,7 @@
 	prc.agents = append(prc.agents, agt)
 	prc.admins = append(prc.admins, lst[1].Addr().String())
 	std := ups.standin
-	std.Listen, std.Agent, std.StopTimeout = anyPort, lst[3].Addr().String(), stopTimeout
+	std.Listen, std.Agent, std.StopTimeout = anyPort, lst[3].Addr().String(), 0
 	srv, err := standin.New(standin.Options{Settings: std, Logger: prc.options.Logger})
 	if err != nil {
 		return err
@@ -197,14 +199,23 @@
 func (prc *Process) Run(ctx context.Context, ready func()) error {
 	defer prc.clean()
 	var grp run.Group
-	actor.Until(ctx, &grp, func() {})
+	// The agents stop first, so that requests in flight find everything that they need.
+	actor.Loop(&grp, func(end context.Context) error { return prc.runAgents(ctx, end) })
 	actor.Loop(&grp, prc.control.Run)
-	for _, agt := range prc.agents {
-		actor.Loop(&grp, agt.Run)
-	}
 	for _, std := range prc.standins {
 		actor.Loop(&grp, std.Run)
 	}
 	actor.Loop(&grp, func(ctx context.Context) error { return prc.prepare(ctx, ready) })
 	return grp.Run()
 }
+
+// runAgents serves until one of the contexts ends and all agents have stopped.
+func (prc *Process) runAgents(ctx, end context.Context) error {
+	var grp run.Group
+	actor.Until(ctx, &grp, func() {})
+	actor.Until(end, &grp, func() {})
+	for _, agt := range prc.agents {
+		actor.Loop(&grp, agt.Run)
+	}
+	return grp.Run()
+}
--- a/internal/process/dev/upstream.go
+++ b/internal/process/dev/upstream.go
@@ -14,12 +14,8 @@
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
-const (
-	// extraUpstreams is how many upstreams a service gets that the built-in example does not have.
-	extraUpstreams = 2
-	// stopTimeout bounds the stop of each part; all parts stop at once, so no key can move and a drain never ends.
-	stopTimeout = 500 * time.Millisecond
-)
+// extraUpstreams is how many upstreams a service gets that the built-in example does not have.
+const extraUpstreams = 2
 
 // upstream holds the settings of an agent and of the stand-in beside it.
 type upstream struct {
--- a/internal/process/standin/process.go
+++ b/internal/process/standin/process.go
@@ -63,8 +63,11 @@
 	return err
 }
 
-// leave announces that the stand-in is leaving and waits for the agent's permission to stop, which an agent that is gone cannot give.
+// leave announces that the stand-in is leaving and waits for the agent's permission to stop, which an agent that is gone cannot give; a stop timeout of 0 skips it.
 func (prc *Process) leave() {
+	if prc.options.Settings.StopTimeout == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), prc.options.Settings.StopTimeout)
 	defer cancel()
 	go func() {
