Return the answer of a request that runs at most once directly

Cause: the end of such a run cancelled the context by which the owner notices a lost caller, so each POST and PUT was refused with caller_gone and its answer fetched by a withdrawal. Change: the run no longer ends that context. Conclusion: a normal request costs no second round trip.

--- a/internal/agent/owner/run.go
+++ b/internal/agent/owner/run.go
@@ -52,8 +52,9 @@
 // runOnce runs an attempt that must not run twice: it goes on when its caller goes away, so that its answer can be asked for.
 func (own *Owner) runOnce(ctx context.Context, tck *ticket, grt siskinrill.Grant) (*siskinrill.Answer, error) {
 	long, cancel := context.WithDeadline(context.WithoutCancel(ctx), tck.deadline)
-	short := tck.cancel
-	tck.cancel = func() { short(); cancel() }
+	// The end of the run must not end ctx, which here tells that the caller has gone.
+	defer tck.cancel()
+	tck.cancel = cancel
 	out := make(chan result)
 	gone := make(chan struct{})
 	go func() {
