Let a backend server that left and came back serve again

Cause: a leaving backend server made its agent ask for a drain of its own, which lasts until the agent stops; also, the drain of a misspelt upstream reported success. Change: the owner sees the backend server's state as a drain, and control learns of it by the upstream's state alone; drain refuses an upstream that no agent guards.

--- a/cmd/siskinrill/drain.go
+++ b/cmd/siskinrill/drain.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
 
 	adminhttp "github.com/siskinrill/siskinrill/internal/admin/http"
+	"github.com/siskinrill/siskinrill/internal/config/source"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
@@ -43,6 +45,11 @@
 
 func runDrain(cmd *cobra.Command, ups string, flg drainFlags) error {
 	cli := client(cmd)
+	if !flg.undo {
+		if err := known(cmd, cli, ups); err != nil {
+			return err
+		}
+	}
 	ans, err := cli.Drain(cmd.Context(), &controlpb.DrainRequest{Upstream: ups, Undo: flg.undo})
 	if err != nil {
 		return err
@@ -59,6 +66,22 @@
 	return drained(cmd, ups, flg, ans)
 }
 
+// known returns an error if no agent guards the upstream, because the drain of a misspelt name would wait for nothing.
+func known(cmd *cobra.Command, cli *adminhttp.Client, ups string) error {
+	sta, err := cli.Status(cmd.Context())
+	if err != nil {
+		return err
+	}
+	var ids []string
+	for _, row := range sta.GetUpstreams() {
+		ids = append(ids, row.GetNode().GetUpstream().GetId())
+	}
+	if slices.Contains(ids, ups) {
+		return nil
+	}
+	return errors.Errorf("no agent guards an upstream %q%s", ups, source.Nearest(ups, ids))
+}
+
 func drained(cmd *cobra.Command, ups string, flg drainFlags, ans *controlpb.DrainAnswer) error {
 	switch {
 	case asJSON(cmd):
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -56,6 +56,20 @@
 	stopping atomic.Bool
 }
 
+// held names the embedded session, whose own name is that of one of its methods.
+type held = control.Session
+
+// guarded is the session as the owner sees it: a backend server that is leaving drains too. Control learns of that by the upstream's state, which ends when the server is back, unlike the agent's own wish to drain.
+type guarded struct {
+	*held
+	backend *backend.Client
+}
+
+// Draining reports whether the upstream drains, by the agent's, an operator's or the backend server's wish.
+func (gua guarded) Draining() bool {
+	return gua.held.Draining() || gua.backend.State() == controlpb.UpstreamState_UPSTREAM_STATE_DRAINING
+}
+
 // New opens the listeners.
 func New(opt Options) (*Process, error) {
 	if err := opt.listen(); err != nil {
@@ -65,10 +79,11 @@
 	prc.session = control.New(control.Options{Node: node(opt), Control: opt.Settings.Control, Logger: opt.Logger})
 	prc.pool = peer.NewPool(peer.Options{Logger: opt.Logger, Counters: prc.counters})
 	prc.backend = backend.New(backend.Options{
-		OnUpstream: prc.session.SetUpstream, OnDrain: prc.session.Drain, Draining: prc.session.Draining,
+		OnUpstream: prc.session.SetUpstream, Draining: prc.session.Draining,
 		MayStop: func() bool { return prc.owner.Idle() },
 	}, prc.counters)
-	prc.owner = owner.New(owner.Options{Slots: prc.backend.Slots}, prc.session, prc.pool, prc.backend, prc.counters)
+	ses := guarded{held: prc.session, backend: prc.backend}
+	prc.owner = owner.New(owner.Options{Slots: prc.backend.Slots}, ses, prc.pool, prc.backend, prc.counters)
 	prc.session.SetLoadSource(prc.owner)
 	prc.server = grpc.NewServer(peer.ServerOptions()...)
 	peer.NewServer(prc.owner, prc.session).Register(prc.server)
