load: add the command and the comparison with direct requests

Cause: the load generator had no command; requests sent directly to a stand-in were refused for want of a grant, and the refusals counted as fast answers. Change: siskinrill load; direct requests carry a grant, go to stand-ins of the same service and count only with status 200; a ledger that lost rows is an error.

--- /dev/null
+++ b/cmd/siskinrill/load.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/siskinrill/siskinrill/internal/bench/load"
+	"github.com/siskinrill/siskinrill/internal/config/settings"
+)
+
+func init() { register("", newLoad) }
+
+// loadFlags are the flags of load that are not options of a run.
+type loadFlags struct {
+	settings string
+	output   string
+	latency  string
+	outages  string
+}
+
+func newLoad() *cobra.Command {
+	var opt load.Options
+	var flg loadFlags
+	cmd := &cobra.Command{
+		Use:   "load",
+		Short: "Send requests at a fixed rate and check what ran against the stand-ins' ledgers",
+		Long: `Sends requests at a fixed rate whatever the answers do (open loop), measures
+latency from the intended send time, and compares what callers were told with
+the ledgers of the stand-ins. Exit status 1 when a promise is broken.`,
+		Example: `  siskinrill load --settings examples/rangsudhar/settings --mix rangsudhar --rate 1000 --duration 30s
+  siskinrill load --target http://127.0.0.1:8480 --mix rangsudhar --rate 200
+  siskinrill load --settings examples/bassma/settings --mix bassma --shift 20s --json --plot-latency latency.svg`,
+		Args: cobra.NoArgs,
+		RunE: action(func(cmd *cobra.Command, _ []string) error { return runLoad(cmd, opt, flg) }),
+	}
+	set := cmd.Flags()
+	set.StringSliceVar(&opt.Targets, "target", nil, "base URL of an entry agent, repeatable")
+	set.StringSliceVar(&opt.Standins, "standin", nil, "base URL of a stand-in whose ledger is checked, repeatable")
+	set.StringSliceVar(&opt.Direct, "direct-target", nil, "base URL of a stand-in that is asked directly, repeatable")
+	set.StringSliceVar(&opt.LedgerFiles, "ledger-file", nil, "ledger file of a stand-in that may have been killed, repeatable")
+	set.StringVar(&flg.settings, "settings", "", "directory of process settings from which targets and stand-ins are taken")
+	set.StringVar(&opt.Mix, "mix", "rangsudhar", "workload: rangsudhar or bassma")
+	set.StringVar(&opt.Only, "only", "", "only requests of this kind: idempotent, non_idempotent or upload")
+	set.Float64Var(&opt.Rate, "rate", load.DefaultRate, "requests a second")
+	set.DurationVar(&opt.Duration, "duration", load.DefaultDuration, "time of sending")
+	set.DurationVar(&opt.Timeout, "timeout", load.DefaultTimeout, "deadline of a request")
+	set.DurationVar(&opt.ClientDelay, "client-delay", 0, "one-way distance between callers and entry, 8ms for rangsudhar, 3ms for bassma")
+	set.IntVar(&opt.Keys, "keys", load.DefaultKeys, "keys of each service")
+	set.Float64Var(&opt.Zipf, "zipf", load.DefaultZipf, "exponent of the popularity of keys, over 1")
+	set.DurationVar(&opt.ShiftEvery, "shift", 0, "the hottest keys change this often, 0: never")
+	set.IntVar(&opt.HotKeys, "hot-keys", load.DefaultHotKeys, "how many of the hottest keys change")
+	set.IntVar(&opt.UploadBytes, "upload-bytes", load.DefaultUploadBytes, "length of an upload")
+	set.IntVar(&opt.AnswerBytes, "answer-bytes", load.DefaultAnswerBytes, "padding of an answer")
+	set.BoolVar(&opt.ResendUnknown, "resend", false, "resend a non-idempotent request of unknown outcome once with its Idempotency-Key")
+	set.Float64Var(&opt.DirectShare, "direct", 0, "share of idempotent requests sent to a stand-in directly, for comparison")
+	set.Uint64Var(&opt.Seed, "seed", 1, "seed of the workload")
+	set.StringVar(&flg.output, "output", "", "file for the JSON report")
+	set.StringVar(&flg.latency, "plot-latency", "", "file for a plot of latency, .svg or .png")
+	set.StringVar(&flg.outages, "plot-unavailable", "", "file for a plot of unavailable time, .svg or .png")
+	return cmd
+}
+
+func runLoad(cmd *cobra.Command, opt load.Options, flg loadFlags) error {
+	if flg.settings != "" {
+		if err := addProcesses(&opt, flg.settings); err != nil {
+			return err
+		}
+	}
+	rep, err := load.Run(cmd.Context(), opt)
+	if err != nil {
+		return err
+	}
+	if err := writeReport(cmd, rep, flg); err != nil {
+		return err
+	}
+	if !rep.PromiseKept {
+		return errors.Errorf("%d promises were broken, the first by request %s", len(rep.Violations), rep.Violations[0].Request)
+	}
+	return nil
+}
+
+func writeReport(cmd *cobra.Command, rep *load.Report, flg loadFlags) error {
+	write := rep.WriteTable
+	if asJSON(cmd) {
+		write = rep.WriteJSON
+	}
+	if err := write(cmd.OutOrStdout()); err != nil {
+		return err
+	}
+	for nam, wrt := range map[string]func(string) error{
+		flg.output:  func(nam string) error { return toFile(nam, rep.WriteJSON) },
+		flg.latency: rep.PlotLatency,
+		flg.outages: rep.PlotUnavailable,
+	} {
+		if nam == "" {
+			continue
+		}
+		if err := wrt(nam); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func toFile(nam string, wrt func(io.Writer) error) error {
+	fil, err := os.Create(nam)
+	if err != nil {
+		return errors.Wrap(err, "create report")
+	}
+	if err := wrt(fil); err != nil {
+		_ = fil.Close()
+		return err
+	}
+	return fil.Close()
+}
+
+// addProcesses adds the agents and stand-ins of a settings directory, whose files are named ROLE-NAME.toml.
+func addProcesses(opt *load.Options, dir string) error {
+	agents, err := filepath.Glob(filepath.Join(dir, "agent-*.toml"))
+	if err != nil {
+		return errors.Wrap(err, "list settings")
+	}
+	for _, fil := range agents {
+		set, err := settings.LoadAgent(fil)
+		if err != nil {
+			return err
+		}
+		opt.Targets = append(opt.Targets, "http://"+set.CallerListen)
+	}
+	standins, err := filepath.Glob(filepath.Join(dir, "standin-*.toml"))
+	if err != nil {
+		return errors.Wrap(err, "list settings")
+	}
+	for _, fil := range standins {
+		set, err := settings.LoadStandin(fil)
+		if err != nil {
+			return err
+		}
+		opt.Standins = append(opt.Standins, "http://"+set.Listen)
+		if set.Service == load.DirectService(opt.Mix) {
+			opt.Direct = append(opt.Direct, "http://"+set.Listen)
+		}
+	}
+	return nil
+}
--- a/internal/bench/load/call.go
+++ b/internal/bench/load/call.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -103,9 +104,20 @@
 	if pln.shape.kind == kindNonIdempotent {
 		req.Header.Set(siskinrill.HeaderIdempotencyKey, pln.id)
 	}
+	if pln.direct {
+		setGrant(req, pln.key)
+	}
 	return snd.client.Do(req)
 }
 
+// setGrant adds what an agent adds, since a stand-in may refuse requests without a grant.
+func setGrant(req *http.Request, key string) {
+	req.Header.Set(siskinrill.HeaderKey, key)
+	req.Header.Set(siskinrill.HeaderFencePartition, "direct/0")
+	req.Header.Set(siskinrill.HeaderFenceToken, "1")
+	req.Header.Set(siskinrill.HeaderFenceExpires, strconv.FormatInt(time.Now().Add(time.Hour).UnixMilli(), 10))
+}
+
 func (snd *sender) read(cal *call, rsp *http.Response) {
 	defer rsp.Body.Close()
 	cal.status = rsp.StatusCode
@@ -118,7 +130,7 @@
 		return
 	}
 	if cal.plan.direct {
-		cal.outcome = outcomeComplete
+		cal.outcome = directOutcome(rsp.StatusCode)
 	}
 	switch cal.outcome {
 	case outcomeComplete:
@@ -131,6 +143,13 @@
 	}
 }
 
+func directOutcome(sts int) string {
+	if sts == http.StatusOK {
+		return outcomeComplete
+	}
+	return outcomeNotRun
+}
+
 // check finds answers of another request and answers that are cut but look complete.
 func (snd *sender) check(cal *call, bdy []byte) {
 	if cal.status != http.StatusOK {
--- a/internal/bench/load/ledger.go
+++ b/internal/bench/load/ledger.go
@@ -36,6 +36,7 @@
 	urls   []string
 	files  []string
 	after  map[string]uint64
+	first  bool // the rows read are those of earlier runs, which may have been dropped
 }
 
 func newLedgers(urls, files []string) *ledgers {
@@ -49,11 +50,13 @@
 
 // skipEarlier notes the newest row of each ledger, so that rows of earlier runs are not read again.
 func (led *ledgers) skipEarlier(ctx context.Context) error {
+	led.first = true
 	for _, url := range led.urls {
 		if _, err := led.readAll(ctx, url); err != nil {
 			return err
 		}
 	}
+	led.first = false
 	return nil
 }
 
@@ -89,6 +92,9 @@
 		for idx := range rows {
 			rows[idx].source = url
 		}
+		if fst := rows[0].Sequence; fst != led.after[url]+1 && !led.first {
+			return nil, errors.Errorf("ledger of %s lost the rows %d to %d", url, led.after[url]+1, fst-1)
+		}
 		all = append(all, rows...)
 		led.after[url] = rows[len(rows)-1].Sequence
 	}
--- a/internal/bench/load/mix.go
+++ b/internal/bench/load/mix.go
@@ -41,6 +41,16 @@
 	},
 }
 
+// DirectService returns the service whose stand-ins can be asked directly for comparison, empty for an unknown mix.
+func DirectService(mix string) string {
+	for _, shp := range mixes[mix] {
+		if shp.kind == kindIdempotent {
+			return shp.service
+		}
+	}
+	return ""
+}
+
 func mixNames() []string {
 	nam := make([]string, 0, len(mixes))
 	for key := range mixes {
--- a/internal/bench/load/options.go
+++ b/internal/bench/load/options.go
@@ -23,6 +23,7 @@
 type Options struct {
 	Targets        []string      // base URLs of entry agents, used in turn
 	Standins       []string      // base URLs of the stand-ins, for their ledgers
+	Direct         []string      // base URLs of stand-ins that serve idempotent requests, for DirectShare
 	LedgerFiles    []string      // ledger files of stand-ins that may have been killed
 	Mix            string        // rangsudhar or bassma
 	Rate           float64       // requests a second
@@ -96,8 +97,8 @@
 		return &OptionError{"keys", fmt.Sprintf("must be at least %d, the number of hot keys", opt.HotKeys)}
 	case opt.DirectShare < 0 || opt.DirectShare > 1:
 		return &OptionError{"direct_share", "must be from 0 to 1"}
-	case opt.DirectShare > 0 && len(opt.Standins) == 0:
-		return &OptionError{"direct_share", "needs the addresses of the stand-ins"}
+	case opt.DirectShare > 0 && len(opt.Direct) == 0:
+		return &OptionError{"direct_share", "needs the addresses of stand-ins that serve idempotent requests"}
 	case mixes[opt.Mix] == nil:
 		return &OptionError{"mix", "must be one of " + strings.Join(mixNames(), ", ")}
 	}
--- a/internal/bench/load/run.go
+++ b/internal/bench/load/run.go
@@ -77,7 +77,7 @@
 
 func (run *runner) base(num int, pln *plan) string {
 	if pln.direct {
-		return run.opt.Standins[num%len(run.opt.Standins)]
+		return run.opt.Direct[num%len(run.opt.Direct)]
 	}
 	return run.opt.Targets[num%len(run.opt.Targets)]
 }
