--- /dev/null
+++ b/internal/bench/deployment/failure_test.go
@@ -0,0 +1,395 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinrill/siskinrill/internal/bench/load"
+)
+
+// Bounds of the project's target.
+const (
+	// servedAgain is the longest time until a key is served again after a loss.
+	servedAgain = 2 * time.Second
+	// stopWait bounds the planned stop of a process.
+	stopWait = 15 * time.Second
+	// returnWait bounds the return to a complete deployment between scenarios.
+	returnWait = 20 * time.Second
+)
+
+// suite is one running deployment that the scenarios share.
+type suite struct {
+	*deployment
+	mix  string
+	dirs []string // configurations of the racing operators
+}
+
+// scenario runs with all processes ready, and must leave them so.
+type scenario func(t *testing.T, sut *suite)
+
+// Guards the promises against losses, freezes and stops of separate processes.
+func TestFailures(t *testing.T) {
+	bin := build(t)
+	sut := start(t, "rangsudhar", bin)
+	scenarios := map[string]scenario{
+		"host killed":                      hostKilled,
+		"backend server killed":            backendKilled,
+		"backend server frozen":            backendFrozen,
+		"agent frozen":                     agentFrozen,
+		"control leader killed":            leaderKilled,
+		"control leader frozen":            leaderFrozen,
+		"control hosts lost and replaced":  controlReplaced,
+		"all control hosts lost":           controlLost,
+		"operators race":                   operatorsRace,
+		"planned stops":                    plannedStops,
+		"drain by an operator":             operatorDrain,
+		"injected faults reach the report": injectedFaults,
+	}
+	names := make([]string, 0, len(scenarios))
+	for name := range scenarios {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		t.Run(name, func(t *testing.T) {
+			must.NoError(t, sut.Ready(t.Context(), returnWait, true))
+			scenarios[name](t, sut)
+		})
+	}
+}
+
+func build(t *testing.T) string {
+	root, err := filepath.Abs("../../..")
+	must.NoError(t, err)
+	bin := filepath.Join(t.TempDir(), "siskinrill")
+	out, err := exec.Command("go", "build", "-C", root, "-o", bin, "./cmd/siskinrill").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(out)))
+	return bin
+}
+
+func start(t *testing.T, example, bin string) *suite {
+	root, err := filepath.Abs("../../..")
+	must.NoError(t, err)
+	dep, err := newDeployment(root, example, t.TempDir(), bin)
+	must.NoError(t, err)
+	t.Cleanup(func() {
+		dep.Stop()
+		if t.Failed() {
+			keep(t, dep)
+		}
+	})
+	must.NoError(t, dep.Start(t.Context()))
+	return &suite{deployment: dep, mix: example}
+}
+
+// keep prints the ends of the logs of a failed run.
+func keep(t *testing.T, dep *deployment) {
+	for _, nam := range append(dep.Names("control", ""), dep.Names("agent", "")...) {
+		t.Logf("--- %s\n%s", nam, dep.Log(nam, 8))
+	}
+}
+
+// under runs load for a time while fn acts on the deployment, and checks the promises.
+func (sut *suite) under(t *testing.T, opt load.Options, fn func()) *load.Report {
+	opt.Mix, opt.LedgerFiles = sut.mix, sut.Ledgers()
+	if opt.Rate == 0 {
+		opt.Rate = 250
+	}
+	if len(opt.Targets) == 0 {
+		opt.Targets = sut.Targets()
+	}
+	opt.Keys, opt.UploadBytes, opt.Seed = 2000, 20_000, 1
+	var grp sync.WaitGroup
+	grp.Go(fn)
+	rep, err := load.Run(t.Context(), opt)
+	grp.Wait()
+	must.NoError(t, err)
+	var txt strings.Builder
+	must.NoError(t, rep.WriteTable(&txt))
+	t.Log("\n" + txt.String())
+	must.SliceEmpty(t, rep.Violations)
+	must.Greater(t, 100, rep.LedgerRows)
+	return rep
+}
+
+// allComplete fails unless every caller got the whole answer of a backend server.
+func allComplete(t *testing.T, rep *load.Report) {
+	for kind, out := range rep.Outcomes {
+		for name, cnt := range out {
+			must.Eq(t, "complete", name, must.Sprintf("%d %s requests, reasons %v", cnt, kind, rep.Reasons))
+		}
+	}
+	must.MapLen(t, 1, rep.Statuses, must.Sprintf("statuses %v", rep.Statuses))
+}
+
+func servedWithin(t *testing.T, rep *load.Report, lim time.Duration) {
+	must.LessEq(t, lim.Milliseconds(), rep.Unavailable.WorstMs, must.Sprint("worst unavailable time in ms"))
+}
+
+// relaunch starts processes again and waits for the whole deployment.
+func (sut *suite) relaunch(t *testing.T, names ...string) {
+	for _, nam := range names {
+		must.NoError(t, sut.Launch(nam))
+	}
+	must.NoError(t, sut.Ready(t.Context(), returnWait, true))
+}
+
+// Guards against keys without an owner for over 2 s after a host is lost.
+func hostKilled(t *testing.T, sut *suite) {
+	rep := sut.under(t, load.Options{Duration: 6 * time.Second, Targets: sut.Targets("agent-shadefinder-2")}, func() {
+		time.Sleep(2 * time.Second)
+		sut.Kill("agent-shadefinder-2", "standin-shadefinder-2")
+	})
+	sut.relaunch(t, "agent-shadefinder-2", "standin-shadefinder-2")
+	servedWithin(t, rep, servedAgain)
+}
+
+// Guards against keys left with an agent whose backend server is gone.
+func backendKilled(t *testing.T, sut *suite) {
+	rep := sut.under(t, load.Options{Duration: 6 * time.Second}, func() {
+		time.Sleep(2 * time.Second)
+		sut.Kill("standin-shadefinder-3")
+	})
+	sut.relaunch(t, "standin-shadefinder-3")
+	servedWithin(t, rep, servedAgain)
+}
+
+// Guards against a frozen backend server that keeps its keys, and against its late answers.
+func backendFrozen(t *testing.T, sut *suite) {
+	rep := sut.under(t, load.Options{Duration: 9 * time.Second}, func() {
+		time.Sleep(2 * time.Second)
+		sut.Freeze("standin-shadefinder-1")
+		time.Sleep(4 * time.Second)
+		sut.Thaw("standin-shadefinder-1")
+	})
+	servedWithin(t, rep, servedAgain)
+}
+
+// Guards against an agent that returns from a freeze and serves keys that have a new owner.
+func agentFrozen(t *testing.T, sut *suite) {
+	rep := sut.under(t, load.Options{Duration: 15 * time.Second, Targets: sut.Targets("agent-shadefinder-4")}, func() {
+		time.Sleep(2 * time.Second)
+		sut.Freeze("agent-shadefinder-4")
+		time.Sleep(10 * time.Second)
+		sut.Thaw("agent-shadefinder-4")
+	})
+	servedWithin(t, rep, servedAgain)
+}
+
+func (sut *suite) leader(t *testing.T) string {
+	for _, nam := range sut.Names("control", "") {
+		if sut.processes[nam].cmd == nil {
+			continue
+		}
+		var sts struct {
+			Members []struct {
+				Leader bool `json:"leader"`
+				Member struct {
+					Name string `json:"name"`
+				} `json:"member"`
+			} `json:"members"`
+		}
+		must.NoError(t, sut.JSON(t.Context(), &sts, "status", "--admin", sut.Admin(nam)))
+		for _, mem := range sts.Members {
+			if mem.Leader {
+				return mem.Member.Name
+			}
+		}
+	}
+	t.Fatal("no leader")
+	return ""
+}
+
+// Guards against requests that fail because the control leader is lost.
+func leaderKilled(t *testing.T, sut *suite) {
+	nam := sut.leader(t)
+	rep := sut.under(t, load.Options{Duration: 6 * time.Second}, func() {
+		time.Sleep(2 * time.Second)
+		sut.Kill(nam)
+	})
+	sut.relaunch(t, nam)
+	allComplete(t, rep)
+}
+
+// Guards against a frozen leader that disturbs the others or answers renewals after its return.
+func leaderFrozen(t *testing.T, sut *suite) {
+	nam := sut.leader(t)
+	rep := sut.under(t, load.Options{Duration: 9 * time.Second}, func() {
+		time.Sleep(2 * time.Second)
+		sut.Freeze(nam)
+		time.Sleep(4 * time.Second)
+		sut.Thaw(nam)
+	})
+	allComplete(t, rep)
+	must.NotEq(t, nam, sut.leader(t))
+}
+
+// configuration returns the number in force as a process tells it.
+func (sut *suite) configuration(t *testing.T, nam string) string {
+	var shw struct {
+		Configuration struct {
+			Number string `json:"number"`
+		} `json:"configuration"`
+	}
+	must.NoError(t, sut.JSON(t.Context(), &shw, "config", "show", "--admin", sut.Admin(nam)))
+	return shw.Configuration.Number
+}
+
+// variant writes the example's configuration with one changed deadline into a directory of its own.
+func (sut *suite) variant(t *testing.T, ms int) string {
+	dir := t.TempDir()
+	files, err := filepath.Glob(filepath.Join(sut.root, "examples", sut.example, "config", "*.toml"))
+	must.NoError(t, err)
+	for _, fil := range files {
+		raw, err := os.ReadFile(fil)
+		must.NoError(t, err)
+		must.NoError(t, os.WriteFile(filepath.Join(dir, filepath.Base(fil)), raw, 0o600))
+	}
+	ext := fmt.Sprintf("[route.extra]\nmethod = \"GET\"\npath = \"/extra/{key}\"\nservice = \"shadefinder\"\nkind = \"idempotent\"\ntimeout = \"%dms\"\n", ms)
+	must.NoError(t, os.WriteFile(filepath.Join(dir, "90-extra.toml"), []byte(ext), 0o600))
+	return dir
+}
+
+// Guards against acknowledged changes that are lost with two of five control hosts, and one more right after a repair.
+func controlReplaced(t *testing.T, sut *suite) {
+	names := sut.Names("control", "")
+	ldr := sut.leader(t)
+	var others []string
+	for _, nam := range names {
+		if nam != ldr {
+			others = append(others, nam)
+		}
+	}
+	_, err := sut.Run(t.Context(), "config", "apply", sut.variant(t, 701), "--wait", "--admin", sut.Admin(ldr))
+	must.NoError(t, err)
+	num := sut.configuration(t, ldr)
+	live := others[3]
+	rep := sut.under(t, load.Options{Duration: 12 * time.Second}, func() {
+		sut.Kill(ldr, others[0])
+		must.NoError(t, sut.WipeData(others[0]))
+		must.NoError(t, sut.Launch(others[0]))
+		out, err := sut.Run(t.Context(), "members", "replace", others[0], sut.processes[others[0]].listen, "--admin", sut.Admin(live))
+		must.NoError(t, err, must.Sprint(out))
+		sut.Kill(others[1])
+	})
+	must.Eq(t, num, sut.configuration(t, live))
+	_, err = sut.Run(t.Context(), "config", "apply", sut.variant(t, 702), "--wait", "--admin", sut.Admin(live))
+	must.NoError(t, err)
+	sut.relaunch(t, ldr, others[1])
+	allComplete(t, rep)
+}
+
+// Guards against a service that does not return by itself, or that breaks a promise, when all control hosts are lost for a while.
+func controlLost(t *testing.T, sut *suite) {
+	names := sut.Names("control", "")
+	rep := sut.under(t, load.Options{Duration: 14 * time.Second, Timeout: time.Second}, func() {
+		time.Sleep(2 * time.Second)
+		sut.Kill(names...)
+		time.Sleep(4 * time.Second)
+		for _, nam := range names {
+			must.NoError(t, sut.Launch(nam))
+		}
+	})
+	must.NoError(t, sut.Ready(t.Context(), returnWait, true))
+	must.Greater(t, 0, rep.Seconds[5].Unserved, must.Sprint("requests served without any control host"))
+	must.Eq(t, 0, rep.Seconds[len(rep.Seconds)-2].Unserved, must.Sprint("requests not served after the return"))
+}
+
+// Guards against two accepted changes with one number, and against resends that get another answer.
+func operatorsRace(t *testing.T, sut *suite) {
+	const operators = 20
+	var cur int
+	_, err := fmt.Sscan(sut.configuration(t, "control-1"), &cur)
+	must.NoError(t, err)
+	apply := func(num int) (string, bool) {
+		adm := sut.Admin(fmt.Sprintf("control-%d", num%5+1))
+		out, err := sut.Run(t.Context(), "config", "apply", sut.dirs[num], "--admin", adm,
+			"--number", fmt.Sprint(cur+1), "--change-id", fmt.Sprintf("race-%d-%d", cur, num))
+		return out, err == nil
+	}
+	sut.dirs = nil
+	for num := range operators {
+		sut.dirs = append(sut.dirs, sut.variant(t, 1000+num))
+	}
+	round := func() []bool {
+		acc := make([]bool, operators)
+		var grp sync.WaitGroup
+		for num := range operators {
+			grp.Go(func() { _, acc[num] = apply(num) })
+		}
+		grp.Wait()
+		return acc
+	}
+	first := round()
+	cnt := 0
+	for _, acc := range first {
+		if acc {
+			cnt++
+		}
+	}
+	must.Eq(t, 1, cnt, must.Sprint("accepted changes"))
+	must.Eq(t, first, round(), must.Sprint("resends"))
+	ldr := sut.leader(t)
+	sut.Kill(ldr)
+	must.Eq(t, first, round(), must.Sprint("resends to a new leader"))
+	sut.Kill(sut.running("control")...)
+	sut.relaunch(t, sut.Names("control", "")...)
+	must.Eq(t, first, round(), must.Sprint("resends after a restart"))
+	must.Eq(t, fmt.Sprint(cur+1), sut.configuration(t, "control-2"))
+}
+
+// Guards against requests that a planned stop cuts off or fails.
+func plannedStops(t *testing.T, sut *suite) {
+	for _, svc := range []string{"shadefinder", "checkout", "photodesk"} {
+		names := sut.Names("agent", svc)
+		var rep *load.Report
+		ctx, cancel := context.WithCancel(t.Context())
+		rep = sut.under(t, load.Options{Duration: time.Duration(len(names)) * 4 * time.Second, Targets: sut.Targets(names...)}, func() {
+			defer cancel()
+			for _, nam := range names {
+				std := strings.Replace(nam, "agent", "standin", 1)
+				must.NoError(t, sut.Terminate(std, stopWait))
+				must.NoError(t, sut.Terminate(nam, stopWait))
+				must.NoError(t, sut.Launch(nam))
+				must.NoError(t, sut.Launch(std))
+				must.NoError(t, sut.Ready(ctx, returnWait, true))
+			}
+		})
+		allComplete(t, rep)
+	}
+}
+
+// Guards against a drained upstream that still gets work or loses requests.
+func operatorDrain(t *testing.T, sut *suite) {
+	rep := sut.under(t, load.Options{Duration: 6 * time.Second}, func() {
+		time.Sleep(time.Second)
+		_, err := sut.Run(t.Context(), "drain", "checkout-2", "--admin", sut.Admin("agent-checkout-1"))
+		must.NoError(t, err)
+	})
+	_, err := sut.Run(t.Context(), "drain", "checkout-2", "--undo", "--admin", sut.Admin("agent-checkout-1"))
+	must.NoError(t, err)
+	allComplete(t, rep)
+}
+
+// Guards against a judge that misses a doubled run or a cut answer of a real stand-in.
+func injectedFaults(t *testing.T, sut *suite) {
+	for name, body := range map[string]string{
+		"runs_at_most_once": `{"duplicate_runs":1}`,
+	} {
+		inject(t, sut.URL("standin-checkout-1"), body)
+		out, err := sut.Run(t.Context(), "load", "--mix", sut.mix, "--only", "non_idempotent", "--rate", "100", "--duration", "1s",
+			"--target", sut.URL("agent-checkout-2"), "--ledger-file", strings.Join(sut.Ledgers(), ","))
+		must.Error(t, err)
+		must.StrContains(t, out, name)
+	}
+}
--- /dev/null
+++ b/internal/bench/deployment/harness_test.go
@@ -0,0 +1,271 @@
+package deployment
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Ports of the examples are moved by this much, so that a running example is not disturbed.
+const portShift = -2000
+
+// readyTime bounds the start of all processes, by the project's own target for an example.
+const readyTime = 10 * time.Second
+
+// deployment is one example, every process separate, with its files under one directory.
+type deployment struct {
+	dir       string
+	root      string
+	example   string
+	binary    string
+	processes map[string]*process
+}
+
+type process struct {
+	name     string
+	role     string
+	settings string
+	admin    string
+	listen   string // of callers or of the stand-in
+	cmd      *exec.Cmd
+	done     chan struct{}
+	err      error
+}
+
+// newDeployment copies the settings of an example into dir, with other ports; root is the repository, binary a built siskinrill.
+func newDeployment(root, example, dir, binary string) (*deployment, error) {
+	dep := &deployment{dir: dir, root: root, example: example, binary: binary, processes: map[string]*process{}}
+	files, err := filepath.Glob(filepath.Join(root, "examples", example, "settings", "*.toml"))
+	if err != nil || len(files) == 0 {
+		return nil, errors.Errorf("no settings for example %s", example)
+	}
+	for _, fil := range files {
+		if err := dep.add(fil); err != nil {
+			return nil, err
+		}
+	}
+	return dep, nil
+}
+
+var (
+	addressRegexp = regexp.MustCompile(`127\.0\.0\.1:(\d+)`)
+	adminRegexp   = regexp.MustCompile(`(?s)\[admin\].*?listen = "([^"]+)"`)
+	listenRegexp  = regexp.MustCompile(`(?:caller_listen|listen) = "([^"]+)"`)
+)
+
+func (dep *deployment) add(fil string) error {
+	raw, err := os.ReadFile(fil)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	txt := addressRegexp.ReplaceAllStringFunc(string(raw), func(adr string) string {
+		prt, _ := strconv.Atoi(strings.TrimPrefix(adr, "127.0.0.1:"))
+		return "127.0.0.1:" + strconv.Itoa(prt+portShift)
+	})
+	nam := strings.TrimSuffix(filepath.Base(fil), ".toml")
+	prc := &process{name: nam, role: strings.SplitN(nam, "-", 2)[0], settings: filepath.Join(dep.dir, nam+".toml")}
+	if prc.role == "standin" {
+		txt = strings.Replace(txt, "[standin]", "[standin]\nledger_file = \""+dep.ledger(nam)+"\"", 1)
+	}
+	if fnd := adminRegexp.FindStringSubmatch(txt); fnd != nil {
+		prc.admin = fnd[1]
+	}
+	prc.listen = listenRegexp.FindStringSubmatch(txt)[1]
+	dep.processes[nam] = prc
+	return os.WriteFile(prc.settings, []byte(txt), 0o600)
+}
+
+func (dep *deployment) ledger(nam string) string { return filepath.Join(dep.dir, nam+".ledger") }
+
+// Names returns the processes of a role (control, agent or standin) whose names hold a text, sorted.
+func (dep *deployment) Names(role, part string) []string {
+	var out []string
+	for nam, prc := range dep.processes {
+		if prc.role == role && strings.Contains(nam, part) {
+			out = append(out, nam)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Targets returns the base URLs of all entry agents but those of the processes named.
+func (dep *deployment) Targets(without ...string) []string {
+	var out []string
+	for _, nam := range dep.Names("agent", "") {
+		if !strings.Contains(" "+strings.Join(without, " ")+" ", " "+nam+" ") {
+			out = append(out, "http://"+dep.processes[nam].listen)
+		}
+	}
+	return out
+}
+
+// Ledgers returns the ledger files of all stand-ins.
+func (dep *deployment) Ledgers() []string {
+	var out []string
+	for _, nam := range dep.Names("standin", "") {
+		out = append(out, dep.ledger(nam))
+	}
+	return out
+}
+
+// URL returns the base URL of an agent's entry or of a stand-in.
+func (dep *deployment) URL(nam string) string { return "http://" + dep.processes[nam].listen }
+
+// Admin returns the admin address of a process.
+func (dep *deployment) Admin(nam string) string { return dep.processes[nam].admin }
+
+// Pid returns the process id of a running process.
+func (dep *deployment) Pid(nam string) int { return dep.processes[nam].cmd.Process.Pid }
+
+// Start starts every process, applies the configuration and waits until all keys have owners.
+func (dep *deployment) Start(ctx context.Context) error {
+	for nam := range dep.processes {
+		if err := dep.Launch(nam); err != nil {
+			return err
+		}
+	}
+	if err := dep.Ready(ctx, readyTime, false); err != nil {
+		return err
+	}
+	ctl := dep.Admin(dep.Names("control", "")[0])
+	if _, err := dep.Run(ctx, "config", "apply", filepath.Join(dep.root, "examples", dep.example, "config"), "--wait", "--admin", ctl); err != nil {
+		return err
+	}
+	return dep.Ready(ctx, readyTime, true)
+}
+
+// Ready waits until every running process with an admin address is ready and, if asked, every partition has an owner.
+func (dep *deployment) Ready(ctx context.Context, wait time.Duration, owners bool) error {
+	args := []string{"ready", "--timeout", wait.String()}
+	for _, prc := range dep.processes {
+		if prc.admin != "" && prc.cmd != nil {
+			args = append(args, prc.admin)
+		}
+	}
+	if owners {
+		args = append(args, "--owners")
+	}
+	_, err := dep.Run(ctx, args...)
+	return err
+}
+
+// Run runs a command of the binary and returns what it printed.
+func (dep *deployment) Run(ctx context.Context, args ...string) (string, error) {
+	cmd := exec.CommandContext(ctx, dep.binary, args...)
+	cmd.Dir = dep.dir
+	var out, ero bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &ero
+	if err := cmd.Run(); err != nil {
+		return out.String() + ero.String(), errors.Wrapf(err, "siskinrill %s: %s", strings.Join(args, " "), ero.String())
+	}
+	return out.String(), nil
+}
+
+// JSON runs a command with --json and decodes what it printed.
+func (dep *deployment) JSON(ctx context.Context, dst any, args ...string) error {
+	out, err := dep.Run(ctx, append(args, "--json")...)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal([]byte(out), dst); err != nil {
+		return errors.Wrapf(err, "output of %s", strings.Join(args, " "))
+	}
+	return nil
+}
+
+// Launch starts a process that is not running; its log is appended to NAME.log.
+func (dep *deployment) Launch(nam string) error {
+	prc := dep.processes[nam]
+	out, err := os.OpenFile(filepath.Join(dep.dir, nam+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	defer out.Close()
+	cmd := exec.Command(dep.binary, prc.role, "--settings", prc.settings)
+	cmd.Dir, cmd.Stdout, cmd.Stderr = dep.dir, out, out
+	if err := cmd.Start(); err != nil {
+		return errors.Wrapf(err, "start %s", nam)
+	}
+	prc.cmd, prc.done = cmd, make(chan struct{})
+	go func() {
+		prc.err = cmd.Wait()
+		close(prc.done)
+	}()
+	return nil
+}
+
+// Kill ends processes at once, as a loss of their host does.
+func (dep *deployment) Kill(names ...string) {
+	for _, nam := range names {
+		dep.signal(nam, syscall.SIGKILL)
+	}
+	for _, nam := range names {
+		<-dep.processes[nam].done
+		dep.processes[nam].cmd = nil
+	}
+}
+
+// Freeze stops a process without ending it; Thaw lets it go on.
+func (dep *deployment) Freeze(nam string) { dep.signal(nam, syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (dep *deployment) Thaw(nam string) { dep.signal(nam, syscall.SIGCONT) }
+
+func (dep *deployment) signal(nam string, sig syscall.Signal) {
+	if prc := dep.processes[nam]; prc != nil && prc.cmd != nil {
+		_ = prc.cmd.Process.Signal(sig)
+	}
+}
+
+// Terminate asks a process to end and waits for it; the error tells an exit status other than 0.
+func (dep *deployment) Terminate(nam string, wait time.Duration) error {
+	prc := dep.processes[nam]
+	dep.signal(nam, syscall.SIGTERM)
+	select {
+	case <-prc.done:
+		prc.cmd = nil
+		return prc.err
+	case <-time.After(wait):
+		return errors.Errorf("%s still runs %s after SIGTERM", nam, wait)
+	}
+}
+
+// Stop kills whatever still runs.
+func (dep *deployment) Stop() {
+	var left []string
+	for nam, prc := range dep.processes {
+		if prc.cmd != nil {
+			dep.signal(nam, syscall.SIGCONT)
+			left = append(left, nam)
+		}
+	}
+	dep.Kill(left...)
+}
+
+// WipeData removes the data directory of a control process that is not running, as the loss of its disk does.
+func (dep *deployment) WipeData(nam string) error {
+	if dep.processes[nam].cmd != nil {
+		return fmt.Errorf("%s still runs", nam)
+	}
+	return os.RemoveAll(filepath.Join(dep.dir, "data", nam))
+}
+
+// Log returns the last lines of a process's log.
+func (dep *deployment) Log(nam string, lines int) string {
+	raw, _ := os.ReadFile(filepath.Join(dep.dir, nam+".log"))
+	all := strings.Split(strings.TrimSpace(string(raw)), "\n")
+	return strings.Join(all[max(0, len(all)-lines):], "\n")
+}
--- a/internal/bench/load/ledger.go
+++ b/internal/bench/load/ledger.go
@@ -26,6 +26,7 @@
 	Ended          int64  `json:"ended_unix_us"` // 0 while running
 	Status         int    `json:"status"`
 	BodyHash       string `json:"body_sha256"`
+	Instance       string `json:"instance"` // of the stand-in's process
 
 	source string // ledger that holds the row
 }
@@ -128,7 +129,7 @@
 	}
 	defer fil.Close()
 	var all []row
-	seen := map[uint64]int{}
+	seen := map[string]int{}
 	rdr := bufio.NewReader(fil)
 	for {
 		lin, err := rdr.ReadBytes('\n')
@@ -143,11 +144,12 @@
 			return nil, errors.Wrapf(err, "ledger file %s", nam)
 		}
 		one.source = nam
-		if pos, ok := seen[one.Sequence]; ok {
+		nam := fmt.Sprintf("%s#%d", one.Instance, one.Sequence)
+		if pos, ok := seen[nam]; ok {
 			all[pos] = one
 			continue
 		}
-		seen[one.Sequence] = len(all)
+		seen[nam] = len(all)
 		all = append(all, one)
 	}
 }
--- a/internal/bench/load/load_test.go
+++ b/internal/bench/load/load_test.go
@@ -148,7 +148,8 @@
 	}{
 		"served":              {[]*call{mk(0, 5, "complete")}, 0},
 		"fails until served":  {[]*call{mk(0, 5, "complete"), mk(10, 20, "not_run"), mk(400, 900, "unknown"), mk(1500, 1503, "complete")}, 1493},
-		"slow answer":         {[]*call{mk(0, 1400, "complete")}, 1400},
+		"slow answer":         {[]*call{mk(0, 1400, "complete"), mk(9000, 9002, "complete")}, 1400},
+		"slow ones overlap":   {[]*call{mk(0, 1400, "complete"), mk(300, 1650, "complete")}, 1650},
 		"never served again":  {[]*call{mk(0, 10, "no_answer"), mk(100, 2100, "not_run")}, 2100},
 		"later outage longer": {[]*call{mk(0, 1, "not_run"), mk(5, 6, "complete"), mk(10, 11, "not_run"), mk(60, 61, "complete")}, 51},
 	}
--- a/internal/bench/load/measure.go
+++ b/internal/bench/load/measure.go
@@ -165,26 +165,23 @@
 	return una
 }
 
+// keySpans returns the outages of one key; a request that waits too long but is served ends its outage itself.
 func keySpans(list []*call) []span {
 	sort.Slice(list, func(i, j int) bool { return list[i].begun.Before(list[j].begun) })
 	var out []span
-	var open *span
+	open := false // the newest outage has not seen a served request
 	for _, cal := range list {
-		bad := !cal.served() || cal.latency() > unavailableWait
-		switch {
-		case bad && open == nil:
-			open = &span{from: cal.begun, to: cal.ended}
-		case bad:
-			open.to = maxTime(open.to, cal.ended)
-		case open != nil:
-			// Served again: the outage ends when this request was sent, or when a slow one got its answer.
-			open.to = cal.ended
-			out = append(out, *open)
-			open = nil
+		srv := cal.served()
+		if srv && !open && cal.latency() <= unavailableWait {
+			continue
 		}
-	}
-	if open != nil {
-		out = append(out, *open)
+		cur := len(out) - 1
+		if cur < 0 || (!open && cal.begun.After(out[cur].to)) {
+			out = append(out, span{from: cal.begun, to: cal.ended})
+			cur++
+		}
+		out[cur].to = maxTime(out[cur].to, cal.ended)
+		open = !srv
 	}
 	return out
 }
--- a/internal/bench/standin/ledger.go
+++ b/internal/bench/standin/ledger.go
@@ -1,8 +1,14 @@
 package standin
 
 import (
+	"encoding/json"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
 )
 
 // Row is one run in the ledger.
@@ -23,17 +29,48 @@
 	BodyBytes      int64  `json:"body_bytes"`
 	BodySha256     string `json:"body_sha256"`
 	Injected       string `json:"injected"`
+	Instance       string `json:"instance"` // of the process, since sequences start anew with it
 }
 
 // ledger keeps the newest rows.
 type ledger struct {
 	mu    sync.Mutex
 	limit int
-	next  uint64 // sequence of the next row
-	rows  []Row  // in order of their sequence, the last one is next-1
+	file  *os.File // takes each row as it starts and as it ends; nil: none
+	fault error    // first failed write
+	name  string   // instance
+	next  uint64   // sequence of the next row
+	rows  []Row    // in order of their sequence, the last one is next-1
+}
+
+// newLedger returns an empty ledger; with a file name, rows are also appended there, so that they outlast a kill of the process.
+func newLedger(limit int, fil string) (*ledger, error) {
+	led := &ledger{limit: limit, next: 1, name: uuid.NewString()}
+	if fil == "" {
+		return led, nil
+	}
+	out, err := os.OpenFile(fil, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "open ledger file")
+	}
+	led.file = out
+	return led, nil
 }
 
-func newLedger(limit int) *ledger { return &ledger{limit: limit, next: 1} }
+// write appends a row to the file; a ledger that cannot be written must not pass for a complete one.
+func (led *ledger) write(row *Row) {
+	if led.file == nil || led.fault != nil {
+		return
+	}
+	lin, err := json.Marshal(row)
+	if err == nil {
+		_, err = led.file.Write(append(lin, '\n'))
+	}
+	if err != nil {
+		led.fault = err
+		logrus.Errorf("standin: ledger file is incomplete: %v", err)
+	}
+}
 
 // start adds a row as a run starts and returns its sequence.
 func (led *ledger) start(row Row) uint64 {
@@ -44,7 +81,9 @@
 	}
 	row.Sequence = led.next
 	row.StartedUnixUs = time.Now().UnixMicro()
+	row.Instance = led.name
 	led.rows = append(led.rows, row)
+	led.write(&row)
 	led.next++
 	return row.Sequence
 }
@@ -62,6 +101,7 @@
 	row.Status = status
 	row.BodyBytes = bdy.length
 	row.BodySha256 = bdy.hash
+	led.write(row)
 }
 
 // first returns the sequence of the oldest row that is kept.
--- a/internal/bench/standin/options.go
+++ b/internal/bench/standin/options.go
@@ -44,6 +44,8 @@
 	Lag time.Duration
 	// LedgerRows bounds the rows kept in memory; default 100,000.
 	LedgerRows int
+	// LedgerFile also takes the ledger's rows, one JSON object a line, if set.
+	LedgerFile string
 	// Seed seeds the random numbers; 0: from the clock.
 	Seed uint64
 }
--- a/internal/bench/standin/server.go
+++ b/internal/bench/standin/server.go
@@ -44,8 +44,12 @@
 	if opt.ID == "" || opt.Service == "" {
 		return nil, errors.New("a stand-in needs an id and a service")
 	}
+	led, err := newLedger(opt.LedgerRows, opt.LedgerFile)
+	if err != nil {
+		return nil, err
+	}
 	srv := &Server{
-		opt: opt, led: newLedger(opt.LedgerRows), flt: newFaultState(opt.Seed), slots: make(chan struct{}, opt.Slots),
+		opt: opt, led: led, flt: newFaultState(opt.Seed), slots: make(chan struct{}, opt.Slots),
 		born: time.Now(), granted: map[string]uint64{}, addr: opt.Listen,
 	}
 	srv.fns.newest = map[string]uint64{}
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -81,6 +81,7 @@
 	ColdFactor  uint32        // multiplies the time of a request at the start
 	HealthLag   time.Duration // age of the figures of the health and load endpoints
 	StopTimeout time.Duration // longest wait for the agent's permission to stop
+	LedgerFile  string        // also takes the ledger's rows, empty: none
 	Log         Log
 }
 
@@ -177,6 +178,7 @@
 		source.Whole("cold_factor", &set.ColdFactor, 1, 100),
 		source.Duration("health_lag", &set.HealthLag, 0, time.Minute),
 		source.Duration("stop_timeout", &set.StopTimeout, 0, maxStop),
+		source.Text("ledger_file", &set.LedgerFile),
 	)
 	doc.log(&set.Log)
 	doc.distinct(place{"standin", "listen", set.Listen}, place{"standin", "agent", set.Agent})
