--- a/internal/agent/owner/run.go
+++ b/internal/agent/owner/run.go
@@ -52,8 +52,8 @@
 // runOnce runs an attempt that must not run twice: it goes on when its caller goes away, so that its answer can be asked for.
 func (own *Owner) runOnce(ctx context.Context, tck *ticket, grt siskinrill.Grant) (*siskinrill.Answer, error) {
 	long, cancel := context.WithDeadline(context.WithoutCancel(ctx), tck.deadline)
-	short := tck.cancel
-	tck.cancel = func() { short(); cancel() }
+	defer tck.cancel() // of the wait; the run has its own context
+	tck.cancel = cancel
 	out := make(chan result)
 	gone := make(chan struct{})
 	go func() {
