Test withdrawals, Idempotency-Keys, queue, limit, release and load reports

Cause: single rules of the design need cases that name them, besides the property test. Change: tables under synctest for Withdraw, the Idempotency-Key, the queue, the limit, the bounds of the records, the release with its transfer, the load report and the sketch.

--- /dev/null
+++ b/internal/agent/owner/admit_test.go
@@ -0,0 +1,318 @@
+package owner
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+func slowReader(txt string) io.Reader { return iotest.OneByteReader(strings.NewReader(txt)) }
+
+func readAll(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error) {
+	if _, err := io.Copy(io.Discard, att.Body()); err != nil {
+		return nil, siskinrill.Unknown(siskinrill.ReasonCallerGone, err)
+	}
+	return answerOK(ctx, att, grt)
+}
+
+// TestQueue guards against a queue that is not bounded, not ordered by deadline, or runs what is too late.
+func TestQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bnc := newBench(t.Context(), 1)
+		var order []uint64
+		runs := 0
+		slow := takes(100*time.Millisecond, &runs)
+		bnc.bck.do = func(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error) {
+			order = append(order, att.Open().GetAttempt().GetCounter())
+			return slow(ctx, att, grt)
+		}
+		outs := map[uint64]<-chan error{0: bnc.occupy(t.Context())}
+		for num, timeout := range []uint32{2000, 900, 150, 1500} {
+			opn := open(uint64(num+1), "ab")
+			opn.TimeoutMs = timeout
+			outs[uint64(num+1)] = bnc.start(t.Context(), opn)
+		}
+		full := <-bnc.start(t.Context(), open(9, "ab"))
+		must.Eq(t, siskinrill.ReasonQueueFull, reasonOf(full))
+		must.Positive(t, refusalOf(full).RetryAfter())
+		rep := bnc.own.Load(time.Second)
+		must.Eq(t, 4, rep.GetQueued())
+		must.Eq(t, 1, rep.GetInFlight())
+		must.Eq(t, map[string]uint64{"queue_full": 1}, rep.GetRefusals())
+		must.Eq(t, siskinrill.ReasonBackendTimeout, reasonOf(<-outs[3]))
+		must.NoError(t, <-outs[1])
+		must.Eq(t, []uint64{80, 3, 2, 4, 1}, order)
+	})
+}
+
+// TestCatchUp guards against the refusal of an entry that knows of a grant earlier than this agent.
+func TestCatchUp(t *testing.T) {
+	tests := map[string]struct {
+		delay  time.Duration
+		reason siskinrill.Reason
+	}{
+		"soon": {delay: 50 * time.Millisecond},
+		"late": {delay: 150 * time.Millisecond, reason: siskinrill.ReasonWrongOwner},
+	}
+	for name, tcs := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bnc := newBench(t.Context(), 1)
+				opn := open(1, "ab")
+				opn.Token = 101
+				out := bnc.start(t.Context(), opn)
+				time.Sleep(tcs.delay)
+				bnc.ses.change(func() { bnc.ses.rows[partName(opn.Partition)].Token = 101 })
+				must.Eq(t, tcs.reason, reasonOf(<-out))
+			})
+		})
+	}
+}
+
+// TestBounds guards against memory that grows with the number of requests.
+func TestBounds(t *testing.T) {
+	tests := map[string]struct {
+		opt  Options
+		idem bool
+	}{
+		"attempt records":     {opt: Options{MaxRecords: 3}},
+		"idempotency records": {opt: Options{MaxIdempotency: 3}, idem: true},
+	}
+	for name, tcs := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bnc := newBench(t.Context(), 1)
+				tcs.opt.Slots = bnc.own.opt.Slots
+				bnc.own.opt = tcs.opt.withDefaults()
+				for num := range uint64(5) {
+					opn := open(num+1, "ab")
+					if tcs.idem {
+						opn.IdempotencyKey = keyText(int(num))
+					}
+					_, err := bnc.own.Handle(t.Context(), siskinrill.NewAttempt(opn, nil))
+					must.Eq(t, num >= 3, reasonOf(err) == siskinrill.ReasonRecordsFull)
+				}
+				time.Sleep(11 * time.Minute)
+				_, err := bnc.own.Handle(t.Context(), siskinrill.NewAttempt(open(20, "ab"), nil))
+				must.NoError(t, err)
+				must.MapLen(t, 1, bnc.own.records)
+				must.MapEmpty(t, bnc.own.claims)
+			})
+		})
+	}
+}
+
+// TestPastIsBounded guards against tombstones that grow without bound, and against a claim about what was forgotten.
+func TestPastIsBounded(t *testing.T) {
+	pst := newPast(10)
+	for num := range uint64(100) {
+		pst.add(attemptID{entry: 5, counter: num}, notRun)
+	}
+	must.LessEq(t, 20, len(pst.newer)+len(pst.older))
+	out, ok := pst.find(attemptID{entry: 5, counter: 3})
+	must.True(t, ok)
+	must.Eq(t, unknown, out)
+	out, ok = pst.find(attemptID{entry: 5, counter: 99})
+	must.True(t, ok)
+	must.Eq(t, notRun, out)
+	_, ok = pst.find(attemptID{entry: 5, counter: 100})
+	must.False(t, ok)
+	for ses := range uint64(maxPassed + 10) {
+		pst.pass(attemptID{entry: 10 + ses, counter: 1})
+	}
+	must.LessEq(t, maxPassed, len(pst.passed))
+	_, ok = pst.find(attemptID{entry: 6, counter: 1000})
+	must.True(t, ok)
+}
+
+// TestRelease guards against a row that is reported released too early or never, and against lost idempotency records.
+func TestRelease(t *testing.T) {
+	tests := map[string]struct {
+		fail  int // transfers that fail
+		recs  int
+		event string
+	}{
+		"transferred":      {recs: 1},
+		"second try":       {fail: 1, recs: 1, event: "transfer_retried"},
+		"given up at last": {fail: transferTries, event: "transfer_failed"},
+	}
+	for name, tcs := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bnc := newBench(t.Context(), 1)
+				bnc.fwd.fail = tcs.fail
+				runs := 0
+				bnc.bck.do = takes(100*time.Millisecond, &runs)
+				opn := open(1, "ab")
+				opn.IdempotencyKey = "pay-1"
+				running := bnc.start(t.Context(), opn)
+				queued := bnc.start(t.Context(), open(2, "ab"))
+				bnc.ses.release(partName(opn.Partition))
+				must.Eq(t, siskinrill.ReasonMoving, reasonOf(<-queued))
+				synctest.Wait()
+				must.SliceEmpty(t, bnc.ses.reported())
+				must.NoError(t, <-running)
+				time.Sleep(450 * time.Millisecond)
+				synctest.Wait()
+				must.Len(t, 1, bnc.ses.reported())
+				must.Len(t, tcs.recs, bnc.fwd.transferred())
+				must.Eq(t, tcs.event != "", counter(bnc.cnt, "events", tcs.event) != "")
+				must.False(t, bnc.own.Idle())
+				bnc.ses.change(func() { clear(bnc.ses.rows) })
+				synctest.Wait()
+				must.True(t, bnc.own.Idle())
+			})
+		})
+	}
+}
+
+// TestTransferredRecord guards against a second run at the next owner.
+func TestTransferredRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		from, upto := newBench(t.Context(), 1), newBench(t.Context(), 1)
+		opn := open(1, "ab")
+		opn.IdempotencyKey = "pay-1"
+		must.NoError(t, <-from.start(t.Context(), opn))
+		from.ses.release(partName(opn.Partition))
+		synctest.Wait()
+		for ses, kept := range map[uint64]uint32{ownSession: 1, 39: 0} {
+			ans, err := upto.own.Transfer(t.Context(), &peerpb.TransferRequest{ToSession: ses, Records: from.fwd.transferred()})
+			must.NoError(t, err)
+			must.Eq(t, kept, ans.GetKept())
+		}
+		runs := 0
+		upto.bck.do = takes(0, &runs)
+		again := open(2, "ab")
+		again.IdempotencyKey = "pay-1"
+		ans, err := upto.own.Handle(t.Context(), siskinrill.NewAttempt(again, nil))
+		must.NoError(t, err)
+		must.Eq(t, "ok", string(ans.Head().GetBody()))
+		must.Eq(t, 0, runs)
+	})
+}
+
+// TestLimit guards against a limit over the slots, a ramp that is skipped, and a limit that ignores a slow or shedding server.
+func TestLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lim := &limiter{ramp: 5 * time.Second}
+		lim.setSlots(16)
+		must.Eq(t, 4, lim.current())
+		time.Sleep(2500 * time.Millisecond)
+		must.Eq(t, 10, lim.current())
+		time.Sleep(2500 * time.Millisecond)
+		must.Eq(t, 16, lim.current())
+		feed := func(lat time.Duration) {
+			for range 200 {
+				time.Sleep(10 * time.Millisecond)
+				lim.observe(lat, lim.current())
+			}
+		}
+		feed(10 * time.Millisecond)
+		must.Eq(t, 16, lim.current())
+		feed(200 * time.Millisecond)
+		must.Less(t, 10, lim.current())
+		must.GreaterEq(t, 4, lim.current())
+		feed(10 * time.Millisecond)
+		feed(10 * time.Millisecond)
+		must.Eq(t, 16, lim.current())
+		for range 10 {
+			lim.shed()
+		}
+		must.Less(t, 8, lim.current())
+		lim.setSlots(0)
+		must.Eq(t, 0, lim.current())
+		lim.setSlots(16)
+		must.Eq(t, 4, lim.current())
+	})
+}
+
+// TestLoad guards against load figures that miss requests or report a cold key as hot.
+func TestLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bnc := newBench(t.Context(), 4)
+		runs := 0
+		bnc.bck.do = takes(10*time.Millisecond, &runs)
+		num := uint64(0)
+		for _, key := range []string{"ab", "ab", "ab", "cd", "cd", "ef"} {
+			num++
+			must.NoError(t, <-bnc.start(t.Context(), open(num, key)))
+		}
+		rep := bnc.own.Load(time.Second)
+		must.Eq(t, 6, rep.GetRequests())
+		must.Eq(t, 60, rep.GetBusyMs())
+		must.Eq(t, 4, rep.GetLimit())
+		must.Len(t, 2, rep.GetHotKeys())
+		must.Eq(t, "ab", rep.GetHotKeys()[0].GetShard().GetKey())
+		must.Eq(t, 3, rep.GetHotKeys()[0].GetRequests())
+		sum := uint32(0)
+		for _, sld := range rep.GetShards() {
+			sum += sld.GetRequests()
+		}
+		must.Eq(t, 6, sum)
+		must.Eq(t, 0, bnc.own.Load(time.Second).GetRequests())
+	})
+}
+
+// TestSketch guards against a hot key that is lost among many cold ones.
+func TestSketch(t *testing.T) {
+	skt := newSketch()
+	for num := range 20_000 {
+		skt.add("cold-"+strings.Repeat("x", num%500), 0)
+		if num%20 == 0 {
+			skt.add("hot", 1)
+		}
+	}
+	must.Len(t, sketchCounters, skt.least)
+	cnt := skt.byKey["hot"]
+	must.NotNil(t, cnt)
+	must.GreaterEq(t, 1000, cnt.count)
+	must.LessEq(t, 1000, cnt.count-cnt.excess)
+}
+
+// TestStreamedAnswer guards against a lost answer when its caller goes away in the middle, and against a slot that is given back too early.
+func TestStreamedAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bnc := newBench(t.Context(), 1)
+		bnc.bck.do = func(ctx context.Context, _ *siskinrill.Attempt, _ siskinrill.Grant) (*siskinrill.Answer, error) {
+			return siskinrill.NewAnswer(&peerpb.Response{Status: 200, BodyLength: -1}, &slowBody{ctx: ctx, done: func() {}}), nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ans, err := bnc.own.Handle(ctx, siskinrill.NewAttempt(open(1, "ab"), nil))
+		must.NoError(t, err)
+		must.Eq(t, 1, bnc.own.Load(time.Second).GetInFlight())
+		cancel()
+		must.NoError(t, ans.Close())
+		wth, err := bnc.own.Withdraw(t.Context(), withdrawal(1, 1000))
+		must.NoError(t, err)
+		must.Eq(t, peerpb.WithdrawResult_WITHDRAW_RESULT_DONE, wth.GetResult())
+		must.Eq(t, "partpartpart", string(wth.GetResponse().GetBody()))
+		must.Eq(t, 0, bnc.own.Load(time.Second).GetInFlight())
+	})
+}
+
+// TestIdempotentKindIgnoresKey guards against a hedged request that waits for its slow original.
+func TestIdempotentKindIgnoresKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bnc := newBench(t.Context(), 4)
+		time.Sleep(10 * time.Millisecond) // the ramp is over
+		runs := 0
+		bnc.bck.do = takes(100*time.Millisecond, &runs)
+		for num := range uint64(2) {
+			opn := open(num+1, "ab")
+			opn.IdempotencyKey = "same"
+			opn.Kind = uint32(controlpb.RequestKind_REQUEST_KIND_IDEMPOTENT)
+			bnc.start(t.Context(), opn)
+		}
+		must.Eq(t, 2, runs)
+	})
+}
--- a/internal/agent/owner/fake_test.go
+++ b/internal/agent/owner/fake_test.go
@@ -141,6 +141,12 @@
 	fse.released = append(fse.released, refs...)
 }
 
+func (fse *fakeSession) reported() []*controlpb.ShardRef {
+	fse.mu.Lock()
+	defer fse.mu.Unlock()
+	return fse.released
+}
+
 func (fse *fakeSession) SetLoadSource(siskinrill.LoadSource) {}
 
 func (fse *fakeSession) Draining() bool {
@@ -182,6 +188,12 @@
 	return &peerpb.TransferAnswer{Kept: uint32(len(req.GetRecords()))}, nil
 }
 
+func (ffo *fakeForwarder) transferred() []*peerpb.IdempotencyRecord {
+	ffo.mu.Lock()
+	defer ffo.mu.Unlock()
+	return ffo.recs
+}
+
 // bench is an owner with its fakes.
 type bench struct {
 	own *Owner
--- a/internal/agent/owner/property_test.go
+++ b/internal/agent/owner/property_test.go
@@ -16,7 +16,7 @@
 func runPlan(t *testing.T, plan []op, slots int, flt faults) []string {
 	t.Helper()
 	var found []string
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
 		mdl := newModel(ctx, slots, flt)
 		mdl.bck.do = mdl.do
