Test the client and the stand-in, and tell a returned server its grants

Cause: a server that came back after a failure was not told its shards unless control granted them anew; a request cost two writes, because headers and a wrapped body were sent apart; a refusing stand-in kept its open connections. Change: the client remembers the grants and repeats them to a server that is new or back; a body in memory has the type that net/http sends together with the headers, without GetBody, and net/http.NoBody only where net/http does not repeat it; the lease is checked again on a second connection; the stand-in closes kept connections when it refuses, and reads bodies with a pooled buffer. TestFaults/silent connection failed once, because the test let its connection be collected and closed; it now holds it.

--- a/internal/agent/backend/announce.go
+++ b/internal/agent/backend/announce.go
@@ -78,43 +78,62 @@
 	return cli.ann.ID
 }
 
-// accept takes over an announcement and reports whether the server has just begun to leave; a server that had failed is probed first.
+// accept takes over an announcement and reports whether the server has just begun to leave; one that had failed is probed before it is used again.
 func (cli *Client) accept(ctx context.Context, ann *announcement) bool {
+	tgt, fresh, failed := cli.adopt(ann)
+	if failed && !cli.returned(ctx, tgt) {
+		return false
+	}
+	if fresh || failed {
+		cli.regrant(ctx, tgt)
+	}
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	if cli.tgt != tgt {
+		return false
+	}
+	cli.state = controlpb.UpstreamState_UPSTREAM_STATE_SERVING
+	if ann.Leaving {
+		cli.state = controlpb.UpstreamState_UPSTREAM_STATE_DRAINING
+	}
+	first := ann.Leaving && !cli.left
+	cli.left = ann.Leaving
+	return first
+}
+
+// adopt makes an announcement the current one; fresh means another address than before.
+func (cli *Client) adopt(ann *announcement) (tgt *target, fresh, failed bool) {
 	cli.mu.Lock()
 	defer cli.mu.Unlock()
 	old := cli.ann
 	cli.ann = ann
 	cli.heard = time.Now()
-	if cli.tgt == nil || old == nil || old.URL != ann.URL || old.Connections != ann.Connections {
+	fresh = old == nil || old.URL != ann.URL || old.Connections != ann.Connections
+	if fresh {
 		if cli.tgt != nil {
 			cli.tgt.close()
 		}
 		cli.tgt = newTarget(ann)
 	}
-	if cli.state == controlpb.UpstreamState_UPSTREAM_STATE_FAILED && !cli.returned(ctx, old) {
-		return false
-	}
-	cli.state = controlpb.UpstreamState_UPSTREAM_STATE_SERVING
-	if ann.Leaving {
-		cli.state = controlpb.UpstreamState_UPSTREAM_STATE_DRAINING
+	if old != nil && old.ID != ann.ID {
+		cli.holdUntil = time.Time{}
 	}
-	return ann.Leaving && (old == nil || !old.Leaving)
+	return cli.tgt, fresh, cli.state == controlpb.UpstreamState_UPSTREAM_STATE_FAILED
 }
 
-// returned reports whether a failed server may be used again; the caller holds the mutex, which is given up during the probe.
-func (cli *Client) returned(ctx context.Context, old *announcement) bool {
-	if cli.ann.ID == old.ID && time.Now().Before(cli.holdUntil) {
-		return false
-	}
-	tgt := cli.tgt
-	cli.mu.Unlock()
-	okay := cli.probe(ctx, tgt)
-	cli.mu.Lock()
-	if !okay || cli.tgt != tgt {
+// returned reports whether a failed server may be used again.
+func (cli *Client) returned(ctx context.Context, tgt *target) bool {
+	if cli.held() || !cli.probe(ctx, tgt) {
 		return false
 	}
 	cli.mtr.reset()
 	cli.cnt.Event("backend_returned")
-	logrus.Infof("backend: server %s is back", cli.ann.ID)
+	logrus.Info("backend: the server is back")
 	return true
 }
+
+func (cli *Client) held() bool {
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	return time.Now().Before(cli.holdUntil)
+}
--- a/internal/agent/backend/answer.go
+++ b/internal/agent/backend/answer.go
@@ -35,6 +35,7 @@
 	}
 	rnn.end()
 	hea.Body = buf
+	hea.BodyLength = int64(len(buf)) // an answer to HEAD names the length of a body that it does not have
 	hea.BodyEnd = true
 	return siskinrill.NewAnswer(hea, nil), nil
 }
--- a/internal/agent/backend/client.go
+++ b/internal/agent/backend/client.go
@@ -24,6 +24,8 @@
 	heard     time.Time // last announcement
 	failures  uint      // failures in a row, for the hold
 	holdUntil time.Time
+	left      bool                // the server has announced that it is leaving
+	granted   map[string]uint64   // by fence partition
 	told      *controlpb.Upstream // last one given to OnUpstream
 
 	tellMu sync.Mutex // serializes OnUpstream
@@ -33,7 +35,7 @@
 
 // New returns a client that waits for the first announcement.
 func New(opt Options, cnt *siskinrill.Counters) *Client {
-	return &Client{opt: opt, cnt: cnt}
+	return &Client{opt: opt, cnt: cnt, granted: map[string]uint64{}}
 }
 
 // Figures returns the agent's own counts of what the backend server did.
@@ -93,6 +95,9 @@
 		return
 	}
 	cli.state = controlpb.UpstreamState_UPSTREAM_STATE_FAILED
+	if time.Since(cli.holdUntil) > failedHoldMax {
+		cli.failures = 0
+	}
 	hold := min(failedHold<<min(cli.failures, 10), failedHoldMax)
 	cli.failures++
 	cli.holdUntil = time.Now().Add(hold)
--- a/internal/agent/backend/conn.go
+++ b/internal/agent/backend/conn.go
@@ -17,6 +17,7 @@
 	expires time.Time
 	wall    int64 // expires in Unix nanoseconds, for a host that was suspended
 	started bool
+	checked bool // on the connection in use
 	shut    bool
 	late    bool
 	since   time.Time
@@ -26,11 +27,18 @@
 	return &gate{expires: exp, wall: exp.UnixNano()}
 }
 
-// begin is called before each write of the request; only the first one is refused after the expiry, because a request that was begun is finished.
-func (gat *gate) begin() (bool, error) {
+// renew makes the next write check the lease again, because the request goes over a new connection.
+func (gat *gate) renew() {
 	gat.mu.Lock()
 	defer gat.mu.Unlock()
-	if gat.started {
+	gat.checked = false
+}
+
+// begin is called before each write of the request; only the first one on a connection is refused after the expiry, because a request that was begun is finished.
+func (gat *gate) begin() (first bool, err error) {
+	gat.mu.Lock()
+	defer gat.mu.Unlock()
+	if gat.checked {
 		return false, nil
 	}
 	now := time.Now()
@@ -40,9 +48,11 @@
 	if gat.shut || gat.late {
 		return false, errGateShut
 	}
+	first = !gat.started
+	gat.checked = true
 	gat.started = true
 	gat.since = now
-	return true, nil
+	return first, nil
 }
 
 // unwritten takes back the start of a request whose first write sent no byte.
@@ -50,6 +60,7 @@
 	gat.mu.Lock()
 	defer gat.mu.Unlock()
 	gat.started = false
+	gat.checked = false
 }
 
 // close forbids the start of a request and reports whether it had started and whether its lease was over.
@@ -78,6 +89,7 @@
 	con.mu.Lock()
 	defer con.mu.Unlock()
 	con.gat = gat
+	gat.renew()
 }
 
 func (con *conn) gate() *gate {
--- a/internal/agent/backend/do.go
+++ b/internal/agent/backend/do.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -21,7 +22,7 @@
 	cli    *Client
 	tgt    *target
 	att    *siskinrill.Attempt
-	bdy    *body
+	bdy    io.ReadCloser
 	sent   atomic.Bool // the whole request was written
 	gat    *gate
 	ctx    context.Context
@@ -96,17 +97,23 @@
 	return rnn.answer(res)
 }
 
+// callerBroke reports whether the body could not be read from the caller.
+func (rnn *run) callerBroke() bool {
+	sbd, ok := rnn.bdy.(*streamBody)
+	return ok && sbd.broken.Load()
+}
+
 // lost tells what a failed exchange means for the request.
 func (rnn *run) lost(err error) *siskinrill.Refusal {
 	started, late := rnn.gat.close()
-	if late {
+	if late && !started {
 		return siskinrill.NewRefusal(siskinrill.ReasonNoLease, peerpb.Outcome_OUTCOME_NOT_RUN, err)
 	}
 	if !started {
 		return rnn.unwritten(err)
 	}
 	switch {
-	case rnn.bdy.broken.Load() || errors.Is(rnn.ctx.Err(), context.Canceled):
+	case rnn.callerBroke() || errors.Is(rnn.ctx.Err(), context.Canceled):
 		return siskinrill.Unknown(siskinrill.ReasonCallerGone, err)
 	case rnn.ctx.Err() != nil:
 		if rnn.sent.Load() {
@@ -123,7 +130,7 @@
 func (rnn *run) unwritten(err error) *siskinrill.Refusal {
 	rsn := siskinrill.ReasonBackendUnreachable
 	switch {
-	case rnn.bdy.broken.Load() || errors.Is(rnn.ctx.Err(), context.Canceled):
+	case rnn.callerBroke() || errors.Is(rnn.ctx.Err(), context.Canceled):
 		rsn = siskinrill.ReasonCallerGone
 	case rnn.ctx.Err() != nil:
 		rsn = siskinrill.ReasonBackendTimeout
--- a/internal/agent/backend/grants.go
+++ b/internal/agent/backend/grants.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
@@ -41,13 +42,62 @@
 	return rows
 }
 
-// Grants tells the backend server which shards it now owns and which it lost; without a grants endpoint it does nothing.
+// Grants tells the backend server which shards it now owns and which it lost; without a grants endpoint it does nothing, and a server that cannot be used now is told when it can.
 func (cli *Client) Grants(ctx context.Context, granted, revoked []*controlpb.ShardRef) error {
-	tgt, path := cli.grantsTarget()
-	if tgt == nil || path == "" {
+	bdy := grantsBody{Granted: grantRows(granted), Revoked: grantRows(revoked)}
+	tgt := cli.noteGrants(bdy)
+	if tgt == nil {
 		return nil
 	}
-	buf, err := json.Marshal(grantsBody{Granted: grantRows(granted), Revoked: grantRows(revoked)})
+	return cli.postGrants(ctx, tgt, bdy)
+}
+
+// noteGrants remembers the grants for a server that comes back, and returns the pools of one that can be told now.
+func (cli *Client) noteGrants(bdy grantsBody) *target {
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	for _, row := range bdy.Revoked {
+		if cli.granted[row.Partition] <= row.Token {
+			delete(cli.granted, row.Partition)
+		}
+	}
+	for _, row := range bdy.Granted {
+		cli.granted[row.Partition] = row.Token
+	}
+	if !cli.usable() {
+		return nil
+	}
+	return cli.tgt
+}
+
+// regrant tells a server that is new or has come back of all grants; requests go on if that fails, because each one carries its token.
+func (cli *Client) regrant(ctx context.Context, tgt *target) {
+	bdy := grantsBody{Granted: cli.allGrants(), Revoked: []grantRow{}}
+	if len(bdy.Granted) == 0 {
+		return
+	}
+	if err := cli.postGrants(ctx, tgt, bdy); err != nil {
+		cli.cnt.Event("grants_failed")
+		logrus.Warnf("backend: the server was not told of %d grants: %v", len(bdy.Granted), err)
+	}
+}
+
+func (cli *Client) allGrants() []grantRow {
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	rows := make([]grantRow, 0, len(cli.granted))
+	for part, tok := range cli.granted {
+		rows = append(rows, grantRow{Partition: part, Token: tok})
+	}
+	return rows
+}
+
+func (cli *Client) postGrants(ctx context.Context, tgt *target, bdy grantsBody) error {
+	path := cli.grantsPath()
+	if path == "" {
+		return nil
+	}
+	buf, err := json.Marshal(bdy)
 	if err != nil {
 		return errors.Wrap(err, "encode grants")
 	}
@@ -70,11 +120,8 @@
 	return nil
 }
 
-func (cli *Client) grantsTarget() (*target, string) {
+func (cli *Client) grantsPath() string {
 	cli.mu.Lock()
 	defer cli.mu.Unlock()
-	if !cli.usable() {
-		return nil, ""
-	}
-	return cli.tgt, cli.ann.GrantsPath
+	return cli.ann.GrantsPath
 }
--- a/internal/agent/backend/request.go
+++ b/internal/agent/backend/request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
 
@@ -20,34 +21,57 @@
 // hostHeader travels as a header field between agents, and as the Host of the request here.
 const hostHeader = "Host"
 
-// body has no GetBody and is never nil, so that net/http does not repeat the request by itself, not even one with an Idempotency-Key.
-type body struct {
+// streamBody is the body of a request that still comes from the caller.
+type streamBody struct {
 	io.Reader
 	broken atomic.Bool // reading from the caller failed
 }
 
 // Read reads the next part and remembers a failure, which is the caller's and not the backend server's.
-func (bdy *body) Read(buf []byte) (int, error) {
-	num, err := bdy.Reader.Read(buf)
+func (sbd *streamBody) Read(buf []byte) (int, error) {
+	num, err := sbd.Reader.Read(buf)
 	if err != nil && err != io.EOF {
-		bdy.broken.Store(true)
+		sbd.broken.Store(true)
 	}
 	return num, err
 }
 
 // Close does nothing: the attempt's body belongs to the caller of Do.
-func (bdy *body) Close() error { return nil }
+func (sbd *streamBody) Close() error { return nil }
 
-func newBody(att *siskinrill.Attempt) *body {
+// newBody returns a body without GetBody, so that net/http does not repeat the request by itself once a byte of it was written.
+func newBody(att *siskinrill.Attempt) io.ReadCloser {
 	opn := att.Open()
-	if opn.GetBodyEnd() || att.Body() == nil {
-		return &body{Reader: bytes.NewReader(opn.GetBody())}
+	switch {
+	case !opn.GetBodyEnd() && att.Body() != nil:
+		return &streamBody{Reader: io.MultiReader(bytes.NewReader(opn.GetBody()), att.Body())}
+	case len(opn.GetBody()) == 0 && mayRepeatEmpty(att):
+		return http.NoBody
+	default:
+		return io.NopCloser(bytes.NewReader(opn.GetBody())) // net/http sends headers and body of this type in one write
 	}
-	return &body{Reader: io.MultiReader(bytes.NewReader(opn.GetBody()), att.Body())}
+}
+
+// mayRepeatEmpty reports whether http.NoBody is safe: net/http repeats a request that has it by the method and by an Idempotency-Key.
+func mayRepeatEmpty(att *siskinrill.Attempt) bool {
+	opn := att.Open()
+	if att.Kind() == controlpb.RequestKind_REQUEST_KIND_IDEMPOTENT {
+		return true
+	}
+	switch opn.GetMethod() {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return false
+	}
+	for _, fld := range opn.GetHeaders() {
+		if name := http.CanonicalHeaderKey(fld.GetName()); name == siskinrill.HeaderIdempotencyKey || name == "X-Idempotency-Key" {
+			return false
+		}
+	}
+	return opn.GetIdempotencyKey() == ""
 }
 
 // newRequest returns the request towards the backend server.
-func newRequest(ctx context.Context, tgt *target, att *siskinrill.Attempt, bdy *body, grt siskinrill.Grant) (*http.Request, error) {
+func newRequest(ctx context.Context, tgt *target, att *siskinrill.Attempt, bdy io.ReadCloser, grt siskinrill.Grant) (*http.Request, error) {
 	opn := att.Open()
 	req, err := http.NewRequestWithContext(ctx, opn.GetMethod(), tgt.base.String()+opn.GetTarget(), bdy)
 	if err != nil {
@@ -81,7 +105,7 @@
 	hdr.Set(siskinrill.HeaderAttempt, strconv.FormatUint(idt.GetEntrySession(), 10)+"-"+strconv.FormatUint(idt.GetCounter(), 10))
 }
 
-// contentLength returns the length to announce; 0 stands for not known, because the body is never nil.
+// contentLength returns the length to announce; 0 stands for not known unless there is no body.
 func contentLength(opn *peerpb.Open) int64 {
 	if opn.GetBodyEnd() {
 		return int64(len(opn.GetBody()))
--- /dev/null
+++ b/internal/agent/backend/request_test.go
@@ -0,0 +1,179 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"expvar"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/agent/backend"
+	"github.com/siskinrill/siskinrill/internal/bench/standin"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+func events(cnt *siskinrill.Counters) map[string]string {
+	vals := map[string]string{}
+	cnt.Vars()["events"].(*expvar.Map).Do(func(itm expvar.KeyValue) { vals[itm.Key] = itm.Value.String() })
+	return vals
+}
+
+func refusal(t *testing.T, err error) *siskinrill.Refusal {
+	t.Helper()
+	var ref *siskinrill.Refusal
+	must.True(t, errors.As(err, &ref), must.Sprint(err))
+	return ref
+}
+
+// TestExpiredGrant guards against a request that is written after the end of its lease.
+func TestExpiredGrant(t *testing.T) {
+	pai := newPair(t, standin.Options{}, backend.Options{})
+	old := siskinrill.NewGrant(grant().Shard(), time.Now().Add(-time.Millisecond))
+	_, err := pai.cli.Do(t.Context(), attempt(1), old)
+	must.Eq(t, siskinrill.ReasonNoLease, refusal(t, err).Reason())
+	must.True(t, refusal(t, err).NotRun())
+	must.SliceEmpty(t, pai.srv.Ledger(0, 10))
+	_, err = pai.cli.Do(t.Context(), attempt(2), grant())
+	must.NoError(t, err)
+}
+
+// TestIdleConnections guards against a non-idempotent request on a connection that may have gone silent.
+func TestIdleConnections(t *testing.T) {
+	tests := map[string]struct {
+		idle   time.Duration
+		reused bool
+	}{
+		"used just now":   {reused: true},
+		"idle for 250 ms": {idle: 250 * time.Millisecond},
+	}
+	for name, tcs := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			pai := newPair(t, standin.Options{}, backend.Options{})
+			_, err := pai.cli.Do(t.Context(), attempt(1), grant())
+			must.NoError(t, err)
+			time.Sleep(tcs.idle)
+			reused := false
+			ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(inf httptrace.GotConnInfo) { reused = inf.Reused }})
+			_, err = pai.cli.Do(ctx, attempt(2), grant())
+			must.NoError(t, err)
+			must.Eq(t, tcs.reused, reused)
+		})
+	}
+}
+
+// TestNoRepeat guards against a request that net/http repeats by itself after the server closed a used connection.
+func TestNoRepeat(t *testing.T) {
+	idem := &peerpb.HeaderField{Name: siskinrill.HeaderIdempotencyKey, Values: []string{"pay-1"}}
+	tests := map[string]func(opn *peerpb.Open){
+		"with a body":                    func(*peerpb.Open) {},
+		"GET":                            func(opn *peerpb.Open) { opn.Method, opn.Body = http.MethodGet, nil },
+		"empty with an Idempotency-Key":  func(opn *peerpb.Open) { opn.Body, opn.Headers = nil, []*peerpb.HeaderField{idem} },
+		"empty":                          func(opn *peerpb.Open) { opn.Body = nil },
+		"Idempotency-Key of the attempt": func(opn *peerpb.Open) { opn.Body, opn.IdempotencyKey = nil, "pay-1" },
+	}
+	for name, edit := range tests {
+		t.Run(name, func(t *testing.T) {
+			seen := make(chan string, 10)
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			defer lis.Close()
+			go answerFirstOnly(lis, seen)
+			cli := backend.New(backend.Options{}, siskinrill.NewCounters())
+			code, _ := announce(t.Context(), cli, strings.Replace(announcement("one", false), "127.0.0.1:9", lis.Addr().String(), 1))
+			must.Eq(t, 200, code)
+			for num := range uint64(2) {
+				att := attempt(num)
+				edit(att.Open())
+				_, err = cli.Do(t.Context(), att, grant())
+			}
+			must.Eq(t, siskinrill.ReasonBackendLost, refusal(t, err).Reason())
+			must.False(t, refusal(t, err).NotRun())
+			time.Sleep(20 * time.Millisecond)
+			must.Eq(t, 2, len(seen))
+		})
+	}
+}
+
+// answerFirstOnly answers the first request of each connection and closes the connection at the second one.
+func answerFirstOnly(lis net.Listener, seen chan<- string) {
+	for {
+		con, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer con.Close()
+			rdr := bufio.NewReader(con)
+			for num := range 2 {
+				req, err := http.ReadRequest(rdr)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				seen <- req.Method
+				if num == 0 {
+					_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+			}
+		}()
+	}
+}
+
+// TestHeaders guards against headers of a connection that are passed on, and against fencing headers taken from the caller.
+func TestHeaders(t *testing.T) {
+	got := make(chan *http.Request, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		wri.Header().Set("Keep-Alive", "timeout=5")
+		wri.Header().Set("X-Shade", "madder")
+		got <- req
+	}))
+	defer srv.Close()
+	cli := backend.New(backend.Options{}, siskinrill.NewCounters())
+	announce(t.Context(), cli, strings.Replace(announcement("one", false), "http://127.0.0.1:9", srv.URL, 1))
+	att := attempt(1)
+	for name, val := range map[string]string{"Connection": "X-Hop", "X-Hop": "1", "Host": "shop.example", siskinrill.HeaderFenceToken: "999", "X-Kept": "1"} {
+		att.Open().Headers = append(att.Open().Headers, &peerpb.HeaderField{Name: name, Values: []string{val}})
+	}
+	ans, err := cli.Do(t.Context(), att, grant())
+	must.NoError(t, err)
+	req := <-got
+	must.Eq(t, "shop.example", req.Host)
+	must.Eq(t, "71", req.Header.Get(siskinrill.HeaderFenceToken))
+	must.Eq(t, "checkout/3", req.Header.Get(siskinrill.HeaderFencePartition))
+	must.Eq(t, "1", req.Header.Get("X-Kept"))
+	must.Eq(t, "", req.Header.Get("X-Hop"))
+	dur, err := time.ParseDuration(req.Header.Get(siskinrill.HeaderTimeout))
+	must.NoError(t, err)
+	must.Between(t, 300*time.Millisecond, dur, 400*time.Millisecond)
+	for _, fld := range ans.Head().GetHeaders() {
+		must.NotEq(t, "Keep-Alive", fld.GetName())
+	}
+}
+
+// TestCancel guards against work for an idempotent request that goes on after its caller went away.
+func TestCancel(t *testing.T) {
+	pai := newPair(t, standin.Options{Median: 5 * time.Second}, backend.Options{})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	att := attempt(1)
+	att.Open().Kind = uint32(controlpb.RequestKind_REQUEST_KIND_IDEMPOTENT)
+	att.Open().TimeoutMs = 10_000
+	_, err := pai.cli.Do(ctx, att, grant())
+	must.False(t, refusal(t, err).NotRun())
+	for end := time.Now().Add(time.Second); pai.srv.Ledger(0, 1)[0].EndedUnixUs == 0; time.Sleep(5 * time.Millisecond) {
+		must.True(t, time.Now().Before(end))
+	}
+	must.Eq(t, 499, pai.srv.Ledger(0, 1)[0].Status)
+}
--- a/internal/agent/owner/fault_test.go
+++ b/internal/agent/owner/fault_test.go
@@ -109,6 +109,7 @@
 	status  uint32 // when complete
 	ran     int    // rows in the ledger
 	event   string // counter that rises besides that of the reason
+	next    bool   // the next request succeeds
 }
 
 const (
@@ -131,16 +132,16 @@
 		status: 200, ran: 2,
 	},
 	"cut in the middle of the request": {
-		flt: standin.Faults{CutRequests: 1}, body: 8 << 20, timeout: 2000, reason: siskinrill.ReasonBackendLost, outcome: unknown,
+		flt: standin.Faults{CutRequests: 1}, body: 8 << 20, timeout: 2000, reason: siskinrill.ReasonBackendLost, outcome: unknown, next: true,
 	},
 	"cut after the request": {
-		flt: standin.Faults{LoseAnswers: 1}, reason: siskinrill.ReasonBackendLost, outcome: unknown, ran: 1,
+		flt: standin.Faults{LoseAnswers: 1}, reason: siskinrill.ReasonBackendLost, outcome: unknown, ran: 1, next: true,
 	},
 	"cut in the middle of a short answer": {
-		flt: standin.Faults{CutAnswers: 1}, size: "1000", reason: siskinrill.ReasonBackendBadAnswer, outcome: unknown, ran: 1,
+		flt: standin.Faults{CutAnswers: 1}, size: "1000", reason: siskinrill.ReasonBackendBadAnswer, outcome: unknown, ran: 1, next: true,
 	},
 	"cut in the middle of a long answer": {
-		flt: standin.Faults{CutAnswers: 1}, size: "300000", reason: siskinrill.ReasonBackendBadAnswer, outcome: unknown, ran: 1,
+		flt: standin.Faults{CutAnswers: 1}, size: "300000", reason: siskinrill.ReasonBackendBadAnswer, outcome: unknown, ran: 1, next: true,
 	},
 	"answer shorter than its length": {
 		prepare: func(t *testing.T, rgg *rig) {
@@ -155,12 +156,13 @@
 	"silent connection": {
 		prepare: func(t *testing.T, rgg *rig) {
 			rgg.rawServer(t, func(num int, con net.Conn) {
-				if num > 0 {
-					rawAnswer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")(num, con)
+				if num == 0 {
+					<-t.Context().Done()
 				}
+				rawAnswer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")(num, con)
 			})
 		},
-		reason: siskinrill.ReasonBackendTimeout, outcome: unknown,
+		reason: siskinrill.ReasonBackendTimeout, outcome: unknown, next: true,
 	},
 	"frozen": {
 		flt: standin.Faults{Frozen: true}, timeout: 2500, reason: siskinrill.ReasonBackendTimeout, outcome: unknown, event: "backend_failed_silent",
@@ -205,6 +207,10 @@
 			}
 			hea, err := rgg.call(t.Context(), tcs.attempt())
 			tcs.check(t, rgg, hea, err)
+			if tcs.next {
+				_, err = rgg.call(t.Context(), siskinrill.NewAttempt(open(2, "ab"), nil))
+				must.NoError(t, err)
+			}
 		})
 	}
 }
--- a/internal/bench/standin/request.go
+++ b/internal/bench/standin/request.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/siskinrill/siskinrill"
@@ -37,6 +38,12 @@
 	Padding    string `json:"padding"`
 }
 
+// copyBuffers spares each request a buffer of 32 KB, which would dominate the measured allocations.
+var copyBuffers = sync.Pool{New: func() any {
+	buf := make([]byte, 32<<10)
+	return &buf
+}}
+
 // bodySum is what was read of a body.
 type bodySum struct {
 	length int64
@@ -163,7 +170,9 @@
 
 func readBody(src io.Reader) bodySum {
 	dig := sha256.New()
-	num, err := io.Copy(dig, src)
+	buf := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buf)
+	num, err := io.CopyBuffer(dig, src, *buf)
 	return bodySum{length: num, hash: hex.EncodeToString(dig.Sum(nil)), err: err}
 }
 
--- a/internal/bench/standin/server.go
+++ b/internal/bench/standin/server.go
@@ -84,6 +84,7 @@
 func (srv *Server) listen(open bool) error {
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
+	srv.http.SetKeepAlivesEnabled(open)
 	switch {
 	case open && srv.lis == nil:
 		lis, err := net.Listen("tcp", srv.addr)
@@ -98,7 +99,6 @@
 		srv.lis = nil
 		return err
 	}
-	srv.http.SetKeepAlivesEnabled(open)
 	return nil
 }
 
--- /dev/null
+++ b/internal/bench/standin/standin_test.go
@@ -0,0 +1,186 @@
+package standin_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/bench/standin"
+)
+
+func newServer(t *testing.T, opt standin.Options) *standin.Server {
+	t.Helper()
+	opt.ID, opt.Service = "vitrine-1", "vitrine"
+	srv, err := standin.New(opt)
+	must.NoError(t, err)
+	t.Cleanup(srv.Close)
+	go func() { _ = srv.Run(t.Context()) }()
+	return srv
+}
+
+// call sends a request and returns status, headers and body.
+func call(t *testing.T, method, url, body string, hdr map[string]string) (int, http.Header, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	must.NoError(t, err)
+	for name, val := range hdr {
+		req.Header.Set(name, val)
+	}
+	res, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	defer res.Body.Close()
+	buf, err := io.ReadAll(res.Body)
+	must.NoError(t, err)
+	return res.StatusCode, res.Header, string(buf)
+}
+
+// TestRequest guards against an answer or a ledger row that the judge could not match with its request.
+func TestRequest(t *testing.T) {
+	srv := newServer(t, standin.Options{})
+	hdr := map[string]string{"X-Request-Id": "r-7", siskinrill.HeaderKey: "charm", siskinrill.HeaderAttempt: "3-4", siskinrill.HeaderIdempotencyKey: "i-1"}
+	status, _, body := call(t, http.MethodPut, srv.URL()+"/scans/charm?size=5", "print", hdr)
+	must.Eq(t, 200, status)
+	ans := map[string]any{}
+	must.NoError(t, json.Unmarshal([]byte(body), &ans))
+	dig := sha256.Sum256([]byte("print"))
+	sum := hex.EncodeToString(dig[:])
+	must.Eq(t, map[string]any{
+		"upstream": "vitrine-1", "service": "vitrine", "key": "charm", "method": "PUT", "path": "/scans/charm",
+		"request_id": "r-7", "sequence": 1.0, "body_bytes": 5.0, "padding": "xxxxx", "body_sha256": sum,
+	}, ans)
+	_, _, page := call(t, http.MethodGet, srv.ControlURL()+"/standin/ledger?after=0", "", nil)
+	var rows []standin.Row
+	must.NoError(t, json.Unmarshal([]byte(page), &rows))
+	must.Len(t, 1, rows)
+	must.Positive(t, rows[0].EndedUnixUs)
+	rows[0].StartedUnixUs, rows[0].EndedUnixUs = 0, 0
+	must.Eq(t, standin.Row{
+		Sequence: 1, RequestID: "r-7", IdempotencyKey: "i-1", Attempt: "3-4", Service: "vitrine", Key: "charm",
+		Method: "PUT", Path: "/scans/charm", Status: 200, BodyBytes: 5, BodySha256: sum,
+	}, rows[0])
+}
+
+// TestLedgerPages guards against rows that are lost between two pages, and against a ledger that grows without bound.
+func TestLedgerPages(t *testing.T) {
+	srv := newServer(t, standin.Options{LedgerRows: 10})
+	var seqs []uint64
+	for range 25 {
+		call(t, http.MethodGet, srv.URL()+"/catalogue/x", "", nil)
+		after := uint64(0)
+		if len(seqs) > 0 {
+			after = seqs[len(seqs)-1]
+		}
+		for _, row := range srv.Ledger(after, 100) {
+			seqs = append(seqs, row.Sequence)
+		}
+	}
+	must.Len(t, 25, seqs)
+	must.Eq(t, 25, seqs[24])
+	must.LessEq(t, 10, len(srv.Ledger(0, 100)))
+	status, hdr, _ := call(t, http.MethodGet, srv.URL()+"/standin/ledger?after=0&limit=1", "", nil)
+	must.Eq(t, 200, status)
+	must.Eq(t, strconv.FormatUint(srv.Ledger(0, 1)[0].Sequence, 10), hdr.Get("Standin-Ledger-First"))
+}
+
+// TestFence guards against a stand-in that runs what a server with fencing must refuse.
+func TestFence(t *testing.T) {
+	fence := func(tok string, exp time.Duration) map[string]string {
+		return map[string]string{
+			siskinrill.HeaderFencePartition: "vitrine/1", siskinrill.HeaderFenceToken: tok,
+			siskinrill.HeaderFenceExpires: strconv.FormatInt(time.Now().Add(exp).UnixMilli(), 10),
+		}
+	}
+	tests := map[string]struct {
+		hdr    map[string]string
+		status int
+	}{
+		"same token": {hdr: fence("8", time.Minute), status: 200},
+		"old token":  {hdr: fence("7", time.Minute), status: 412},
+		"too late":   {hdr: fence("9", -time.Second), status: 412},
+		"no token":   {status: 412},
+	}
+	for name, tcs := range tests {
+		t.Run(name, func(t *testing.T) {
+			srv := newServer(t, standin.Options{CheckFence: true})
+			call(t, http.MethodPost, srv.URL()+"/grants", `{"granted":[{"partition":"vitrine/1","token":8}]}`, nil)
+			status, hdr, _ := call(t, http.MethodGet, srv.URL()+"/catalogue/x", "", tcs.hdr)
+			must.Eq(t, tcs.status, status)
+			must.Eq(t, status == 412, hdr.Get(siskinrill.HeaderNotRun) == "true")
+			must.Eq(t, status == 200, len(srv.Ledger(0, 1)) == 1)
+		})
+	}
+}
+
+// TestSlots guards against a stand-in that runs more at once than its slots, or sheds without the proof.
+func TestSlots(t *testing.T) {
+	srv := newServer(t, standin.Options{Slots: 1, Backlog: 1, Median: 100 * time.Millisecond})
+	out := make(chan int, 3)
+	for range 3 {
+		go func() {
+			status, _, _ := call(t, http.MethodGet, srv.URL()+"/catalogue/x", "", nil)
+			out <- status
+		}()
+	}
+	must.Eq(t, 503, <-out)
+	must.Eq(t, 200, <-out)
+	must.Eq(t, 200, <-out)
+	rows := srv.Ledger(0, 10)
+	must.Len(t, 2, rows)
+	must.LessEq(t, rows[1].StartedUnixUs, rows[0].EndedUnixUs)
+}
+
+// TestLag guards against figures that are fresher than the platform's.
+func TestLag(t *testing.T) {
+	srv := newServer(t, standin.Options{Lag: 300 * time.Millisecond, Median: 400 * time.Millisecond})
+	time.Sleep(500 * time.Millisecond)
+	done := make(chan int, 1)
+	go func() {
+		status, _, _ := call(t, http.MethodGet, srv.URL()+"/catalogue/x", "", nil)
+		done <- status
+	}()
+	time.Sleep(100 * time.Millisecond)
+	_, _, early := call(t, http.MethodGet, srv.URL()+"/load", "", nil)
+	must.StrContains(t, early, `"busy":0`)
+	<-done
+	time.Sleep(50 * time.Millisecond)
+	_, _, late := call(t, http.MethodGet, srv.URL()+"/load", "", nil)
+	must.StrContains(t, late, `"busy":1`)
+	status, _, _ := call(t, http.MethodPut, srv.URL()+"/standin/faults", `{"mislead_load":true,"slow_factor":3}`, nil)
+	must.Eq(t, 200, status)
+	must.Eq(t, 3.0, srv.Faults().SlowFactor)
+	_, _, wrong := call(t, http.MethodGet, srv.URL()+"/load", "", nil)
+	must.StrContains(t, wrong, `"busy":0`)
+}
+
+// TestRefuse guards against a fault that cannot be lifted again.
+func TestRefuse(t *testing.T) {
+	srv := newServer(t, standin.Options{})
+	call(t, http.MethodPut, srv.URL()+"/standin/faults", `{"refuse":true}`, nil)
+	_, err := http.Get(srv.URL() + "/health")
+	must.Error(t, err)
+	call(t, http.MethodPut, srv.ControlURL()+"/standin/faults", `{}`, nil)
+	status, _, _ := call(t, http.MethodGet, srv.URL()+"/health", "", nil)
+	must.Eq(t, 200, status)
+}
+
+// TestColdStart guards against a cold start that the router would not notice.
+func TestColdStart(t *testing.T) {
+	srv := newServer(t, standin.Options{Median: 5 * time.Millisecond, ColdTime: 400 * time.Millisecond, ColdFactor: 20})
+	took := func() time.Duration {
+		begin := time.Now()
+		call(t, http.MethodGet, srv.URL()+"/catalogue/x", "", nil)
+		return time.Since(begin)
+	}
+	must.Greater(t, 50*time.Millisecond, took())
+	time.Sleep(400 * time.Millisecond)
+	must.Less(t, 50*time.Millisecond, took())
+}
