--- a/internal/agent/backend/answer.go
+++ b/internal/agent/backend/answer.go
@@ -49,6 +49,8 @@
 func (rnn *run) cut(err error) *siskinrill.Refusal {
 	rsn := siskinrill.ReasonBackendBadAnswer
 	switch {
+	case rnn.failed.Load():
+		rsn = siskinrill.ReasonBackendLost
 	case errors.Is(rnn.ctx.Err(), context.Canceled):
 		rsn = siskinrill.ReasonCallerGone
 	case rnn.ctx.Err() != nil:
--- a/internal/agent/backend/client.go
+++ b/internal/agent/backend/client.go
@@ -26,7 +26,7 @@
 	holdUntil time.Time
 	left      bool                // the server has announced that it is leaving
 	granted   map[string]uint64   // by fence partition
-	gates     map[*gate]struct{}  // of the requests that have not ended
+	runs      map[*run]struct{}   // requests that have not ended
 	told      *controlpb.Upstream // last one given to OnUpstream
 
 	tellMu sync.Mutex // serializes OnUpstream
@@ -36,7 +36,7 @@
 
 // New returns a client that waits for the first announcement.
 func New(opt Options, cnt *siskinrill.Counters) *Client {
-	return &Client{opt: opt, cnt: cnt, granted: map[string]uint64{}, gates: map[*gate]struct{}{}}
+	return &Client{opt: opt, cnt: cnt, granted: map[string]uint64{}, runs: map[*run]struct{}{}}
 }
 
 // Figures returns the agent's own counts of what the backend server did.
@@ -88,21 +88,21 @@
 	return cli.tgt
 }
 
-// begin registers the gate of a request with a usable server, or returns nil.
-func (cli *Client) begin(gat *gate) *target {
+// begin registers a request with a usable server, or returns nil.
+func (cli *Client) begin(rnn *run) *target {
 	cli.mu.Lock()
 	defer cli.mu.Unlock()
 	if !cli.usable() {
 		return nil
 	}
-	cli.gates[gat] = struct{}{}
+	cli.runs[rnn] = struct{}{}
 	return cli.tgt
 }
 
-func (cli *Client) end(gat *gate) {
+func (cli *Client) end(rnn *run) {
 	cli.mu.Lock()
 	defer cli.mu.Unlock()
-	delete(cli.gates, gat)
+	delete(cli.runs, rnn)
 }
 
 // fail marks the backend server as failed; the cause is a word for the log and the counter. No request is written after the report, because control then grants the shards to others at once.
@@ -120,8 +120,8 @@
 	cli.failures++
 	cli.holdUntil = time.Now().Add(hold)
 	idt := cli.ann.ID
-	for gat := range cli.gates {
-		gat.close()
+	for rnn := range cli.runs {
+		rnn.serverFailed()
 	}
 	cli.mu.Unlock()
 	cli.cnt.Event("backend_failed_" + cause)
--- a/internal/agent/backend/do.go
+++ b/internal/agent/backend/do.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
 
@@ -24,6 +25,7 @@
 	att    *siskinrill.Attempt
 	bdy    io.ReadCloser
 	sent   atomic.Bool // the whole request was written
+	failed atomic.Bool // ended because the server counts as failed
 	gat    *gate
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -31,14 +33,14 @@
 
 // Do runs an attempt under a grant; an error is a *siskinrill.Refusal, whose outcome is not_run only if no byte of the request was written or the server proved that it did not run.
 func (cli *Client) Do(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error) {
-	gat := newGate(grt.Expires())
-	tgt := cli.begin(gat)
-	if tgt == nil {
-		return nil, cli.refuse(siskinrill.NotRun(siskinrill.ReasonBackendUnreachable))
-	}
 	ctx, cancel := withTimeout(ctx, att.Open())
-	rnn := &run{cli: cli, tgt: tgt, att: att, bdy: newBody(att), gat: gat, cancel: cancel}
+	rnn := &run{cli: cli, att: att, bdy: newBody(att), gat: newGate(grt.Expires()), cancel: cancel}
 	rnn.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: rnn.gotConn, WroteRequest: rnn.wrote})
+	rnn.tgt = cli.begin(rnn)
+	if rnn.tgt == nil {
+		cancel()
+		return nil, cli.refuse(siskinrill.NotRun(siskinrill.ReasonBackendUnreachable))
+	}
 	cli.mtr.begin()
 	ans, err := rnn.do(grt)
 	if err != nil {
@@ -79,7 +81,7 @@
 func (rnn *run) end() {
 	rnn.cancel()
 	rnn.cli.mtr.end()
-	rnn.cli.end(rnn.gat)
+	rnn.cli.end(rnn)
 }
 
 func (rnn *run) do(grt siskinrill.Grant) (*siskinrill.Answer, *siskinrill.Refusal) {
@@ -100,6 +102,15 @@
 	return rnn.answer(res)
 }
 
+// serverFailed forbids the start of the request; an idempotent one ends at once, so that it can be retried elsewhere, while another is left to the server until its deadline.
+func (rnn *run) serverFailed() {
+	started, _ := rnn.gat.close()
+	if !started || rnn.att.Kind() == controlpb.RequestKind_REQUEST_KIND_IDEMPOTENT {
+		rnn.failed.Store(true)
+		rnn.cancel()
+	}
+}
+
 // callerBroke reports whether the body could not be read from the caller.
 func (rnn *run) callerBroke() bool {
 	sbd, ok := rnn.bdy.(*streamBody)
@@ -116,6 +127,8 @@
 		return rnn.unwritten(err)
 	}
 	switch {
+	case rnn.failed.Load():
+		return siskinrill.Unknown(siskinrill.ReasonBackendLost, err)
 	case rnn.callerBroke() || errors.Is(rnn.ctx.Err(), context.Canceled):
 		return siskinrill.Unknown(siskinrill.ReasonCallerGone, err)
 	case rnn.ctx.Err() != nil:
@@ -133,6 +146,7 @@
 func (rnn *run) unwritten(err error) *siskinrill.Refusal {
 	rsn := siskinrill.ReasonBackendUnreachable
 	switch {
+	case rnn.failed.Load():
 	case rnn.callerBroke() || errors.Is(rnn.ctx.Err(), context.Canceled):
 		rsn = siskinrill.ReasonCallerGone
 	case rnn.ctx.Err() != nil:
--- a/internal/agent/owner/bench_test.go
+++ b/internal/agent/owner/bench_test.go
@@ -22,19 +22,29 @@
 	"non-idempotent": controlpb.RequestKind_REQUEST_KIND_NON_IDEMPOTENT,
 }
 
+// fixedSession spares the copy of the row, which is the session's cost and not the owner's.
+type fixedSession struct {
+	*fakeSession
+	row *controlpb.Shard
+}
+
+func (fxs *fixedSession) Shard(string, string) *controlpb.Shard { return fxs.row }
+
 // BenchmarkHandle shows what admission costs without a backend server.
 func BenchmarkHandle(b *testing.B) {
 	for name, kind := range benchKinds {
 		b.Run(name, func(b *testing.B) {
 			bnc := newBench(b.Context(), 64)
 			bnc.own.opt.MaxRecords = 1 << 30
+			bnc.own.ses = &fixedSession{fakeSession: bnc.ses, row: bnc.ses.Shard(svcName, "ab")}
 			time.Sleep(10 * time.Millisecond)
 			b.ReportAllocs()
 			num := uint64(0)
+			opn := open(num, "ab")
+			opn.Kind = uint32(kind)
 			for b.Loop() {
 				num++
-				opn := open(num, "ab")
-				opn.Kind = uint32(kind)
+				opn.Attempt.Counter = num
 				_, err := bnc.own.Handle(b.Context(), siskinrill.NewAttempt(opn, nil))
 				must.NoError(b, err)
 			}
--- a/internal/agent/owner/run.go
+++ b/internal/agent/owner/run.go
@@ -127,9 +127,12 @@
 	own.resolve(tck, how)
 	own.settle(tck, how.outcome, how.response)
 	own.pump()
+	moving := len(own.moves) > 0
 	own.mu.Unlock()
 	if tck.cancel != nil {
 		tck.cancel()
 	}
-	own.wakeRun()
+	if moving {
+		own.wakeRun()
+	}
 }
