--- a/internal/agent/backend/do.go
+++ b/internal/agent/backend/do.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -13,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
 
@@ -21,8 +23,9 @@
 	cli    *Client
 	tgt    *target
 	att    *siskinrill.Attempt
-	bdy    *body
+	bdy    io.ReadCloser
 	sent   atomic.Bool // the whole request was written
+	failed atomic.Bool // ended because the server counts as failed
 	gat    *gate
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -30,13 +33,14 @@
 
 // Do runs an attempt under a grant; an error is a *siskinrill.Refusal, whose outcome is not_run only if no byte of the request was written or the server proved that it did not run.
 func (cli *Client) Do(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error) {
-	tgt := cli.current()
-	if tgt == nil {
-		return nil, cli.refuse(siskinrill.NotRun(siskinrill.ReasonBackendUnreachable))
-	}
 	ctx, cancel := withTimeout(ctx, att.Open())
-	rnn := &run{cli: cli, tgt: tgt, att: att, bdy: newBody(att), gat: newGate(grt.Expires()), cancel: cancel}
+	rnn := &run{cli: cli, att: att, bdy: newBody(att), gat: newGate(grt.Expires()), cancel: cancel}
 	rnn.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: rnn.gotConn, WroteRequest: rnn.wrote})
+	rnn.tgt = cli.begin(rnn)
+	if rnn.tgt == nil {
+		cancel()
+		return nil, cli.refuse(siskinrill.NotRun(siskinrill.ReasonBackendUnreachable))
+	}
 	cli.mtr.begin()
 	ans, err := rnn.do(grt)
 	if err != nil {
@@ -77,6 +81,7 @@
 func (rnn *run) end() {
 	rnn.cancel()
 	rnn.cli.mtr.end()
+	rnn.cli.end(rnn)
 }
 
 func (rnn *run) do(grt siskinrill.Grant) (*siskinrill.Answer, *siskinrill.Refusal) {
@@ -90,23 +95,41 @@
 	}
 	rnn.cli.mtr.answer(time.Since(rnn.gat.begun()))
 	if ref := notRun(res); ref != nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, wholeAnswer)) // keeps the connection
 		res.Body.Close()
 		return nil, ref
 	}
 	return rnn.answer(res)
 }
 
+// serverFailed forbids the start of the request; an idempotent one ends at once, so that it can be retried elsewhere, while another is left to the server until its deadline.
+func (rnn *run) serverFailed() {
+	started, _ := rnn.gat.close()
+	if !started || rnn.att.Kind() == controlpb.RequestKind_REQUEST_KIND_IDEMPOTENT {
+		rnn.failed.Store(true)
+		rnn.cancel()
+	}
+}
+
+// callerBroke reports whether the body could not be read from the caller.
+func (rnn *run) callerBroke() bool {
+	sbd, ok := rnn.bdy.(*streamBody)
+	return ok && sbd.broken.Load()
+}
+
 // lost tells what a failed exchange means for the request.
 func (rnn *run) lost(err error) *siskinrill.Refusal {
 	started, late := rnn.gat.close()
-	if late {
+	if late && !started {
 		return siskinrill.NewRefusal(siskinrill.ReasonNoLease, peerpb.Outcome_OUTCOME_NOT_RUN, err)
 	}
 	if !started {
 		return rnn.unwritten(err)
 	}
 	switch {
-	case rnn.bdy.broken.Load() || errors.Is(rnn.ctx.Err(), context.Canceled):
+	case rnn.failed.Load():
+		return siskinrill.Unknown(siskinrill.ReasonBackendLost, err)
+	case rnn.callerBroke() || errors.Is(rnn.ctx.Err(), context.Canceled):
 		return siskinrill.Unknown(siskinrill.ReasonCallerGone, err)
 	case rnn.ctx.Err() != nil:
 		if rnn.sent.Load() {
@@ -123,7 +146,8 @@
 func (rnn *run) unwritten(err error) *siskinrill.Refusal {
 	rsn := siskinrill.ReasonBackendUnreachable
 	switch {
-	case rnn.bdy.broken.Load() || errors.Is(rnn.ctx.Err(), context.Canceled):
+	case rnn.failed.Load():
+	case rnn.callerBroke() || errors.Is(rnn.ctx.Err(), context.Canceled):
 		rsn = siskinrill.ReasonCallerGone
 	case rnn.ctx.Err() != nil:
 		rsn = siskinrill.ReasonBackendTimeout
