raft: Add the property tests and fix what they found

Cause: the core had no test of its own below the group. Change: a simulated network and disks check election safety, log matching, leader completeness, state machine equality, durability on a majority, read index, check-quorum, pre-vote and promotion of learners, and that the group continues once faults end. Six broken variants must be caught. Found and fixed: (1) a learner never forgot a silent leader and refused all votes, so a group of one voter and a fresh voter stayed without a leader; (2) a leader that crashed while its own removal was not committed held the newest log and did not campaign, so nobody could win; (3) a live member could be removed while too few of the remaining voters answered.

--- /dev/null
+++ b/internal/control/raft/checks_test.go
@@ -0,0 +1,216 @@
+package raft
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"slices"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// checks hold what has been seen of all members, and the first violation.
+type checks struct {
+	violation error
+	leaders   map[uint64]uint64    // term to leader
+	written   map[[2]uint64]string // index and term to content and previous term
+	committed map[uint64]commitment
+	digests   map[uint64]uint64 // index to the digest of the applied entries up to it
+	last      uint64            // highest committed index
+	elections int
+	changes   int
+	promotion int
+	reads     int
+	restored  int
+}
+
+// commitment is a committed entry with the term of the leader that committed it.
+type commitment struct {
+	entry *controlpb.Entry
+	term  uint64
+}
+
+func newChecks() *checks {
+	return &checks{
+		leaders: map[uint64]uint64{}, written: map[[2]uint64]string{},
+		committed: map[uint64]commitment{}, digests: map[uint64]uint64{},
+	}
+}
+
+func (chk *checks) fail(format string, args ...any) {
+	if chk.violation == nil {
+		chk.violation = fmt.Errorf(format, args...)
+	}
+}
+
+// leader checks that a term has one leader and that it holds what earlier terms committed; before its vote is synced a leader sends nothing and does not count.
+func (chk *checks) leader(sim *simulation, nod *node) {
+	if nod.rft.Role() != Leader || nod.rft.synced.GetTerm() != nod.rft.Term() {
+		return
+	}
+	mid, trm := nod.rft.ID(), nod.rft.Term()
+	if nod.heardTerm != trm || nod.heard == nil {
+		nod.heard, nod.heardTerm, nod.config = map[uint64]uint64{}, trm, nod.rft.MembersIndex()
+		nod.commit = nod.rft.TermStart()
+		nod.confirms = nil
+	}
+	old, known := chk.leaders[trm]
+	if known && old != mid {
+		chk.fail("election safety: members %d and %d lead term %d", old, mid, trm)
+	}
+	chk.leaders[trm] = mid
+	if !known {
+		chk.elections++
+		for idx, com := range chk.committed {
+			own, kept := nod.rft.TermAt(idx)
+			if com.term < trm && (idx > nod.rft.LastIndex() || (kept && own != com.entry.GetTerm())) {
+				chk.fail("leader completeness: leader %d of term %d lacks committed entry %d", mid, trm, idx)
+			}
+		}
+	}
+	chk.promoted(sim, nod)
+}
+
+// promoted checks that a new voter has synced what the leader had committed at its newest tick.
+func (chk *checks) promoted(sim *simulation, nod *node) {
+	cur := nod.rft.MembersIndex()
+	if cur <= nod.config {
+		return
+	}
+	chk.changes++
+	before := nod.rft.MembersAt(nod.config)
+	nod.config = cur
+	for _, mem := range nod.rft.Members().GetMembers() {
+		old := findMember(before, mem.GetId())
+		if mem.GetLearner() || old == nil || !old.GetLearner() {
+			continue
+		}
+		chk.promotion++
+		if own := sim.nodes[mem.GetId()].dsk.last(); own < nod.commit {
+			chk.fail("membership: member %d counts with %d synced entries of %d", mem.GetId(), own, nod.commit)
+		}
+	}
+}
+
+// entries checks log matching: one index and term stand for one content and one predecessor.
+func (chk *checks) entries(nod *node, ents []*controlpb.Entry) {
+	for _, ent := range ents {
+		prev, kept := nod.rft.TermAt(ent.GetIndex() - 1)
+		if !kept {
+			continue
+		}
+		key, val := [2]uint64{ent.GetIndex(), ent.GetTerm()}, fmt.Sprintf("%d %d %x", prev, ent.GetKind(), ent.GetData())
+		if old, known := chk.written[key]; known && old != val {
+			chk.fail("log matching: entry %d of term %d is %q and %q", key[0], key[1], old, val)
+		}
+		chk.written[key] = val
+	}
+}
+
+// apply checks that members apply equal entries in order.
+func (chk *checks) apply(nod *node, ents []*controlpb.Entry) {
+	for _, ent := range ents {
+		if ent.GetIndex() != nod.applied+1 {
+			chk.fail("apply: member %d applies %d after %d", nod.rft.ID(), ent.GetIndex(), nod.applied)
+		}
+		nod.applied, nod.digest = ent.GetIndex(), addDigest(nod.digest, ent)
+		com, known := chk.committed[ent.GetIndex()]
+		if !known {
+			chk.committed[ent.GetIndex()] = commitment{entry: ent, term: nod.rft.Term()}
+			chk.digests[ent.GetIndex()] = nod.digest
+			chk.last = max(chk.last, ent.GetIndex())
+			continue
+		}
+		if com.entry.GetTerm() != ent.GetTerm() || string(com.entry.GetData()) != string(ent.GetData()) {
+			chk.fail("state machine safety: entry %d is of terms %d and %d", ent.GetIndex(), com.entry.GetTerm(), ent.GetTerm())
+		}
+		if chk.digests[ent.GetIndex()] != nod.digest {
+			chk.fail("state machine equality: member %d differs at entry %d", nod.rft.ID(), ent.GetIndex())
+		}
+	}
+}
+
+// majority checks, right after a leader has committed, that a majority has the entry on its disks.
+func (chk *checks) majority(sim *simulation, nod *node) {
+	old, idx, led := nod.counted, nod.rft.Commit(), nod.countedBy == nod.rft.Term()
+	nod.counted, nod.countedBy = idx, 0
+	if nod.rft.Role() == Leader {
+		nod.countedBy = nod.rft.Term()
+	}
+	if !led || nod.countedBy == 0 || idx <= old {
+		return
+	}
+	held, mbs := 0, nod.rft.Members()
+	trm, _ := nod.rft.TermAt(idx)
+	for _, mem := range mbs.GetMembers() {
+		if !mem.GetLearner() && sim.nodes[mem.GetId()].dsk.holds(idx, trm) {
+			held++
+		}
+	}
+	if held <= countVoters(mbs)/2 {
+		chk.fail("durability: entry %d is committed with %d of %d voters", idx, held, countVoters(mbs))
+	}
+}
+
+// answered notes when a leader heard from a voter in its term.
+func (chk *checks) answered(nod *node, msg *controlpb.RaftMessage) {
+	answer := msg.GetKind() == controlpb.RaftKind_RAFT_KIND_APPEND_ANSWER || msg.GetKind() == controlpb.RaftKind_RAFT_KIND_HEARTBEAT_ANSWER
+	if answer && nod.heard != nil && msg.GetTerm() == nod.heardTerm {
+		nod.heard[msg.GetFrom()] = nod.rft.now
+	}
+}
+
+// quorumHeard checks that a leader that has not heard from a majority for an election timeout no longer leads.
+func (chk *checks) quorumHeard(nod *node) {
+	if nod.rft.Role() != Leader || nod.heardTerm != nod.rft.Term() {
+		return
+	}
+	ticks := []uint64{}
+	for _, mem := range nod.rft.Members().GetMembers() {
+		if _, known := nod.heard[mem.GetId()]; !known {
+			nod.heard[mem.GetId()] = nod.rft.now
+		}
+		if mem.GetId() == nod.rft.ID() {
+			nod.heard[mem.GetId()] = nod.rft.now
+		}
+		if !mem.GetLearner() {
+			ticks = append(ticks, nod.heard[mem.GetId()])
+		}
+	}
+	slices.Sort(ticks)
+	if len(ticks) == 0 {
+		return
+	}
+	if silent := nod.rft.now - ticks[(len(ticks)-1)/2]; silent > uint64(nod.rft.opt.ElectionTicks)+1 {
+		chk.fail("check-quorum: member %d leads after %d ticks without a majority", nod.rft.ID(), silent)
+	}
+}
+
+// confirmed checks that a confirmed read sees everything that was committed when it began.
+func (chk *checks) confirmed(nod *node) {
+	done := nod.rft.ConfirmedRound()
+	kept := nod.confirms[:0]
+	for _, cfm := range nod.confirms {
+		if nod.rft.Role() != Leader || cfm.term != nod.rft.Term() {
+			continue
+		}
+		if cfm.round > done {
+			kept = append(kept, cfm)
+			continue
+		}
+		chk.reads++
+		if cfm.index < cfm.committed {
+			chk.fail("read index: leader %d reads at %d, %d was committed", nod.rft.ID(), cfm.index, cfm.committed)
+		}
+	}
+	nod.confirms = kept
+}
+
+func addDigest(dig uint64, ent *controlpb.Entry) uint64 {
+	hsh := fnv.New64a()
+	fmt.Fprintf(hsh, "%d %d %x", dig, ent.GetIndex(), ent.GetData())
+	return hsh.Sum64()
+}
+
+func encodeDigest(dig uint64) []byte              { return binary.BigEndian.AppendUint64(nil, dig) }
+func decodeDigest(snp *controlpb.Snapshot) uint64 { return binary.BigEndian.Uint64(snp.GetData()) }
--- a/internal/control/raft/election.go
+++ b/internal/control/raft/election.go
@@ -19,7 +19,7 @@
 
 // campaign asks for pre-votes, or at once for votes when the leader handed over.
 func (rft *Raft) campaign(transfer bool) {
-	if !isVoter(rft.Members(), rft.opt.ID) {
+	if !rft.mayCampaign() {
 		return
 	}
 	rft.resetTimeout()
@@ -36,6 +36,15 @@
 	rft.requestVotes(controlpb.RaftKind_RAFT_KIND_PRE_VOTE, rft.term+1, false)
 }
 
+// mayCampaign reports whether this member is a voter, or was one before a change that is not known to be committed: it may be the only one with the newest log, and then the others need it as the leader until its removal is committed (thesis 4.2.2).
+func (rft *Raft) mayCampaign() bool {
+	cfg := rft.log.configs
+	if isVoter(rft.Members(), rft.opt.ID) {
+		return true
+	}
+	return len(cfg) > 1 && rft.MembersIndex() > rft.log.commit && isVoter(cfg[len(cfg)-2].members, rft.opt.ID)
+}
+
 func (rft *Raft) becomeCandidate(transfer bool) {
 	rft.role, rft.leader = Candidate, 0
 	rft.term++
--- a/internal/control/raft/members.go
+++ b/internal/control/raft/members.go
@@ -100,19 +100,25 @@
 	if changes != 1 {
 		return &MembersError{reason: fmt.Sprintf("%d members differ, one may", changes)}
 	}
-	if quorum(mbs) == 1 && !hasVoter(mbs) {
-		return &MembersError{reason: "no voter would be left"}
+	if rft.answering(mbs) < quorum(mbs) {
+		return &MembersError{reason: "too few of the remaining voters answer", retry: true}
 	}
 	return nil
 }
 
-func hasVoter(mbs *controlpb.Members) bool {
+// answering counts the voters of a membership that were heard within the shortest election timeout; with fewer than a majority the change would end the service.
+func (rft *Raft) answering(mbs *controlpb.Members) int {
+	num := 0
 	for _, mem := range mbs.GetMembers() {
-		if !mem.GetLearner() {
-			return true
+		prg := rft.progress[mem.GetId()]
+		if mem.GetLearner() || prg == nil {
+			continue
+		}
+		if mem.GetId() == rft.opt.ID || rft.now-prg.heard <= uint64(rft.opt.ElectionTicks) {
+			num++
 		}
 	}
-	return false
+	return num
 }
 
 // caughtUp reports whether a learner has synced all that was committed one tick ago; an exact match would never be reached under constant load.
--- /dev/null
+++ b/internal/control/raft/property_test.go
@@ -0,0 +1,92 @@
+package raft
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// ordinary mixes all faults that the system is specified to tolerate.
+var ordinary = faults{
+	drop: 4, duplicate: 4, delay: 10, crash: 3, restart: 15, loseDisk: 2, cut: 6, heal: 12, aim: 20,
+	propose: 40, change: 8, transfer: 2, compact: 4, confirm: 15,
+}
+
+// hostile strikes leaders most of the time, which leaves uncommitted entries of many terms behind.
+var hostile = faults{drop: 5, delay: 30, crash: 20, restart: 30, cut: 20, heal: 20, aim: 80, propose: 30, confirm: 10}
+
+// play runs a simulation and returns the first violation, a panic of the core included.
+func play(sim *simulation, rounds int, seed func(num int) uint64) (err error) {
+	defer func() {
+		if rcv := recover(); rcv != nil && err == nil {
+			err = fmt.Errorf("panic: %v", rcv)
+		}
+	}()
+	for num := range rounds {
+		sim.run(seed(num))
+		if sim.chk.violation != nil {
+			return sim.chk.violation
+		}
+	}
+	return nil
+}
+
+// Guards against any schedule of faults that breaks the safety of the log or leaves the group unable to continue after it.
+func TestSafety(tst *testing.T) {
+	runs, elections, committed, changes, promotions, reads := 0, 0, 0, 0, 0, 0
+	rapid.Check(tst, func(rpt *rapid.T) {
+		size := rapid.SampledFrom([]int{1, 3, 5}).Draw(rpt, "size")
+		flt := rapid.SampledFrom([]faults{ordinary, ordinary, hostile}).Draw(rpt, "faults")
+		seeds := rapid.SliceOfN(rapid.Uint64(), 100, 300).Draw(rpt, "rounds")
+		sim := newSimulation(flt, size, seeds[0])
+		if err := play(sim, len(seeds), func(num int) uint64 { return seeds[num]<<16 + uint64(num) }); err != nil {
+			rpt.Fatal(err)
+		}
+		settled := sim.settle()
+		if sim.chk.violation != nil {
+			rpt.Fatal(sim.chk.violation)
+		}
+		if !settled {
+			rpt.Fatalf("the group does not continue once all faults end: %s", sim)
+		}
+		runs++
+		elections, committed = elections+sim.chk.elections, committed+len(sim.chk.committed)
+		changes, promotions, reads = changes+sim.chk.changes, promotions+sim.chk.promotion, reads+sim.chk.reads
+	})
+	tst.Logf("%d runs, %d elections, %d entries committed, %d member changes, %d promotions, %d confirmed reads",
+		runs, elections, committed, changes, promotions, reads)
+}
+
+// Guards against checks that would not notice a missing rule: each variant leaves one out and must be caught by the named check.
+func TestBrokenVariants(tst *testing.T) {
+	type variant struct {
+		flt    faults
+		adjust func(*faults)
+		caught string
+	}
+	table := map[string]variant{
+		"vote not synced":           {ordinary, func(flt *faults) { flt.unsyncedVote = true }, "election safety"},
+		"commit of an earlier term": {hostile, func(flt *faults) { flt.flw.commitEarlierTerm = true }, "leader completeness"},
+		"empty disk keeps identity": {ordinary, func(flt *faults) { flt.keepsIdentity, flt.change = true, 0 }, "election safety"},
+		"no pre-vote":               {ordinary, func(flt *faults) { flt.flw.noPreVote = true }, "pre-vote"},
+		"no check-quorum":           {ordinary, func(flt *faults) { flt.flw.noCheckQuorum = true }, "check-quorum"},
+		"promotion before catch-up": {ordinary, func(flt *faults) { flt.flw.promoteUnsynced = true }, "membership"},
+	}
+	for name, vrt := range table {
+		tst.Run(name, func(tst *testing.T) {
+			const limit = 10_000
+			vrt.adjust(&vrt.flt)
+			var err error
+			run := uint64(0)
+			for ; err == nil && run < limit; run++ {
+				sim := newSimulation(vrt.flt, 3, run*3)
+				err = play(sim, 200, func(num int) uint64 { return run<<32 + uint64(num) })
+			}
+			must.Error(tst, err)
+			must.StrContains(tst, err.Error(), vrt.caught)
+			tst.Logf("caught in run %d: %v", run, err)
+		})
+	}
+}
--- a/internal/control/raft/raft.go
+++ b/internal/control/raft/raft.go
@@ -191,7 +191,9 @@
 		return
 	}
 	if rft.elapsed >= rft.timeout {
-		rft.elapsed = 0
+		// A learner forgets the leader too, else it would go on refusing votes.
+		rft.leader = 0
+		rft.resetTimeout()
 		rft.campaign(false)
 	}
 }
