--- a/internal/control/assign/fill.go
+++ b/internal/control/assign/fill.go
@@ -6,9 +6,6 @@
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
-// fullShare is the share of the level at which an upstream counts as filled by load.
-const fullShare = 0.97
-
 // greet marks upstreams that are seen for the first time and have less than their share as joining.
 func (wrk *work) greet() {
 	for pos := range wrk.ups {
@@ -30,7 +27,7 @@
 // filled reports whether an upstream has the whole number of partitions in a share, or the load; taking no more than that keeps the moves at the least possible.
 func (wrk *work) filled(ups *upstream, share float64) bool {
 	return ups.count >= int(math.Floor(share*float64(len(wrk.svc.Partitions)))) ||
-		!ups.stale && ups.load >= fullShare*wrk.level*ups.full
+		!ups.stale && ups.load >= wrk.level*ups.full
 }
 
 // fill moves rows from the fullest upstreams to joining ones, up to the share of their current weight.
--- /dev/null
+++ b/internal/control/assign/policy_test.go
@@ -0,0 +1,244 @@
+package assign
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// Guards against joins and leaves that move more than their share, or move anything between survivors.
+func TestChurn(t *testing.T) {
+	sizes := map[int]int{810: 16384}
+	for num := 3; num <= 40; num++ {
+		sizes[num] = 1024
+	}
+	for num, partitions := range sizes {
+		t.Run(fmt.Sprint(num), func(t *testing.T) {
+			if num < 810 { // without any load too
+				checkChurn(t, num, partitions, 0)
+			}
+			checkChurn(t, num, partitions, 100)
+		})
+	}
+}
+
+func checkChurn(t *testing.T, num, partitions int, rate float64) {
+	wld := newWorld(num, partitions)
+	wld.svc.Service.RampMs = 1000
+	for prt := range wld.rest {
+		wld.rest[prt] = rate
+	}
+	wld.run(2 * time.Second)
+	must.Zero(t, wld.moves, must.Sprint("moves after the first grants"))
+	least, most := wld.spread()
+	must.Between(t, most-1, least, most)
+
+	was := wld.owners()
+	wld.join()
+	wld.run(3 * time.Second)
+	must.Zero(t, wld.other, must.Sprint("moves between survivors on a join"))
+	must.LessEq(t, 1.05*float64(partitions)/float64(num+1), float64(wld.moves))
+	must.Eq(t, wld.changed(was), wld.moves)
+	got := 0
+	for _, own := range wld.owners() {
+		if own == wld.joiner {
+			got++
+		}
+	}
+	must.Eq(t, partitions/(num+1), got, must.Sprint("partitions of the joined upstream"))
+
+	was, wld.moves = wld.owners(), 0
+	lost, gone := 0, wld.svc.Upstreams[num/2].Session
+	for _, own := range was {
+		if own == gone {
+			lost++
+		}
+	}
+	wld.leave(num / 2)
+	wld.run(2 * time.Second)
+	must.Zero(t, wld.moves, must.Sprint("moves between survivors on a leave"))
+	must.Eq(t, lost, wld.changed(was))
+	must.Eq(t, "", wld.broken)
+}
+
+// Guards against a balance that does not come back within a minute after the hottest keys changed.
+func TestHotKeysChange(t *testing.T) {
+	// The target scale takes half a minute with the race detector; BenchmarkHotKeysChange runs it.
+	cases := map[string]struct {
+		upstreams, partitions, draws int
+		head                         float64
+	}{
+		"rangsudhar":         {5, 256, 100_000, 1},
+		"bassma":             {6, 256, 100_000, 1},
+		"a sixth of the aim": {135, 2730, 200_000, 100},
+	}
+	for name, tcs := range cases {
+		t.Run(name, func(t *testing.T) {
+			wld := newWorld(tcs.upstreams, tcs.partitions)
+			wld.sample(tcs.head, 0, tcs.draws)
+			wld.run(10 * time.Second)
+			wld.sample(tcs.head, 1000, tcs.draws)
+			wld.run(60 * time.Second)
+			checkImbalance(t, wld)
+			must.Eq(t, "", wld.broken)
+		})
+	}
+}
+
+func checkImbalance(t testing.TB, wld *world) {
+	is, best := wld.imbalance()
+	t.Logf("imbalance %.3f, best %.3f, overrides %d, moves %d", is, best, len(wld.svc.Overrides), wld.moves)
+	must.LessEq(t, 1.15*best, is)
+}
+
+// Guards against a drain that leaves rows behind, or one that moves them to other draining upstreams.
+func TestDrain(t *testing.T) {
+	wld := newWorld(5, 256)
+	wld.run(6 * time.Second)
+	wld.svc.Upstreams[1].State = controlpb.UpstreamState_UPSTREAM_STATE_DRAINING
+	wld.svc.Upstreams[2].State = controlpb.UpstreamState_UPSTREAM_STATE_DRAINING
+	wld.run(2 * tick)
+	least, most := wld.spread()
+	must.Zero(t, least)
+	must.Between(t, 85, most, 87)
+	must.Between(t, 100, wld.moves, 104)
+}
+
+// Guards against a stale report that counts as no load, which would make a silent upstream the target of everything.
+func TestStaleReport(t *testing.T) {
+	wld := newWorld(4, 64)
+	for prt := range wld.rest {
+		wld.rest[prt] = 50
+	}
+	wld.run(8 * time.Second)
+	silent := wld.svc.Upstreams[0].Session
+	wld.svc.Upstreams[0].ReportAge = time.Minute
+	for pos := range wld.svc.Partitions {
+		if wld.svc.Partitions[pos].Owner == silent {
+			wld.svc.Partitions[pos].Load, wld.rest[pos] = 0, 0
+		}
+	}
+	wld.leave(3)
+	wld.run(20 * time.Second)
+	counts := map[uint64]int{}
+	for _, own := range wld.owners() {
+		counts[own]++
+	}
+	must.Between(t, 20, counts[silent], 23)
+}
+
+// Guards against young upstreams that get their whole share before their ramp is over.
+func TestRamp(t *testing.T) {
+	wld := newWorld(4, 1000)
+	wld.run(6 * time.Second)
+	wld.join()
+	wld.run(500 * time.Millisecond)
+	least, _ := wld.spread()
+	must.Between(t, 40, least, 100)
+	wld.run(6 * time.Second)
+	least, _ = wld.spread()
+	must.Eq(t, 200, least)
+}
+
+// Guards against a zone that gets all orphans, and orphans that all go to one upstream.
+func TestOrphansSpread(t *testing.T) {
+	wld := newWorld(8, 256)
+	wld.run(6 * time.Second)
+	wld.leave(0)
+	wld.run(tick)
+	least, most := wld.spread()
+	must.Between(t, 36, least, 37)
+	must.Between(t, 36, most, 37)
+	zones := map[string]int{}
+	bySession := map[uint64]string{}
+	for _, ups := range wld.svc.Upstreams {
+		bySession[ups.Session] = ups.Zone
+	}
+	for _, own := range wld.owners() {
+		zones[bySession[own]]++
+	}
+	must.Between(t, 36, zones["zone-0"], 37)
+}
+
+// Guards against a row that is moved by balance or fill again before its pause is over, too many rows in flight, and moves of rows that are not owned.
+func TestLimits(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		wld := newWorld(rapid.IntRange(2, 8).Draw(rt, "upstreams"), 64)
+		last := map[string]time.Duration{}
+		for step := range rapid.IntRange(10, 200).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 30).Draw(rt, "event") {
+			case 29:
+				wld.join()
+			case 30:
+				if len(wld.svc.Upstreams) > 1 {
+					wld.leave(0)
+				}
+			default:
+				prt := rapid.IntRange(0, 63).Draw(rt, "partition")
+				wld.rest[prt] = float64(rapid.IntRange(0, 5000).Draw(rt, "rate"))
+			}
+			before := wld.owners()
+			wld.run(tick)
+			checkTick(rt, wld, before, last)
+			if wld.broken != "" {
+				rt.Fatalf("step %d: %s", step, wld.broken)
+			}
+		}
+	})
+}
+
+func checkTick(rt *rapid.T, wld *world, before []uint64, last map[string]time.Duration) {
+	moving := 0
+	for prt, row := range wld.svc.Partitions {
+		if row.Phase != controlpb.Phase_PHASE_RELEASING {
+			continue
+		}
+		moving++
+		key := fmt.Sprint(prt)
+		if was, ok := last[key]; ok && before[prt] == row.Owner {
+			must.GreaterEq(rt, 30*time.Second, wld.now-was)
+		}
+		last[key] = wld.now
+	}
+	must.LessEq(rt, 64/8, moving)
+	orphans := 0
+	for _, row := range wld.svc.Partitions {
+		if row.Phase == controlpb.Phase_PHASE_ORPHAN {
+			orphans++
+		}
+	}
+	must.Zero(rt, orphans)
+}
+
+// Guards against overrides that are never retired, and against one that is retired while it is hot.
+func TestRetire(t *testing.T) {
+	wld := newWorld(5, 256)
+	wld.sample(1, 0, 100_000)
+	wld.run(20 * time.Second)
+	must.Positive(t, len(wld.svc.Overrides))
+	was := len(wld.svc.Overrides)
+	wld.run(40 * time.Second)
+	must.Eq(t, was, len(wld.svc.Overrides))
+	wld.hot = nil
+	for prt := range wld.rest {
+		wld.rest[prt] = 70
+	}
+	wld.run(70 * time.Second)
+	must.SliceEmpty(t, wld.svc.Overrides)
+}
+
+// Guards against a plan for a service without upstreams, and memory of services that are gone.
+func TestEmpty(t *testing.T) {
+	wld := newWorld(0, 16)
+	wld.run(time.Second)
+	must.Zero(t, wld.moves)
+	must.MapLen(t, 1, wld.policy.memory)
+	must.SliceEmpty(t, wld.policy.Plan(wld.now, &siskinrill.Tables{}))
+	must.MapLen(t, 0, wld.policy.memory)
+}
--- a/internal/control/assign/work.go
+++ b/internal/control/assign/work.go
@@ -15,7 +15,7 @@
 const coldShare = 0.25
 
 // countShare is the load that each row counts for beside its own, as a share of the mean row, so that rows without traffic are spread too.
-const countShare = 0.05
+const countShare = 0.01
 
 // upstream is the planned state of one upstream during a tick.
 type upstream struct {
--- /dev/null
+++ b/internal/control/assign/world_test.go
@@ -0,0 +1,294 @@
+package assign
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	tick     = 100 * time.Millisecond
+	allKeys  = 580_000_000
+	testName = "orders"
+	// smoothed is the share of a new report in a load figure, as the sessions of agents smooth them.
+	smoothed = 0.18126924692201815
+)
+
+// hotKey is a key whose rate is known apart from its partition's.
+type hotKey struct {
+	name      string
+	partition uint32
+	rate      float64
+}
+
+// world plays the registry, the agents and the callers for a policy.
+type world struct {
+	policy *Policy
+	tables siskinrill.Tables
+	svc    *siskinrill.ServiceRows
+	now    time.Duration
+	tokens uint64
+	rest   []float64 // rate of each partition without its hot keys
+	hot    []hotKey  // highest first
+	moves  int
+	other  int // moves to an upstream that was not the joining one
+	joiner uint64
+	broken string
+}
+
+func newWorld(upstreams, partitions int) *world {
+	wld := &world{policy: New(Limits{})}
+	wld.tables.Services = []siskinrill.ServiceRows{{Service: &controlpb.Service{Name: testName, RampMs: 5000}}}
+	wld.svc = &wld.tables.Services[0]
+	wld.rest = make([]float64, partitions)
+	for prt := range partitions {
+		wld.svc.Partitions = append(wld.svc.Partitions, siskinrill.ShardRow{Partition: uint32(prt)})
+	}
+	for range upstreams {
+		wld.join()
+	}
+	return wld
+}
+
+func (wld *world) join() {
+	wld.tokens++
+	wld.joiner = wld.tokens
+	wld.svc.Upstreams = append(wld.svc.Upstreams, siskinrill.UpstreamRow{
+		Session: wld.tokens, Zone: fmt.Sprint("zone-", len(wld.svc.Upstreams)%4), Slots: 18, State: controlpb.UpstreamState_UPSTREAM_STATE_SERVING,
+	})
+}
+
+// leave removes an upstream as an expired session does.
+func (wld *world) leave(pos int) {
+	ses := wld.svc.Upstreams[pos].Session
+	wld.svc.Upstreams = slices.Delete(wld.svc.Upstreams, pos, pos+1)
+	for _, rows := range [][]siskinrill.ShardRow{wld.svc.Partitions, wld.svc.Overrides} {
+		for pos := range rows {
+			if rows[pos].Owner == ses {
+				rows[pos].Owner, rows[pos].Phase = 0, controlpb.Phase_PHASE_ORPHAN
+			}
+		}
+	}
+}
+
+// sample sets the rates from draws, which it returns by key, out of 580 million keys by a Zipf distribution; a larger head flattens the hottest keys, and ranks are shifted to make other keys hot.
+func (wld *world) sample(head float64, shift uint64, draws int) map[string]int {
+	rnd := rand.New(rand.NewPCG(7, 11))
+	zpf := rand.NewZipf(rnd, 1.01, head, allKeys-1)
+	counts := map[uint64]int{}
+	for range draws {
+		counts[zpf.Uint64()]++
+	}
+	requests := make(map[string]int, len(counts))
+	rate := 3600 * float64(len(wld.svc.Upstreams)) / float64(draws)
+	clear(wld.rest)
+	wld.hot = wld.hot[:0]
+	for rank, cnt := range counts {
+		if rank < 54 {
+			rank += shift
+		}
+		key := keyName(rank)
+		requests[key] = cnt
+		prt := siskinrill.Partition(testName, key, uint32(len(wld.rest)))
+		if cnt > draws/20000 {
+			wld.hot = append(wld.hot, hotKey{name: key, partition: prt, rate: rate * float64(cnt)})
+			continue
+		}
+		wld.rest[prt] += rate * float64(cnt)
+	}
+	slices.SortFunc(wld.hot, func(one, two hotKey) int {
+		return cmp.Or(cmp.Compare(two.rate, one.rate), strings.Compare(one.name, two.name))
+	})
+	return requests
+}
+
+func keyName(rank uint64) string { return fmt.Sprintf("key-%09d", rank) }
+
+func (wld *world) override(key string) (int, bool) {
+	return slices.BinarySearchFunc(wld.svc.Overrides, key, func(row siskinrill.ShardRow, key string) int { return strings.Compare(row.Key, key) })
+}
+
+// rates returns the true rate of each partition and override.
+func (wld *world) rates() (partitions, overrides []float64) {
+	partitions, overrides = slices.Clone(wld.rest), make([]float64, len(wld.svc.Overrides))
+	for _, hot := range wld.hot {
+		if pos, ok := wld.override(hot.name); ok {
+			overrides[pos] += hot.rate
+		} else {
+			partitions[hot.partition] += hot.rate
+		}
+	}
+	return partitions, overrides
+}
+
+// report smooths the true rates into the figures of the policy, and names the hot keys.
+func (wld *world) report() {
+	partitions, overrides := wld.rates()
+	if wld.now == 0 {
+		for prt, rate := range partitions {
+			wld.svc.Partitions[prt].Load = rate
+		}
+	}
+	for prt, rate := range partitions {
+		wld.svc.Partitions[prt].Load += smoothed * (rate - wld.svc.Partitions[prt].Load)
+	}
+	for pos, rate := range overrides {
+		wld.svc.Overrides[pos].Load += smoothed * (rate - wld.svc.Overrides[pos].Load)
+	}
+	wld.svc.HotKeys = wld.svc.HotKeys[:0]
+	for _, hot := range wld.hot {
+		if _, ok := wld.override(hot.name); !ok && len(wld.svc.HotKeys) < 1024 {
+			wld.svc.HotKeys = append(wld.svc.HotKeys, siskinrill.HotKey{
+				Key: hot.name, Partition: hot.partition, Owner: wld.svc.Partitions[hot.partition].Owner, Load: hot.rate,
+			})
+		}
+	}
+}
+
+// run advances the world; reports come every second and releases take one tick.
+func (wld *world) run(dur time.Duration) {
+	for end := wld.now + dur; wld.now < end; wld.now += tick {
+		if wld.now%time.Second == 0 {
+			wld.report()
+		}
+		for pos := range wld.svc.Upstreams {
+			wld.svc.Upstreams[pos].Age += tick
+		}
+		plan := wld.policy.Plan(wld.now, &wld.tables)
+		wld.release()
+		for _, asg := range plan {
+			wld.apply(asg)
+		}
+	}
+}
+
+func (wld *world) release() {
+	var kept []siskinrill.ShardRow
+	for _, row := range wld.svc.Overrides {
+		if row.Retiring {
+			continue
+		}
+		kept = append(kept, row)
+	}
+	wld.svc.Overrides = kept
+	for _, rows := range [][]siskinrill.ShardRow{wld.svc.Partitions, wld.svc.Overrides} {
+		for pos := range rows {
+			if row := &rows[pos]; row.Phase == controlpb.Phase_PHASE_RELEASING {
+				wld.tokens++
+				row.Owner, row.Target, row.Token, row.Phase = row.Target, 0, wld.tokens, controlpb.Phase_PHASE_OWNED
+			}
+		}
+	}
+}
+
+func (wld *world) apply(asg *controlpb.Assignment) {
+	ref := asg.GetShard()
+	row := &wld.svc.Partitions[ref.GetPartition()]
+	pos, overridden := wld.override(ref.GetKey())
+	if overridden {
+		row = &wld.svc.Overrides[pos]
+	}
+	wld.tokens++
+	switch asg.GetKind() {
+	case controlpb.AssignmentKind_ASSIGNMENT_KIND_GRANT:
+		row.Owner, row.Phase, row.Token = asg.GetTarget(), controlpb.Phase_PHASE_OWNED, wld.tokens
+	case controlpb.AssignmentKind_ASSIGNMENT_KIND_MOVE:
+		wld.moves++
+		if asg.GetTarget() != wld.joiner {
+			wld.other++
+		}
+		if row.Phase != controlpb.Phase_PHASE_OWNED || row.Owner == asg.GetTarget() {
+			wld.broken = "a row that is not owned, or is there already, is moved"
+		}
+		row.Target, row.Phase = asg.GetTarget(), controlpb.Phase_PHASE_RELEASING
+	case controlpb.AssignmentKind_ASSIGNMENT_KIND_RETIRE:
+		row.Retiring = true
+	default:
+		wld.isolate(asg, pos, row.Owner)
+	}
+}
+
+func (wld *world) isolate(asg *controlpb.Assignment, pos int, own uint64) {
+	row := siskinrill.ShardRow{
+		Key: asg.GetShard().GetKey(), Partition: asg.GetShard().GetPartition(), Owner: own, Token: wld.tokens,
+		Target: asg.GetTarget(), Phase: controlpb.Phase_PHASE_RELEASING,
+	}
+	for _, hot := range wld.hot {
+		if hot.name == row.Key {
+			row.Load = hot.rate
+		}
+	}
+	prt := &wld.svc.Partitions[row.Partition]
+	prt.Load = max(prt.Load-row.Load, 0)
+	wld.svc.Overrides = slices.Insert(wld.svc.Overrides, pos, row)
+}
+
+// perUpstream returns the true load of each upstream.
+func (wld *world) perUpstream() map[uint64]float64 {
+	out := map[uint64]float64{}
+	for _, ups := range wld.svc.Upstreams {
+		out[ups.Session] = 0
+	}
+	partitions, overrides := wld.rates()
+	for prt, rate := range partitions {
+		out[wld.svc.Partitions[prt].Owner] += rate
+	}
+	for pos, rate := range overrides {
+		out[wld.svc.Overrides[pos].Owner] += rate
+	}
+	return out
+}
+
+// imbalance returns the highest over the mean load, and the best that any assignment of the same keys could reach.
+func (wld *world) imbalance() (is, best float64) {
+	loads := wld.perUpstream()
+	high, sum := 0.0, 0.0
+	for _, load := range loads {
+		high, sum = max(high, load), sum+load
+	}
+	mean := sum / float64(len(wld.svc.Upstreams))
+	best = 1
+	if len(wld.hot) > 0 {
+		best = max(1, wld.hot[0].rate/mean)
+	}
+	return high / mean, best
+}
+
+func (wld *world) owners() []uint64 {
+	out := make([]uint64, len(wld.svc.Partitions))
+	for prt, row := range wld.svc.Partitions {
+		out[prt] = row.Owner
+	}
+	return out
+}
+
+// changed returns how many partitions have another owner than before.
+func (wld *world) changed(was []uint64) int {
+	cnt := 0
+	for prt, own := range wld.owners() {
+		if own != was[prt] {
+			cnt++
+		}
+	}
+	return cnt
+}
+
+// spread returns the least and the most partitions of an upstream.
+func (wld *world) spread() (least, most int) {
+	counts := map[uint64]int{}
+	for _, own := range wld.owners() {
+		counts[own]++
+	}
+	least = math.MaxInt
+	for _, ups := range wld.svc.Upstreams {
+		least, most = min(least, counts[ups.Session]), max(most, counts[ups.Session])
+	}
+	return least, most
+}
