Test the gRPC between agents against faults of connections

Cause: nothing showed what an entry gets when a connection breaks or goes silent, and three paths took a cut body for a whole one or waited for ever: io.ReadFull turns a cut body into io.ErrUnexpectedEOF as it does a short one, errors.Is(err, io.EOF) matches a refusal whose cause is io.EOF, and a broken upload of that kind did not end its stream.

--- a/internal/agent/caller/answer.go
+++ b/internal/agent/caller/answer.go
@@ -114,6 +114,23 @@
 	return mets
 }
 
+// malformed reports whether an answer cannot be passed on: its status is not final, or its body lacks or exceeds the told length.
+func malformed(method string, hea *peerpb.Response) bool {
+	if hea.GetStatus() < http.StatusOK || hea.GetStatus() > 599 {
+		return true
+	}
+	got, told := int64(len(hea.GetBody())), hea.GetBodyLength()
+	if told < 0 || bodyless(method, hea.GetStatus()) {
+		return false
+	}
+	return got > told || (hea.GetBodyEnd() && got < told)
+}
+
+// bodyless reports whether an answer has no body, whatever its length tells.
+func bodyless(method string, sts uint32) bool {
+	return method == http.MethodHead || sts == http.StatusNoContent || sts == http.StatusNotModified
+}
+
 var buffers = sync.Pool{New: func() any {
 	buf := make([]byte, copyBuffer)
 	return &buf
@@ -129,7 +146,7 @@
 	if hea.GetBodyEnd() {
 		length = int64(len(hea.GetBody()))
 	}
-	if length >= 0 && req.Method != http.MethodHead && hea.GetStatus() != http.StatusNoContent && hea.GetStatus() != http.StatusNotModified {
+	if length >= 0 && !bodyless(req.Method, hea.GetStatus()) {
 		hdr.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	wri.WriteHeader(int(hea.GetStatus()))
@@ -141,7 +158,7 @@
 	}
 	buf, _ := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
-	if err := copyBody(wri, ans.Body(), *buf); err != nil {
+	if err := copyBody(wri, ans.Body(), *buf, length-int64(len(hea.GetBody()))); err != nil {
 		han.counters.Event(cutEvent(err))
 		panic(http.ErrAbortHandler)
 	}
@@ -166,16 +183,21 @@
 	return "answer_cut"
 }
 
-// copyBody copies until the whole body was read; an error may be a *callerError.
-func copyBody(wri io.Writer, bdy io.Reader, buf []byte) error {
+// copyBody copies until the whole body was read; length is negative if not known, and an error may be a *callerError.
+func copyBody(wri io.Writer, bdy io.Reader, buf []byte, length int64) error {
+	total := int64(0)
 	for {
 		num, err := bdy.Read(buf)
+		total += int64(num)
 		if num > 0 {
 			if _, wer := wri.Write(buf[:num]); wer != nil {
 				return &callerError{cause: wer}
 			}
 		}
 		// A cut answer may wrap io.EOF as its cause; only the plain one is the end.
+		if err == io.EOF && length >= 0 && total != length {
+			return errors.Errorf("body has %d bytes, its length tells %d", total, length)
+		}
 		if err == io.EOF {
 			return nil
 		}
--- a/internal/agent/caller/handler.go
+++ b/internal/agent/caller/handler.go
@@ -63,7 +63,7 @@
 		return
 	}
 	defer func() { _ = ans.Close() }()
-	if sts := ans.Head().GetStatus(); sts < http.StatusOK || sts > 599 {
+	if malformed(req.Method, ans.Head()) {
 		han.refuse(wri, req, siskinrill.Unknown(siskinrill.ReasonBackendBadAnswer, nil))
 		return
 	}
--- a/internal/agent/peer/forward.go
+++ b/internal/agent/peer/forward.go
@@ -88,7 +88,7 @@
 	fwd.stream = str
 	err = str.SendMsg(&peerpb.EntryMessage{Kind: &peerpb.EntryMessage_Open{Open: att.Open()}})
 	// io.EOF tells that the stream has ended; receiving gives the cause.
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err != nil && err != io.EOF {
 		return nil, fwd.failed(err)
 	}
 	for {
@@ -101,7 +101,7 @@
 			fwd.drain()
 			return nil, refusal(knd.Refused)
 		case *peerpb.OwnerMessage_Response:
-			return fwd.answer(knd.Response), nil
+			return fwd.answer(knd.Response)
 		case *peerpb.OwnerMessage_Continue:
 			if att.Body() != nil {
 				go fwd.upload(att)
@@ -120,17 +120,22 @@
 	if err == nil {
 		err = fwd.stream.CloseSend()
 	}
-	if err != nil && !errors.Is(err, io.EOF) {
+	// A plain io.EOF tells that the stream has ended; a body that was cut may wrap one.
+	if err != nil && err != io.EOF {
 		fwd.cancel()
 	}
 }
 
-func (fwd *forward) answer(hea *peerpb.Response) *siskinrill.Answer {
-	if hea.GetBodyEnd() {
-		fwd.drain()
-		return siskinrill.NewAnswer(hea, nil)
+func (fwd *forward) answer(hea *peerpb.Response) (*siskinrill.Answer, error) {
+	got := int64(len(hea.GetBody()))
+	if !hea.GetBodyEnd() {
+		return siskinrill.NewAnswer(hea, &answerBody{fwd: fwd, length: hea.GetBodyLength(), total: got}), nil
 	}
-	return siskinrill.NewAnswer(hea, &answerBody{fwd: fwd, length: hea.GetBodyLength(), total: int64(len(hea.GetBody()))})
+	if got != hea.GetBodyLength() {
+		return nil, siskinrill.Unknown(siskinrill.ReasonBackendBadAnswer, checkTotal(got, got, hea.GetBodyLength()))
+	}
+	fwd.drain()
+	return siskinrill.NewAnswer(hea, nil), nil
 }
 
 // drain takes the end of the stream, which follows the last message at once.
@@ -201,7 +206,7 @@
 func (bdy *answerBody) next() {
 	msg := &peerpb.OwnerMessage{}
 	err := bdy.fwd.stream.RecvMsg(msg)
-	if errors.Is(err, io.EOF) {
+	if err == io.EOF {
 		if bdy.fwd.pool.hooks.skipEnd {
 			bdy.err = io.EOF
 			return
--- a/internal/agent/peer/pool.go
+++ b/internal/agent/peer/pool.go
@@ -129,9 +129,10 @@
 	poo.mu.Lock()
 	defer poo.mu.Unlock()
 	lnk := poo.current[addr]
-	if lnk != nil {
-		lnk.outstanding++
+	if lnk == nil || lnk.socket.closed.Load() {
+		return nil
 	}
+	lnk.outstanding++
 	return lnk
 }
 
--- a/internal/agent/peer/relay_test.go
+++ b/internal/agent/peer/relay_test.go
@@ -23,6 +23,7 @@
 	epoch   *relayEpoch
 	conns   []net.Conn
 	refuse  atomic.Bool
+	frozen  atomic.Bool // new connections are silent as well
 	dialled atomic.Int32
 }
 
@@ -58,6 +59,10 @@
 		rel.mu.Lock()
 		rel.conns = append(rel.conns, inn, out)
 		epo := rel.epoch
+		if rel.frozen.Load() {
+			epo = &relayEpoch{}
+			epo.silent.Store(true)
+		}
 		rel.mu.Unlock()
 		go pipe(epo, inn, out)
 		go pipe(epo, out, inn)
--- a/internal/agent/peer/server.go
+++ b/internal/agent/peer/server.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -89,7 +90,7 @@
 	}
 	ctx, cancel := context.WithTimeout(str.Context(), time.Duration(opn.GetTimeoutMs())*time.Millisecond)
 	defer cancel()
-	rpl := &reply{stream: str, skipEnd: srv.hooks.skipEnd}
+	rpl := &reply{stream: str, method: opn.GetMethod(), skipEnd: srv.hooks.skipEnd}
 	var bdy io.Reader
 	if !opn.GetBodyEnd() {
 		bdy = &requestBody{reply: rpl, stream: str, length: opn.GetBodyLength(), total: int64(len(opn.GetBody()))}
@@ -106,6 +107,7 @@
 type reply struct {
 	mu      sync.Mutex
 	stream  peerpb.PeerService_ForwardServer
+	method  string
 	skipEnd bool
 }
 
@@ -152,6 +154,9 @@
 // held sends an answer whose body is at hand; a long one is cut, since one message must stay small.
 func (rpl *reply) held(hea *peerpb.Response) error {
 	bdy := hea.GetBody()
+	if lng := hea.GetBodyLength(); lng >= 0 && lng != int64(len(bdy)) && !rpl.bodyless(hea.GetStatus()) {
+		return status.Errorf(codes.DataLoss, "answer has %d bytes, its head tells %d", len(bdy), lng)
+	}
 	if len(bdy) <= smallBody {
 		return rpl.respond(whole(hea, bdy))
 	}
@@ -165,6 +170,11 @@
 	return rpl.rest(bytes.NewReader(bdy[smallBody:]), smallBody)
 }
 
+// bodyless reports whether the length of an answer may be told without a body.
+func (rpl *reply) bodyless(sts uint32) bool {
+	return rpl.method == http.MethodHead || sts == http.StatusNoContent || sts == http.StatusNotModified
+}
+
 // whole returns a response that holds all of its body.
 func whole(hea *peerpb.Response, bdy []byte) *peerpb.Response {
 	return &peerpb.Response{
--- a/internal/agent/peer/watch.go
+++ b/internal/agent/peer/watch.go
@@ -34,6 +34,8 @@
 	defer poo.mu.Unlock()
 	for lnk := range poo.all {
 		switch {
+		case lnk.socket.closed.Load():
+			dead = append(dead, lnk)
 		case lnk.outstanding == 0 && (poo.current[lnk.address] != lnk || now.Sub(lnk.used) > poo.opt.IdleTimeout):
 			dead = append(dead, lnk)
 		case poo.hooks.skipPing:
