Fill upstreams of an idle service and those that return

Cause: an upstream counted as filled by load when the whole service had none, and one that drained or failed was never filled again, so it owned nothing after its return. Change: the load criterion needs a load, and an ineligible upstream is filled once it is eligible.

--- a/internal/control/assign/fill.go
+++ b/internal/control/assign/fill.go
@@ -18,7 +18,8 @@
 			filling = true
 		}
 		ups.joining = filling && ups.eligible && !wrk.filled(ups, ups.full/wrk.fulls)
-		wrk.mem.seen[ups.session] = ups.joining
+		// An upstream that drains or has failed is filled again once it is back.
+		wrk.mem.seen[ups.session] = ups.joining || !ups.eligible
 	}
 	for ses := range wrk.mem.seen {
 		if _, ok := wrk.index[ses]; !ok {
@@ -30,7 +31,7 @@
 // filled reports whether an upstream has the whole number of partitions in a share, or the load; taking no more than that keeps the moves at the least possible.
 func (wrk *work) filled(ups *upstream, share float64) bool {
 	return ups.count >= int(math.Floor(share*float64(len(wrk.svc.Partitions)))) ||
-		!ups.stale && ups.load >= fullShare*wrk.level*ups.full
+		!ups.stale && wrk.level > 0 && ups.load >= fullShare*wrk.level*ups.full
 }
 
 // fill moves rows from the fullest upstreams to joining ones, up to the share of their current weight.
