--- a/examples/local.sh
+++ b/examples/local.sh
@@ -3,6 +3,7 @@
 #   examples/local.sh start NAME STATE_DIR
 #   examples/local.sh stop STATE_DIR
 # STATE_DIR receives the binary, PROCESS.pid and PROCESS.log of each process, and the data directories.
+# SISKINRILL_EXAMPLES names another directory of examples than the one of this script, with other ports for instance.
 set -euo pipefail
 
 usage() {
@@ -11,6 +12,7 @@
 }
 
 root=$(cd "$(dirname "$0")/.." && pwd)
+examples=${SISKINRILL_EXAMPLES:-$root/examples}
 ready_seconds=10
 stop_seconds=20
 
@@ -52,7 +54,7 @@
 }
 
 start() {
-  local settings="$root/examples/$1/settings" config="$root/examples/$1/config" file first
+  local settings="$examples/$1/settings" config="$examples/$1/config" file first
   [ -d "$settings" ] || { echo "no example $1" >&2; exit 1; }
   mkdir -p "$state"
   state=$(cd "$state" && pwd -P)
--- /dev/null
+++ b/examples/local_test.go
@@ -0,0 +1,155 @@
+package examples_test
+
+import (
+	"fmt"
+	"io"
+	"io/fs"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinrill/siskinrill/examples"
+	"github.com/siskinrill/siskinrill/internal/config/file"
+)
+
+// moved copies an example with all ports shifted, because several checkouts may run this test on one host.
+func moved(t *testing.T, nam string) string {
+	t.Helper()
+	old := map[string]string{examples.Rangsudhar: "127.0.0.1:18", examples.Bassma: "127.0.0.1:19"}[nam]
+	dir := t.TempDir()
+	for range 100 {
+		base := fmt.Sprintf("127.0.0.1:%d", 20+rand.IntN(12))
+		if !free(base) {
+			continue
+		}
+		must.NoError(t, os.CopyFS(filepath.Join(dir, nam), os.DirFS(nam)))
+		must.NoError(t, filepath.WalkDir(dir, func(pth string, ent fs.DirEntry, err error) error {
+			if err != nil || ent.IsDir() {
+				return err
+			}
+			dat, err := os.ReadFile(pth)
+			if err != nil {
+				return err
+			}
+			return os.WriteFile(pth, []byte(strings.ReplaceAll(string(dat), old, base)), 0o600)
+		}))
+		return dir
+	}
+	t.Fatal("no range of ports is free")
+	return ""
+}
+
+func free(base string) bool {
+	for _, prt := range []int{101, 111, 201, 221, 241, 261, 281, 292} {
+		lis, err := net.Listen("tcp", fmt.Sprintf("%s%03d", base, prt))
+		if err != nil {
+			return false
+		}
+		_ = lis.Close()
+	}
+	return true
+}
+
+func script(dir string, args ...string) (string, error) {
+	cmd := exec.Command("./local.sh", args...)
+	cmd.Env = append(os.Environ(), "SISKINRILL_EXAMPLES="+dir)
+	out, err := cmd.CombinedOutput()
+	return string(out), err
+}
+
+// TestLocal guards against an example that does not start or serve as separate processes, and against a stop that leaves processes behind or ends others.
+func TestLocal(t *testing.T) {
+	for nam, tcs := range map[string]struct{ method, path, service, key string }{
+		examples.Rangsudhar: {"POST", "/orders/R7/payment", "checkout", "R7"},
+		examples.Bassma:     {"PUT", "/scans/S7", "empreinte", "S7"},
+	} {
+		t.Run(nam, func(t *testing.T) {
+			t.Parallel()
+			dir, sta := moved(t, nam), t.TempDir()
+			out, err := script(dir, "start", nam, sta)
+			must.NoError(t, err, must.Sprint(out))
+			t.Cleanup(func() { _, _ = script(dir, "stop", sta) })
+			must.StrContains(t, out, "ready processes=29 ")
+			pids := pids(t, sta)
+			must.MapLen(t, 29, pids)
+			again, err := script(dir, "start", nam, sta)
+			must.Error(t, err, must.Sprint(again))
+			var lis, adm string
+			_, err = fmt.Sscanf(out, "ready processes=29 listen=%s admin=%s", &lis, &adm)
+			must.NoError(t, err)
+			must.Eq(t, "complete 200", request(t, tcs.method, "http://"+lis+tcs.path))
+			other := strings.TrimSuffix(adm, "111") + "113"
+			bin := filepath.Join(sta, "siskinrill")
+			must.Eq(t, command(t, bin, "owner", tcs.service, tcs.key, "--admin", adm), command(t, bin, "owner", tcs.service, tcs.key, "--admin", other))
+			must.StrContains(t, command(t, bin, "status", "--admin", other), "configuration 1")
+			foreign := exec.Command("sleep", "60")
+			must.NoError(t, foreign.Start())
+			out, err = script(dir, "stop", sta)
+			must.NoError(t, err, must.Sprint(out))
+			for prc, pid := range pids {
+				lnk, _ := os.Readlink("/proc/" + pid + "/exe")
+				must.NotEq(t, bin, lnk, must.Sprint(prc))
+				must.StrContains(t, read(t, filepath.Join(sta, prc+".log")), "Stopped.", must.Sprint(prc))
+			}
+			must.NoError(t, foreign.Process.Kill())
+			must.ErrorContains(t, foreign.Wait(), "killed")
+		})
+	}
+}
+
+func read(t *testing.T, pth string) string {
+	t.Helper()
+	dat, err := os.ReadFile(pth)
+	must.NoError(t, err)
+	return string(dat)
+}
+
+func pids(t *testing.T, sta string) map[string]string {
+	t.Helper()
+	fls, err := filepath.Glob(filepath.Join(sta, "*.pid"))
+	must.NoError(t, err)
+	out := map[string]string{}
+	for _, fil := range fls {
+		out[strings.TrimSuffix(filepath.Base(fil), ".pid")] = strings.TrimSpace(read(t, fil))
+	}
+	return out
+}
+
+func command(t *testing.T, bin string, args ...string) string {
+	t.Helper()
+	out, err := exec.Command(bin, args...).CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(out)))
+	return string(out)
+}
+
+func request(t *testing.T, mth, url string) string {
+	t.Helper()
+	req, err := http.NewRequest(mth, url, strings.NewReader("body"))
+	must.NoError(t, err)
+	cli := &http.Client{Timeout: 10 * time.Second}
+	res, err := cli.Do(req)
+	must.NoError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	_, err = io.Copy(io.Discard, res.Body)
+	must.NoError(t, err)
+	return fmt.Sprintf("%s %d", res.Header.Get("Siskinrill-Outcome"), res.StatusCode)
+}
+
+// TestConfig guards against an example whose configuration is not valid.
+func TestConfig(t *testing.T) {
+	for nam, rts := range map[string]int{examples.Rangsudhar: 4, examples.Bassma: 3} {
+		dir, err := examples.Config(nam)
+		must.NoError(t, err)
+		cfg, err := file.LoadFS(dir)
+		must.NoError(t, err)
+		must.Len(t, rts, cfg.GetRoutes())
+	}
+}
