--- /dev/null
+++ b/cmd/siskinrill/main_test.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	adminhttp "github.com/siskinrill/siskinrill/internal/admin/http"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// run executes a command line and returns its exit status and all output.
+func run(t *testing.T, args ...string) (int, string) {
+	t.Helper()
+	var out bytes.Buffer
+	root := newRoot()
+	root.SetOut(&out)
+	root.SetErr(&out)
+	sts := execute(context.Background(), args, root)
+	return sts, out.String()
+}
+
+// fake is an admin API with one upstream whose drain takes two views of the status.
+type fake struct {
+	views   int
+	applied *controlpb.ApplyRequest
+}
+
+func (fak *fake) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
+	switch req.Method + " " + req.URL.Path {
+	case "GET /v1/config":
+		fmt.Fprint(wri, `{"configuration":{"number":"6","services":[{"name":"a","partitions":16}]},"index":"9"}`)
+	case "POST /v1/config":
+		fak.apply(wri, req)
+	case "GET /v1/status":
+		fak.views++
+		fmt.Fprintf(wri, `{"term":"3","members":[{"member":{"name":"c1"},"leader":true}],"services":[{"service":"a","imbalance":1.25}],
+			"upstreams":[{"node":{"upstream":{"id":"a-1","service":"a","state":"UPSTREAM_STATE_SERVING"}},"partitions":%d,"refusals":{"queue_full":"4"}}]}`, max(0, 3-fak.views))
+	case "POST /v1/drain":
+		fmt.Fprint(wri, `{"partitions":3}`)
+	default:
+		wri.WriteHeader(http.StatusNotFound)
+		fmt.Fprint(wri, `{"reason":"not_found","detail":"unknown_service: x"}`)
+	}
+}
+
+func (fak *fake) apply(wri http.ResponseWriter, req *http.Request) {
+	fak.applied = &controlpb.ApplyRequest{}
+	var buf bytes.Buffer
+	_, _ = buf.ReadFrom(req.Body)
+	if err := protojson.Unmarshal(buf.Bytes(), fak.applied); err != nil {
+		wri.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	acc := fak.applied.GetChangeId() != "taken"
+	ans, _ := adminhttp.Marshal(&controlpb.ApplyAnswer{
+		Record:  &controlpb.ChangeRecord{ChangeId: fak.applied.GetChangeId(), Number: fak.applied.GetConfiguration().GetNumber(), Accepted: acc, Reason: "number_taken", Winner: "w1"},
+		Lagging: []string{"agent-7"},
+	})
+	if !acc {
+		wri.WriteHeader(http.StatusConflict)
+	}
+	_, _ = wri.Write(ans)
+}
+
+// TestCommands guards against a wrong exit status, and output that hides the difference, the winner, those that lag or the progress.
+func TestCommands(t *testing.T) {
+	dir := t.TempDir()
+	must.NoError(t, os.WriteFile(filepath.Join(dir, "a.toml"), []byte("[service.a]\npartitions = 32\n"), 0o600))
+	bad := t.TempDir()
+	must.NoError(t, os.WriteFile(filepath.Join(bad, "a.toml"), []byte("[service.a]\npartitions = 1\nx = 2\n"), 0o600))
+	set := filepath.Join(bad, "s.toml")
+	must.NoError(t, os.WriteFile(set, []byte("[agent]\nnam = \"a\"\n"), 0o600))
+	for nam, tcs := range map[string]struct {
+		args   string
+		status int
+		want   []string
+	}{
+		"no command":       {"", 2, []string{"a command is needed"}},
+		"unknown command":  {"stats", 2, []string{`unknown command "stats"`}},
+		"unknown flag":     {"status --jsn", 2, []string{"unknown flag: --jsn"}},
+		"missing argument": {"owner a", 2, []string{"accepts 2 arg(s), received 1"}},
+		"no subcommand":    {"config", 2, []string{"config needs a subcommand"}},
+		"bad address":      {"members add c6 localhost", 2, []string{`is "localhost"; must be IP:port`}},
+		"no settings":      {"agent", 2, []string{`required flag(s) "settings" not set`}},
+		"bad settings":     {"agent --settings " + set, 1, []string{"s.toml:2: agent.nam: unknown key; did you mean name?", "s.toml:1: agent.zone: is missing"}},
+		"lost settings":    {"control --settings " + bad + "/none.toml", 1, []string{"no such file"}},
+		"check":            {"config check " + dir, 0, []string{"valid: 1 services, 0 routes"}},
+		"check bad":        {"config check " + bad, 1, []string{"a.toml:2: service.a.partitions: is 1; allowed: 16 to 16384", "a.toml:3: service.a.x: unknown key"}},
+		"check nothing":    {"config check " + dir + "/none", 1, []string{"no such file"}},
+		"apply":            {"config apply " + dir, 0, []string{"~ service a\n-   partitions = 16\n+   partitions = 32\n", "accepted: configuration 7"}},
+		"apply and wait":   {"config apply --wait " + dir, 1, []string{"not yet in force on agent-7"}},
+		"apply taken":      {"config apply --change-id taken --number 5 " + dir, 1, []string{"configuration 5 was refused: number_taken, change w1 has the number"}},
+		"dry run":          {"config apply --dry-run " + dir, 0, []string{"partitions = 32"}},
+		"show":             {"config show", 0, []string{"# Configuration 6", "[service.a]\npartitions = 16"}},
+		"status":           {"status", 0, []string{"leader c1, term 3", "a        0           0         0       0          1.25", "queue_full=4"}},
+		"status as JSON":   {"status --json", 0, []string{`"imbalance"`, `"queue_full"`}},
+		"drain":            {"drain a-1", 0, []string{"a-1: 1 partitions", "a-1 is drained"}},
+		"drain unknown":    {"drain a-2", 1, []string{`no agent guards an upstream "a-2"; did you mean a-1?`}},
+		"undo":             {"drain a-1 --undo", 0, []string{"a-1 takes keys again"}},
+		"owner refused":    {"owner x k", 1, []string{"not_found: unknown_service: x"}},
+		"not ready":        {"ready --timeout 100ms", 1, []string{"is not ready"}},
+		"version":          {"--version", 0, []string{"siskinrill version"}},
+		"completion":       {"completion bash", 0, []string{"__start_siskinrill"}},
+		"help":             {"config apply --help", 0, []string{"Examples:", "--change-id"}},
+	} {
+		t.Run(nam, func(t *testing.T) {
+			srv := httptest.NewServer(&fake{})
+			defer srv.Close()
+			args := append(strings.Fields(tcs.args), "--admin", strings.TrimPrefix(srv.URL, "http://"))
+			sts, out := run(t, args...)
+			must.Eq(t, tcs.status, sts, must.Sprint(out))
+			for _, wnt := range tcs.want {
+				must.StrContains(t, out, wnt)
+			}
+		})
+	}
+}
+
+// TestExamples guards against a command without an example in its help.
+func TestExamples(t *testing.T) {
+	for _, cmd := range newRoot().Commands() {
+		for _, sub := range append(cmd.Commands(), cmd) {
+			if sub.HasSubCommands() || sub.Name() == "help" || cmd.Name() == "completion" {
+				continue
+			}
+			must.StrContains(t, sub.Example, "siskinrill "+strings.TrimPrefix(sub.CommandPath(), "siskinrill "))
+		}
+	}
+}
