End at once on a second signal and refuse an open admin address in dev

Change: the first signal restores the default action; dev needs a token for an address that is not loopback; a test starts dev as a process and ends it with SIGTERM and SIGINT. Conclusion: both signals end dev with status 0.

--- a/cmd/siskinrill/dev.go
+++ b/cmd/siskinrill/dev.go
@@ -24,6 +24,7 @@
 		Args: cobra.NoArgs,
 		RunE: action(func(cmd *cobra.Command, _ []string) error {
 			opt.Admin, _ = cmd.Flags().GetString("admin")
+			opt.Token, _ = cmd.Flags().GetString("token")
 			opt.Logger = actor.ConfigureLog(log)
 			prc, err := dev.New(opt)
 			if err != nil {
--- a/cmd/siskinrill/main.go
+++ b/cmd/siskinrill/main.go
@@ -128,7 +128,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	sts := execute(ctx, os.Args[1:], newRoot())
-	stop()
-	os.Exit(sts)
+	// A second signal ends the process at once, also during a long drain.
+	context.AfterFunc(ctx, stop)
+	os.Exit(execute(ctx, os.Args[1:], newRoot()))
 }
--- a/cmd/siskinrill/main_test.go
+++ b/cmd/siskinrill/main_test.go
@@ -7,9 +7,12 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -29,6 +32,36 @@
 	return sts, out.String()
 }
 
+// TestMain runs the command itself when a test starts this binary as a process.
+func TestMain(m *testing.M) {
+	if os.Getenv("SISKINRILL_TEST_MAIN") != "" {
+		main()
+	}
+	os.Exit(m.Run())
+}
+
+// TestSignals guards against a process that does not end with status 0 on a signal, or starts on an address in use.
+func TestSignals(t *testing.T) {
+	for _, sig := range []os.Signal{syscall.SIGTERM, syscall.SIGINT} {
+		cmd := exec.Command(os.Args[0], "dev", "--listen", "127.0.0.1:0", "--admin", "127.0.0.1:0", "--log-level", "error")
+		cmd.Env = append(os.Environ(), "SISKINRILL_TEST_MAIN=1")
+		out, err := cmd.StdoutPipe()
+		must.NoError(t, err)
+		must.NoError(t, cmd.Start())
+		t.Cleanup(func() { _ = cmd.Process.Kill() })
+		var lis, adm string
+		beg := time.Now()
+		_, err = fmt.Fscanf(out, "ready listen=%s admin=%s\n", &lis, &adm)
+		must.NoError(t, err)
+		must.Less(t, 5*time.Second, time.Since(beg))
+		sts, txt := run(t, "dev", "--listen", lis, "--admin", "127.0.0.1:0")
+		must.Eq(t, exitRefused, sts)
+		must.StrContains(t, txt, "address already in use")
+		must.NoError(t, cmd.Process.Signal(sig))
+		must.NoError(t, cmd.Wait())
+	}
+}
+
 // fake is an admin API with one upstream whose drain takes two views of the status.
 type fake struct {
 	views   int
@@ -94,6 +127,7 @@
 		"no settings":      {"agent", 2, []string{`required flag(s) "settings" not set`}},
 		"bad settings":     {"agent --settings " + set, 1, []string{"s.toml:2: agent.nam: unknown key; did you mean name?", "s.toml:1: agent.zone: is missing"}},
 		"lost settings":    {"control --settings " + bad + "/none.toml", 1, []string{"no such file"}},
+		"open admin":       {"dev --admin 0.0.0.0:0", 1, []string{"one that is not loopback needs a token"}},
 		"check":            {"config check " + dir, 0, []string{"valid: 1 services, 0 routes"}},
 		"check bad":        {"config check " + bad, 1, []string{"a.toml:2: service.a.partitions: is 1; allowed: 16 to 16384", "a.toml:3: service.a.x: unknown key"}},
 		"check nothing":    {"config check " + dir + "/none", 1, []string{"no such file"}},
@@ -116,7 +150,7 @@
 		t.Run(nam, func(t *testing.T) {
 			srv := httptest.NewServer(&fake{})
 			defer srv.Close()
-			args := append(strings.Fields(tcs.args), "--admin", strings.TrimPrefix(srv.URL, "http://"))
+			args := append([]string{"--admin", strings.TrimPrefix(srv.URL, "http://")}, strings.Fields(tcs.args)...)
 			sts, out := run(t, args...)
 			must.Eq(t, tcs.status, sts, must.Sprint(out))
 			for _, wnt := range tcs.want {
--- a/internal/process/dev/process.go
+++ b/internal/process/dev/process.go
@@ -35,7 +35,8 @@
 type Options struct {
 	Config string // configuration directory, empty for the built-in example
 	Listen string // IP:port for callers
-	Admin  string // IP:port of the admin API
+	Admin  string // IP:port of the admin API, loopback unless there is a token
+	Token  string // bearer token of the admin API
 	Data   string // data directory, empty for a temporary one
 	Logger *logrus.Logger
 }
@@ -56,6 +57,9 @@
 
 // New reads the configuration and opens every listener; an invalid configuration gives a *source.ProblemsError.
 func New(opt Options) (*Process, error) {
+	if !settings.Loopback(opt.Admin) && opt.Token == "" {
+		return nil, errors.Errorf("admin address %s: one that is not loopback needs a token", opt.Admin)
+	}
 	cfg, err := config(opt.Config)
 	if err != nil {
 		return nil, err
@@ -138,6 +142,7 @@
 		Place:  settings.Place{Name: controlName, Zone: "in-west-a", Region: "in-west"},
 		Listen: prc.member, Data: filepath.Join(prc.options.Data, controlName), StopTimeout: time.Second,
 		InitialMembers: map[string]string{controlName: prc.member}, MemberOrder: []string{controlName},
+		Admin: settings.Admin{Token: prc.options.Token},
 	}
 	prc.control, err = control.New(control.Options{Settings: set, Listener: lst[0], Admin: lst[1], Logger: prc.options.Logger})
 	if err != nil {
@@ -167,6 +172,7 @@
 	set := ups.agent
 	// All agents stop at once, so no key can move and a drain would never end.
 	set.Control, set.DrainTimeout = []string{prc.member}, 0
+	set.Admin.Token = prc.options.Token
 	agt, err := agent.New(agent.Options{
 		Settings: set, Callers: lst[0], Admin: lst[1], Peers: lst[2], Backend: lst[3], Logger: prc.options.Logger,
 	})
