Say plainly that no control leader answered

Cause: without a leader the commands printed a raw gRPC status. Change: the message names the last control process asked and what it answered. Measured: go test -race ./internal/admin/... passes. Conclusion: a lost majority is readable from status.

--- a/internal/admin/http/http_test.go
+++ b/internal/admin/http/http_test.go
@@ -104,7 +104,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
 	_, err := opr.Status(ctx)
-	must.Error(t, err)
+	must.ErrorContains(t, err, "no control leader answered; the last answer was 127.0.0.1:")
 	time.AfterFunc(200*time.Millisecond, func() { ldr.Store(&two.address) })
 	expect(two)
 }
--- a/internal/admin/http/operator.go
+++ b/internal/admin/http/operator.go
@@ -117,21 +117,21 @@
 func (opr *Operator) call(ctx context.Context, wait time.Duration, fn func(context.Context, controlpb.OperatorServiceClient) error) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+findTimeout)
 	defer cancel()
-	last := errors.New("no control address is known")
+	last := "no control address is known"
 	for {
 		for _, adr := range opr.order() {
 			err := opr.attempt(ctx, adr, wait, fn)
 			if err == nil || !again(err) {
 				return err
 			}
-			last = err
+			last = adr + ": " + explain(err)
 			if opr.redirected(adr, err) {
 				break
 			}
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Wrap(last, "no control leader answered")
+			return status.Errorf(codes.Unavailable, "no control leader answered; the last answer was %s", last)
 		case <-time.After(findPause):
 		}
 	}
@@ -151,6 +151,14 @@
 	return err
 }
 
+// explain returns what an answer of one control process means to an operator.
+func explain(err error) string {
+	if status.Code(err) == codes.FailedPrecondition && redirectAddress(err) == "" {
+		return "no leader is known"
+	}
+	return status.Convert(err).Message()
+}
+
 // again reports whether another control process may answer where this one did not.
 func again(err error) bool {
 	switch status.Code(err) {
