deployment: compare whole records in the operators' race

Cause: the race scenario asked the killed leader's own admin address, took the refused connection for a refusal, and failed. Change: the operators ask agents, and the scenario compares the whole record of each change in every round; the stand-in's test checks the new instance field.

--- a/internal/bench/deployment/failure_test.go
+++ b/internal/bench/deployment/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -30,8 +31,7 @@
 // suite is one running deployment that the scenarios share.
 type suite struct {
 	*deployment
-	mix  string
-	dirs []string // configurations of the racing operators
+	mix string
 }
 
 // scenario runs with all processes ready, and must leave them so.
@@ -305,37 +305,55 @@
 	must.Eq(t, 0, rep.Seconds[len(rep.Seconds)-2].Unserved, must.Sprint("requests not served after the return"))
 }
 
+// changeRecord is the answer to a change as the command line prints it.
+type changeRecord struct {
+	ChangeID string `json:"change_id"`
+	Number   string `json:"number"`
+	Index    string `json:"index"`
+	Accepted bool   `json:"accepted"`
+	Reason   string `json:"reason"`
+	Winner   string `json:"winner"`
+}
+
 // Guards against two accepted changes with one number, and against resends that get another answer.
 func operatorsRace(t *testing.T, sut *suite) {
 	const operators = 20
 	var cur int
 	_, err := fmt.Sscan(sut.configuration(t, "control-1"), &cur)
 	must.NoError(t, err)
-	apply := func(num int) (string, bool) {
-		adm := sut.Admin(fmt.Sprintf("control-%d", num%5+1))
-		out, err := sut.Run(t.Context(), "config", "apply", sut.dirs[num], "--admin", adm,
-			"--number", fmt.Sprint(cur+1), "--change-id", fmt.Sprintf("race-%d-%d", cur, num))
-		return out, err == nil
-	}
-	sut.dirs = nil
+	var dirs []string
 	for num := range operators {
-		sut.dirs = append(sut.dirs, sut.variant(t, 1000+num))
+		dirs = append(dirs, sut.variant(t, 1000+num))
 	}
-	round := func() []bool {
-		acc := make([]bool, operators)
+	agents := sut.Names("agent", "")
+	apply := func(num int) changeRecord {
+		out, _ := sut.Run(t.Context(), "config", "apply", dirs[num], "--admin", sut.Admin(agents[num%len(agents)]), "--json",
+			"--number", fmt.Sprint(cur+1), "--change-id", fmt.Sprintf("race-%d-%d", cur, num))
+		var ans struct {
+			Record changeRecord `json:"record"`
+		}
+		// A refusal prints its record too; only a lost answer leaves none.
+		_ = json.NewDecoder(strings.NewReader(out)).Decode(&ans)
+		return ans.Record
+	}
+	round := func() []changeRecord {
+		recs := make([]changeRecord, operators)
 		var grp sync.WaitGroup
 		for num := range operators {
-			grp.Go(func() { _, acc[num] = apply(num) })
+			grp.Go(func() { recs[num] = apply(num) })
 		}
 		grp.Wait()
-		return acc
+		return recs
 	}
 	first := round()
 	cnt := 0
-	for _, acc := range first {
-		if acc {
+	for _, rec := range first {
+		must.StrContains(t, rec.ChangeID, "race-", must.Sprint("a record for each change"))
+		if rec.Accepted {
 			cnt++
+			continue
 		}
+		must.StrContains(t, rec.Winner, "race-", must.Sprint("a refusal names the winner"))
 	}
 	must.Eq(t, 1, cnt, must.Sprint("accepted changes"))
 	must.Eq(t, first, round(), must.Sprint("resends"))
--- a/internal/bench/standin/standin_test.go
+++ b/internal/bench/standin/standin_test.go
@@ -62,7 +62,8 @@
 	must.NoError(t, json.Unmarshal([]byte(page), &rows))
 	must.Len(t, 1, rows)
 	must.Positive(t, rows[0].EndedUnixUs)
-	rows[0].StartedUnixUs, rows[0].EndedUnixUs = 0, 0
+	must.NotEq(t, "", rows[0].Instance)
+	rows[0].StartedUnixUs, rows[0].EndedUnixUs, rows[0].Instance = 0, 0, ""
 	must.Eq(t, standin.Row{
 		Sequence: 1, RequestID: "r-7", IdempotencyKey: "i-1", Attempt: "3-4", Service: "vitrine", Key: "charm",
 		Method: "PUT", Path: "/scans/charm", Status: 200, BodyBytes: 5, BodySha256: sum,
