Let requests give up waiting for a report of grants, and close gaps in the tests

Cause: 23 deliberate defects, put one by one into a scratch copy, showed three that no test noticed: a withdrawal during the report of a grant, a withdrawal of an attempt that waits for another with its Idempotency-Key, and a proof of not_run taken from a status that gives none. While the first gap was closed, the property test showed that a request waited without bound for another report of grants. Change: the report is guarded by a channel instead of a mutex, so that a request gives up at its deadline or with its caller; the fake backend server of the property test takes 30 ms for grants; TestNotRunProof, TestGrantsFirst and a case of TestWithdraw are new. Conclusion: a slow grants endpoint delays only the first request of a shard, and not beyond its deadline.

--- a/internal/agent/backend/request_test.go
+++ b/internal/agent/backend/request_test.go
@@ -181,3 +181,42 @@
 	}
 	must.Eq(t, 499, pai.srv.Ledger(0, 1)[0].Status)
 }
+
+// TestNotRunProof guards against a proof that is taken from an answer that gives none.
+func TestNotRunProof(t *testing.T) {
+	tests := map[string]struct {
+		status int
+		header string
+		reason siskinrill.Reason
+	}{
+		"409 with proof":    {status: 409, header: "true", reason: siskinrill.ReasonBackendFenced},
+		"412 with proof":    {status: 412, header: "true", reason: siskinrill.ReasonBackendFenced},
+		"429 with proof":    {status: 429, header: "true", reason: siskinrill.ReasonBackendShed},
+		"503 with proof":    {status: 503, header: "true", reason: siskinrill.ReasonBackendShed},
+		"500 with proof":    {status: 500, header: "true"},
+		"200 with proof":    {status: 200, header: "true"},
+		"503 without proof": {status: 503},
+		"503, other value":  {status: 503, header: "false"},
+	}
+	for name, tcs := range tests {
+		t.Run(name, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
+				wri.Header().Set(siskinrill.HeaderNotRun, tcs.header)
+				wri.Header().Set("Retry-After", "2")
+				wri.WriteHeader(tcs.status)
+			}))
+			defer srv.Close()
+			cli := backend.New(backend.Options{}, siskinrill.NewCounters())
+			announce(t.Context(), cli, strings.Replace(announcement("one", false), "http://127.0.0.1:9", srv.URL, 1))
+			ans, err := cli.Do(t.Context(), attempt(1), grant())
+			if tcs.reason == "" {
+				must.NoError(t, err)
+				must.Eq(t, tcs.status, int(ans.Head().GetStatus()))
+				return
+			}
+			must.Eq(t, tcs.reason, refusal(t, err).Reason())
+			must.True(t, refusal(t, err).NotRun())
+			must.Eq(t, 2*time.Second, refusal(t, err).RetryAfter())
+		})
+	}
+}
--- a/internal/agent/owner/admit_test.go
+++ b/internal/agent/owner/admit_test.go
@@ -316,3 +316,22 @@
 		must.Eq(t, 2, runs)
 	})
 }
+
+// TestGrantsFirst guards against a request that reaches the backend server before the grant of its shard.
+func TestGrantsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bnc := newBench(t.Context(), 1)
+		synctest.Wait()
+		bnc.bck.tell = 100 * time.Millisecond
+		bnc.ses.change(func() { bnc.ses.rows[partName(open(1, "ab").GetPartition())].Token = 101 })
+		opn := open(1, "ab")
+		opn.Token = 101
+		begin := time.Now()
+		must.NoError(t, <-bnc.start(t.Context(), opn))
+		must.Eq(t, 100*time.Millisecond, time.Since(begin))
+		opn = open(2, "ab")
+		opn.Token = 101
+		must.NoError(t, <-bnc.start(t.Context(), opn))
+		must.Eq(t, 100*time.Millisecond, time.Since(begin))
+	})
+}
--- a/internal/agent/owner/fake_test.go
+++ b/internal/agent/owner/fake_test.go
@@ -157,7 +157,8 @@
 
 // fakeBackend runs attempts by a function.
 type fakeBackend struct {
-	do func(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error)
+	do   func(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error)
+	tell time.Duration // time to take over grants
 }
 
 func (fba *fakeBackend) Do(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error) {
@@ -165,6 +166,7 @@
 }
 
 func (fba *fakeBackend) Grants(context.Context, []*controlpb.ShardRef, []*controlpb.ShardRef) error {
+	time.Sleep(fba.tell)
 	return nil
 }
 
--- a/internal/agent/owner/grants.go
+++ b/internal/agent/owner/grants.go
@@ -22,9 +22,21 @@
 type teller struct {
 	mu   sync.RWMutex
 	told map[shardID]uint64
-	busy sync.Mutex // serializes the reports
+	busy chan struct{} // holds one item during a report; unlike a mutex, a request can give up waiting for it
 }
 
+// begin waits for the end of another report; false means that the context ended first.
+func (tld *teller) begin(ctx context.Context) bool {
+	select {
+	case tld.busy <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (tld *teller) end() { <-tld.busy }
+
 // missing returns the rows that the backend server was not told of.
 func (tld *teller) missing(rows []*controlpb.Shard) []*controlpb.ShardRef {
 	tld.mu.RLock()
@@ -38,16 +50,18 @@
 	return refs
 }
 
-// tell reports the rows that the backend server does not know, and returns once it does.
-func (own *Owner) tell(ctx context.Context, rows []*controlpb.Shard) {
+// tell reports the rows that the backend server does not know; false means that the context ended first.
+func (own *Owner) tell(ctx context.Context, rows []*controlpb.Shard) bool {
 	if len(own.tld.missing(rows)) == 0 {
-		return
+		return true
 	}
-	own.tld.busy.Lock()
-	defer own.tld.busy.Unlock()
+	if !own.tld.begin(ctx) {
+		return false
+	}
+	defer own.tld.end()
 	refs := own.tld.missing(rows)
 	if len(refs) == 0 {
-		return
+		return true
 	}
 	own.grants(ctx, refs, nil)
 	own.tld.mu.Lock()
@@ -55,12 +69,15 @@
 	for _, ref := range refs {
 		own.tld.told[shardID{service: ref.GetService(), partition: ref.GetPartition(), key: ref.GetKey()}] = ref.GetToken()
 	}
+	return true
 }
 
 // untell reports the shards that are no longer owned.
 func (own *Owner) untell(ctx context.Context, rows []*controlpb.Shard) {
-	own.tld.busy.Lock()
-	defer own.tld.busy.Unlock()
+	if !own.tld.begin(ctx) {
+		return
+	}
+	defer own.tld.end()
 	refs := own.tld.forget(rows)
 	if len(refs) > 0 {
 		own.grants(ctx, nil, refs)
--- a/internal/agent/owner/handle.go
+++ b/internal/agent/owner/handle.go
@@ -61,7 +61,9 @@
 	if ref := own.admit(ctx, tck); ref != nil {
 		return nil, ref
 	}
-	own.tell(ctx, []*controlpb.Shard{row})
+	if !own.tell(ctx, []*controlpb.Shard{row}) {
+		return nil, siskinrill.NotRun(waitReason(ctx))
+	}
 	return nil, nil
 }
 
--- a/internal/agent/owner/model_test.go
+++ b/internal/agent/owner/model_test.go
@@ -83,7 +83,8 @@
 		slots: slots, running: map[attemptID]*peerpb.Open{}, ran: map[attemptID]bool{}, withdrawn: map[attemptID]bool{},
 		claimed: map[string]bool{}, cancels: map[int]context.CancelFunc{}, gone: map[int]bool{},
 	}
-	mdl.bench = &bench{ses: newFakeSession(), fwd: &fakeForwarder{}, cnt: siskinrill.NewCounters(), bck: &fakeBackend{}}
+	mdl.bench = &bench{ses: newFakeSession(), fwd: &fakeForwarder{}, cnt: siskinrill.NewCounters()}
+	mdl.bck = &fakeBackend{do: mdl.do, tell: 30 * time.Millisecond}
 	mdl.own = New(Options{Slots: func() int { return slots }}, mdl.ses, mdl.fwd, mdl.bck, mdl.cnt)
 	mdl.own.flt = flt
 	mdl.ses.onRel = mdl.checkRelease
--- a/internal/agent/owner/owner.go
+++ b/internal/agent/owner/owner.go
@@ -55,6 +55,7 @@
 	}
 	own.lim.ramp = defaultRamp
 	own.tld.told = map[shardID]uint64{}
+	own.tld.busy = make(chan struct{}, 1)
 	return own
 }
 
--- a/internal/agent/owner/property_test.go
+++ b/internal/agent/owner/property_test.go
@@ -19,7 +19,6 @@
 	synctest.Test(t, func(*testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
 		mdl := newModel(ctx, slots, flt)
-		mdl.bck.do = mdl.do
 		time.Sleep(10 * time.Millisecond) // the ramp is over
 		for _, stp := range plan {
 			synctest.Wait()
--- a/internal/agent/owner/withdraw_test.go
+++ b/internal/agent/owner/withdraw_test.go
@@ -74,6 +74,13 @@
 			time.Sleep(2 * time.Minute)
 		}, want: peerpb.WithdrawResult_WITHDRAW_RESULT_UNKNOWN, runs: 1},
 		"older than known": {before: func(ctx context.Context, sta *state) { <-sta.start(ctx, open(9, "ab")); time.Sleep(2 * time.Minute) }, want: peerpb.WithdrawResult_WITHDRAW_RESULT_UNKNOWN, reason: siskinrill.ReasonDuplicateAttempt, runs: 1},
+		"waits for the same Idempotency-Key": {before: func(ctx context.Context, sta *state) {
+			for _, num := range []uint64{80, 1} {
+				opn := open(num, "ab")
+				opn.IdempotencyKey = "pay-1"
+				sta.out = sta.start(ctx, opn)
+			}
+		}, want: peerpb.WithdrawResult_WITHDRAW_RESULT_UNKNOWN, reason: siskinrill.ReasonWithdrawn, runs: 1},
 		"caller gone": {before: func(ctx context.Context, sta *state) {
 			ctx, cancel := context.WithCancel(ctx)
 			out := sta.start(ctx, open(1, "ab"))
