--- a/internal/control/member/change.go
+++ b/internal/control/member/change.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -33,7 +34,11 @@
 		return nil, err
 	}
 	ans := &controlpb.MembersAnswer{Detail: detail}
-	err = grp.inspect(ctx, func() { ans.Members = grp.rft.Members() })
+	// This process may have handed over or left by its own request.
+	err = grp.inspectAny(ctx, func() error {
+		ans.Members = grp.rft.Members()
+		return nil
+	})
 	return ans, err
 }
 
@@ -126,19 +131,19 @@
 		}
 	}
 	for {
-		more := false
+		left := 0
 		err := grp.commitMembers(ctx, func(mbs *controlpb.Members) bool {
-			more = false
-			for pos, mem := range mbs.GetMembers() {
-				if mem.GetName() == name && mem.GetId() != except {
-					mbs.Members = append(mbs.Members[:pos], mbs.Members[pos+1:]...)
-					more = true
-					return true
-				}
+			matches := func(mem *controlpb.Member) bool { return mem.GetName() == name && mem.GetId() != except }
+			pos := slices.IndexFunc(mbs.GetMembers(), matches)
+			if pos < 0 {
+				return false
 			}
-			return false
+			mbs.Members = slices.Delete(mbs.Members, pos, pos+1)
+			left = len(slices.DeleteFunc(slices.Clone(mbs.GetMembers()), func(mem *controlpb.Member) bool { return !matches(mem) }))
+			return true
 		})
-		if err != nil || !more {
+		// After its own removal this process no longer leads, so it may not ask once more.
+		if err != nil || left == 0 {
 			return err
 		}
 	}
--- a/internal/control/member/cluster_test.go
+++ b/internal/control/member/cluster_test.go
@@ -7,12 +7,15 @@
 	"net"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/stats"
 
 	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
@@ -24,6 +27,7 @@
 	mu                  sync.Mutex
 	idx                 uint64
 	ids                 []string
+	restores            int
 }
 
 func (led *ledger) Apply(idx uint64, cmd *controlpb.Command) *siskinrill.Result {
@@ -40,6 +44,7 @@
 	led.mu.Lock()
 	defer led.mu.Unlock()
 	led.ids = nil
+	led.restores++
 	return json.Unmarshal(data, &led.ids)
 }
 
@@ -53,10 +58,73 @@
 	return &controlpb.Command{Kind: &controlpb.Command_ApplyConfiguration{ApplyConfiguration: &controlpb.ApplyConfiguration{ChangeId: chg}}}
 }
 
+// traffic counts the bytes of gRPC messages that arrive at a process.
+type traffic struct{ received atomic.Int64 }
+
+func (trf *traffic) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+func (trf *traffic) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+func (trf *traffic) HandleConn(context.Context, stats.ConnStats)                       {}
+func (trf *traffic) HandleRPC(_ context.Context, sta stats.RPCStats) {
+	if pay, ok := sta.(*stats.InPayload); ok {
+		trf.received.Add(int64(pay.WireLength))
+	}
+}
+
+// listener makes its present connections silent on demand; later ones work.
+type listener struct {
+	net.Listener
+	mu   sync.Mutex
+	cnns []*silent
+}
+
+func (lis *listener) Accept() (net.Conn, error) {
+	cnn, err := lis.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	lis.mu.Lock()
+	defer lis.mu.Unlock()
+	lis.cnns = append(lis.cnns, &silent{Conn: cnn})
+	return lis.cnns[len(lis.cnns)-1], nil
+}
+
+func (lis *listener) silence() {
+	lis.mu.Lock()
+	defer lis.mu.Unlock()
+	for _, cnn := range lis.cnns {
+		cnn.lost.Store(true)
+	}
+}
+
+// silent is a connection that at some time loses everything in both directions and stays open.
+type silent struct {
+	net.Conn
+	lost atomic.Bool
+}
+
+func (sil *silent) Read(buf []byte) (int, error) {
+	for {
+		num, err := sil.Conn.Read(buf)
+		if err != nil || !sil.lost.Load() {
+			return num, err
+		}
+	}
+}
+
+func (sil *silent) Write(buf []byte) (int, error) {
+	if sil.lost.Load() {
+		return len(buf), nil
+	}
+	return sil.Conn.Write(buf)
+}
+
 // process is one control process on loopback.
 type process struct {
 	*Group
 	led    *ledger
+	lis    *listener
+	trf    *traffic
 	srv    *grpc.Server
 	cancel context.CancelFunc
 	err    chan error
@@ -84,13 +152,15 @@
 	return lis.Addr().String()
 }
 
-func newCluster(tst testing.TB, size int) *cluster {
+func newCluster(tst testing.TB, size int) *cluster { return newClusterWith(tst, size, nil) }
+
+func newClusterWith(tst testing.TB, size int, adjust func(*Options)) *cluster {
 	clu := &cluster{tst: tst, dir: tst.TempDir(), prcs: map[string]*process{}}
 	for num := range size {
 		clu.peers = append(clu.peers, Peer{Name: fmt.Sprintf("c%d", num+1), Address: freePort(tst)})
 	}
 	for _, per := range clu.peers {
-		clu.start(per.Name, per.Address, per.Name, nil)
+		clu.start(per.Name, per.Address, per.Name, adjust)
 	}
 	tst.Cleanup(func() {
 		for _, prc := range clu.prcs {
@@ -111,13 +181,13 @@
 	}
 	grp, err := New(opt)
 	must.NoError(clu.tst, err)
-	srv := grpc.NewServer(grpc.MaxRecvMsgSize(MaxMessageBytes))
-	grp.Register(srv)
 	lis, err := net.Listen("tcp", addr)
 	must.NoError(clu.tst, err)
-	go func() { _ = srv.Serve(lis) }()
 	ctx, cancel := context.WithCancel(context.Background())
-	prc := &process{Group: grp, led: led, srv: srv, cancel: cancel, err: make(chan error, 1)}
+	prc := &process{Group: grp, led: led, lis: &listener{Listener: lis}, trf: &traffic{}, cancel: cancel, err: make(chan error, 2)}
+	prc.srv = grpc.NewServer(grpc.MaxRecvMsgSize(MaxMessageBytes), grpc.StatsHandler(prc.trf))
+	grp.Register(prc.srv)
+	go func() { _ = prc.srv.Serve(prc.lis) }()
 	go func() { prc.err <- grp.Run(ctx); prc.err <- nil }()
 	clu.prcs[name] = prc
 	return prc
@@ -158,6 +228,20 @@
 	}
 }
 
+// runMany proposes commands from many callers at once.
+func (clu *cluster) runMany(ldr *process, num int) {
+	clu.tst.Helper()
+	var grp errgroup.Group
+	grp.SetLimit(256)
+	for pos := range num {
+		grp.Go(func() error {
+			_, err := ldr.Propose(context.Background(), command(fmt.Sprintf("m%d", pos)))
+			return err
+		})
+	}
+	must.NoError(clu.tst, grp.Wait())
+}
+
 // run proposes commands one after the other at the leader.
 func (clu *cluster) run(ldr *process, prefix string, num int) {
 	clu.tst.Helper()
@@ -169,3 +253,22 @@
 		must.Positive(clu.tst, res.Index())
 	}
 }
+
+// follower returns the name of a process other than the leader.
+func (clu *cluster) follower(ldr *process) string {
+	for name, prc := range clu.prcs {
+		if prc != ldr {
+			return name
+		}
+	}
+	return ""
+}
+
+func (clu *cluster) change(ldr *process, act controlpb.MemberAction, name, addr string) *controlpb.MembersAnswer {
+	clu.tst.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), settle)
+	defer cancel()
+	ans, err := ldr.ChangeMembers(ctx, &controlpb.MembersRequest{Action: act, Name: name, Address: addr})
+	must.NoError(clu.tst, err)
+	return ans
+}
