Test expiry, redirects, lag, drains and slow agents one by one

Cause: the property test does not show times, and does not cover redirects, slow agents and the order in which grants are told. Change: tests under synctest with an agent that does only what it is told. Conclusion: expiry comes 1,490 to 1,620 ms after the last renewal, redirects within 10 ms of the loss of leadership.

--- a/internal/control/agent/cluster_test.go
+++ b/internal/control/agent/cluster_test.go
@@ -20,6 +20,7 @@
 	procs  []*process
 	leader int
 	term   uint64
+	sends  int
 	log    []*controlpb.Command
 }
 
--- /dev/null
+++ b/internal/control/agent/sessions_test.go
@@ -0,0 +1,264 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// probe is an agent that does only what a test tells it, and keeps all it hears with the time.
+type probe struct {
+	pipe *pipe
+	mut  sync.Mutex
+	got  []*controlpb.ControlMessage
+	at   []time.Time
+}
+
+func (clu *cluster) probe(ctx context.Context, num int, hel *controlpb.Hello) *probe {
+	prb := &probe{pipe: clu.dial(ctx, num, 0)}
+	_ = prb.pipe.pass(prb.pipe.up, parcel{up: &controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Hello{Hello: hel}}}, 1)
+	go func() {
+		for {
+			msg, err := prb.pipe.hear()
+			if err != nil {
+				return
+			}
+			prb.mut.Lock()
+			prb.got, prb.at = append(prb.got, msg), append(prb.at, time.Now())
+			prb.mut.Unlock()
+		}
+	}()
+	time.Sleep(100 * time.Millisecond)
+	return prb
+}
+
+// renew sends a renewal that is not lost.
+func (prb *probe) renew(seq, cnf uint64) {
+	ren := &controlpb.Renew{Sequence: seq, ConfigurationNumber: cnf}
+	_ = prb.pipe.pass(prb.pipe.up, parcel{up: &controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Renew{Renew: ren}}}, 1)
+}
+
+// find returns the number of messages that pass a test, and when the last one came.
+func (prb *probe) find(test func(msg *controlpb.ControlMessage) bool) (int, time.Time) {
+	prb.mut.Lock()
+	defer prb.mut.Unlock()
+	cnt, last := 0, time.Time{}
+	for pos, msg := range prb.got {
+		if test(msg) {
+			cnt, last = cnt+1, prb.at[pos]
+		}
+	}
+	return cnt, last
+}
+
+func answered(msg *controlpb.ControlMessage) bool   { return msg.GetRenewAnswer() != nil }
+func ended(msg *controlpb.ControlMessage) bool      { return msg.GetExpired() != nil }
+func redirected(msg *controlpb.ControlMessage) bool { return msg.GetRedirect() != nil }
+
+func serving(name string) *controlpb.Hello {
+	ups := &controlpb.Upstream{Id: name, Service: testService, Slots: 4, State: controlpb.UpstreamState_UPSTREAM_STATE_SERVING}
+	return &controlpb.Hello{Node: &controlpb.Node{Name: name, Upstream: ups}}
+}
+
+func (prb *probe) session() uint64 {
+	prb.mut.Lock()
+	defer prb.mut.Unlock()
+	if len(prb.got) == 0 {
+		return 0
+	}
+	return prb.got[0].GetWelcome().GetSession()
+}
+
+// bubble runs a test with a cluster of two processes, the first of which leads and has configuration 1.
+func bubble(t *testing.T, fn func(ctx context.Context, clu *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		tri := newTrial(ctx, plan{Seed: 1}, hooks{})
+		for _, prc := range tri.cluster.procs {
+			tri.group.Go(func() { _ = prc.sessions.Run(ctx) })
+		}
+		tri.cluster.elect(0, 0)
+		time.Sleep(50 * time.Millisecond)
+		tri.configure(1)
+		fn(ctx, tri.cluster)
+		cancel()
+		tri.group.Wait()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// Guards against a session that is renewed after its expiry, one that expires too early, and keys that stay with a lost agent for too long.
+func TestExpiry(t *testing.T) {
+	bubble(t, func(ctx context.Context, clu *cluster) {
+		one := clu.probe(ctx, 0, serving("one"))
+		reg := clu.procs[0].registry
+		last := time.Now()
+		one.renew(1, 1)
+		time.Sleep(1480 * time.Millisecond)
+		must.Len(t, 1, reg.Tables().GetNodes())
+		for len(reg.Tables().GetNodes()) > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		must.Between(t, 1490*time.Millisecond, time.Since(last), 1490*time.Millisecond+130*time.Millisecond)
+		one.renew(2, 1)
+		time.Sleep(200 * time.Millisecond)
+		cnt, _ := one.find(answered)
+		must.One(t, cnt)
+		cnt, _ = one.find(ended)
+		must.One(t, cnt)
+		again := serving("one")
+		again.Session = one.session()
+		two := clu.probe(ctx, 0, again)
+		cnt, _ = two.find(ended)
+		must.One(t, cnt)
+	})
+}
+
+// Guards against a new leader that expires sessions before the leases of the old one can have ended, or never.
+func TestNewLeaderWaits(t *testing.T) {
+	bubble(t, func(ctx context.Context, clu *cluster) {
+		clu.probe(ctx, 0, serving("one")).renew(1, 1)
+		time.Sleep(time.Second)
+		clu.elect(1, 0)
+		since := time.Now()
+		for len(clu.procs[1].registry.Tables().GetNodes()) > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		must.Between(t, 1490*time.Millisecond, time.Since(since), 1490*time.Millisecond+130*time.Millisecond)
+	})
+}
+
+// Guards against a lease that is renewed although the agent is over 10 s behind an accepted configuration.
+func TestConfigurationLag(t *testing.T) {
+	bubble(t, func(ctx context.Context, clu *cluster) {
+		one, two := clu.probe(ctx, 0, serving("one")), clu.probe(ctx, 0, serving("two"))
+		accepted := time.Now()
+		cnf := &controlpb.Configuration{Number: 2}
+		cmd := &controlpb.ApplyConfiguration{ChangeId: "c2", Configuration: cnf}
+		res, err := clu.procs[0].Propose(ctx, &controlpb.Command{Kind: &controlpb.Command_ApplyConfiguration{ApplyConfiguration: cmd}})
+		must.NoError(t, err)
+		must.True(t, res.Record().GetAccepted())
+		for seq := uint64(1); seq <= 56; seq++ {
+			one.renew(seq, 1)
+			two.renew(seq, min(seq, 2))
+			time.Sleep(250 * time.Millisecond)
+			lagging, _ := clu.procs[0].sessions.Lagging(2)
+			if seq > 2 && seq < 40 {
+				must.Eq(t, []string{"one"}, lagging)
+			}
+		}
+		_, last := one.find(answered)
+		must.Between(t, 9700*time.Millisecond, last.Sub(accepted), 10100*time.Millisecond)
+		cnt, _ := one.find(ended)
+		must.One(t, cnt)
+		_, last = two.find(answered)
+		must.Greater(t, 13*time.Second, last.Sub(accepted))
+	})
+}
+
+// Guards against agents that are not told of the leader, at once when it changes.
+func TestRedirects(t *testing.T) {
+	bubble(t, func(ctx context.Context, clu *cluster) {
+		one, two := clu.probe(ctx, 0, serving("one")), clu.probe(ctx, 1, serving("two"))
+		cnt, _ := two.find(redirected)
+		must.One(t, cnt)
+		must.Eq(t, "p0", two.got[0].GetRedirect().GetLeaderAddress())
+		clu.elect(1, 0)
+		lost := time.Now()
+		time.Sleep(100 * time.Millisecond)
+		cnt, at := one.find(redirected)
+		must.One(t, cnt)
+		must.Eq(t, "p1", one.got[len(one.got)-1].GetRedirect().GetLeaderAddress())
+		must.LessEq(t, 10*time.Millisecond, at.Sub(lost))
+	})
+}
+
+// Guards against an agent that reads nothing and holds up the others, and against one that keeps its dead stream for ever.
+func TestSlowAgent(t *testing.T) {
+	bubble(t, func(ctx context.Context, clu *cluster) {
+		deaf := clu.dial(ctx, 0, 0)
+		must.NoError(t, deaf.pass(deaf.up, parcel{up: &controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Hello{Hello: serving("deaf")}}}, 1))
+		two := clu.probe(ctx, 0, serving("two"))
+		for seq := uint64(1); seq < 400; seq++ {
+			ren := &controlpb.Renew{Sequence: seq, ConfigurationNumber: 1}
+			_ = deaf.pass(deaf.up, parcel{up: &controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Renew{Renew: ren}}}, 1)
+			two.renew(seq, 1)
+			time.Sleep(50 * time.Millisecond)
+		}
+		cnt, last := two.find(answered)
+		must.Greater(t, 380, cnt)
+		must.LessEq(t, 200*time.Millisecond, time.Since(last))
+		must.Error(t, deaf.ctx.Err())
+	})
+}
+
+// Guards against agents that are not told that an operator drains them, whether before or after they connect, and keep rows.
+func TestDrainIsTold(t *testing.T) {
+	bubble(t, func(ctx context.Context, clu *cluster) {
+		drain := func(name string, drn bool) {
+			set := &controlpb.SetDrain{Upstream: name, Drain: drn}
+			_, err := clu.procs[0].Propose(ctx, &controlpb.Command{Kind: &controlpb.Command_SetDrain{SetDrain: set}})
+			must.NoError(t, err)
+			time.Sleep(50 * time.Millisecond)
+		}
+		drain("two", true)
+		one, two := clu.probe(ctx, 0, serving("one")), clu.probe(ctx, 0, serving("two"))
+		must.False(t, one.got[0].GetWelcome().GetDraining())
+		must.True(t, two.got[0].GetWelcome().GetDraining())
+		drain("one", true)
+		told := func(drn bool) func(msg *controlpb.ControlMessage) bool {
+			return func(msg *controlpb.ControlMessage) bool {
+				knd, ok := msg.GetKind().(*controlpb.ControlMessage_Drain)
+				return ok && knd.Drain == drn
+			}
+		}
+		cnt, _ := one.find(told(true))
+		must.One(t, cnt)
+		drain("two", false)
+		cnt, _ = two.find(told(false))
+		must.One(t, cnt)
+	})
+}
+
+// Guards against differences that are built and encoded for each stream, and grants that others hear of before the new owner.
+func TestSharedDifferences(t *testing.T) {
+	bubble(t, func(ctx context.Context, clu *cluster) {
+		var probes []*probe
+		for num := range 6 {
+			probes = append(probes, clu.probe(ctx, 0, serving(fmt.Sprint("a", num))))
+		}
+		hub := clu.procs[0].sessions.current().hub
+		ver := hub.newest()
+		must.Eq(t, hub.after(ver-1), hub.after(ver-1))
+		must.Nil(t, hub.after(ver))
+		must.Eq(t, hub.after(0), hub.after(0))
+		checkTargetFirst(ctx, t, clu, probes)
+	})
+}
+
+func checkTargetFirst(ctx context.Context, t *testing.T, clu *cluster, probes []*probe) {
+	tab := clu.procs[0].registry.Tables().GetTables()[0]
+	for _, row := range tab.GetMoving() {
+		ref := &controlpb.ShardRef{Service: testService, Partition: row.GetPartition(), Token: row.GetToken()}
+		rel := &controlpb.Released{Session: row.GetOwner(), Shards: []*controlpb.ShardRef{ref}}
+		res, err := clu.procs[0].Propose(ctx, &controlpb.Command{Kind: &controlpb.Command_Released{Released: rel}})
+		must.NoError(t, err)
+		must.Zero(t, res.Skipped())
+		time.Sleep(20 * time.Millisecond)
+		for _, prb := range probes {
+			if prb.session() == row.GetTarget() {
+				for _, other := range probes {
+					must.True(t, other == prb || other.pipe.granted > prb.pipe.granted)
+				}
+			}
+		}
+	}
+	must.SliceNotEmpty(t, tab.GetMoving())
+}
--- a/internal/control/agent/wire_test.go
+++ b/internal/control/agent/wire_test.go
@@ -20,6 +20,7 @@
 	up      chan parcel
 	down    chan parcel
 	slow    time.Duration
+	granted int // position among all sends of the cluster at which the agent was last told of a grant
 }
 
 type parcel struct {
@@ -77,6 +78,14 @@
 
 // Send and Recv are the ends of the control process.
 func (pip *pipe) Send(msg *controlpb.ControlMessage) error {
+	pip.cluster.mut.Lock()
+	pip.cluster.sends++
+	for _, chg := range msg.GetDifference().GetChanges() {
+		if chg.GetSetShard().GetPhase() == controlpb.Phase_PHASE_OWNED {
+			pip.granted = pip.cluster.sends
+		}
+	}
+	pip.cluster.mut.Unlock()
 	ans := msg.GetRenewAnswer() != nil
 	return pip.pass(pip.down, parcel{down: msg}, pip.copies(ans, ans))
 }
