Measure ticks, differences and renewals at 810 sessions

Cause: the limits of CPU and bytes need figures. Change: benchmarks of a tick from tables to plan, of one encoding for all streams, and of 810 sessions over loopback gRPC.

--- /dev/null
+++ b/internal/control/agent/bench_test.go
@@ -0,0 +1,250 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"golang.org/x/sys/unix"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/stats"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/control/assign"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	targetNodes      = 810
+	targetPartitions = 16384
+)
+
+// instant is a log that commits at once; confirmations take a millisecond.
+type instant struct{ process }
+
+func newInstant() *instant {
+	clu := newCluster(1, 1, hooks{})
+	ins := &instant{process: process{cluster: clu, registry: clu.procs[0].registry, changed: make(chan struct{})}}
+	ins.ldr = siskinrill.NewLeadership(1, true, "", time.Now())
+	return ins
+}
+
+func (ins *instant) Propose(_ context.Context, cmd *controlpb.Command) (*siskinrill.Result, error) {
+	ins.cluster.mut.Lock()
+	defer ins.cluster.mut.Unlock()
+	return ins.registry.Apply(ins.registry.Index()+1, cmd), nil
+}
+
+func (ins *instant) Confirm(context.Context) error {
+	time.Sleep(time.Millisecond)
+	return nil
+}
+
+func (ins *instant) configure() {
+	cnf := &controlpb.Configuration{Number: 1, Services: []*controlpb.Service{{Name: testService, Partitions: targetPartitions, RampMs: 1}}}
+	cmd := &controlpb.ApplyConfiguration{ChangeId: "c1", Configuration: cnf}
+	_, _ = ins.Propose(context.Background(), &controlpb.Command{Kind: &controlpb.Command_ApplyConfiguration{ApplyConfiguration: cmd}})
+}
+
+func targetNode(num int) *controlpb.Node {
+	nod := serving(fmt.Sprintf("orders-%03d", num)).GetNode()
+	nod.Zone, nod.PeerAddress, nod.CallerAddress = fmt.Sprint("zone-", num%4), "10.0.0.1:7000", "10.0.0.1:8000"
+	return nod
+}
+
+// BenchmarkTick measures a tick, tables and policy, at 810 upstreams and 16,384 partitions with reports; the limit is 50 ms.
+func BenchmarkTick(b *testing.B) {
+	ins := newInstant()
+	ins.configure()
+	for num := range targetNodes {
+		_, _ = ins.Propose(b.Context(), &controlpb.Command{Kind: &controlpb.Command_RegisterNode{RegisterNode: &controlpb.RegisterNode{Node: targetNode(num)}}})
+	}
+	ses := New(Options{}, ins, ins.registry, assign.New(assign.Limits{}))
+	trm := newTerm(b.Context(), ses, ins.ldr)
+	tbl := &siskinrill.Tables{}
+	for num := range 10 {
+		trm.fill(tbl, time.Now())
+		asg := ses.policy.Plan(time.Duration(num)*time.Second, tbl)
+		_, _ = ins.Propose(b.Context(), &controlpb.Command{Kind: &controlpb.Command_Assign{Assign: &controlpb.Assign{Assignments: asg}}})
+	}
+	reports := map[uint64]*controlpb.LoadReport{}
+	for prt, own := range ins.registry.Tables().GetTables()[0].GetOwners() {
+		if reports[own] == nil {
+			reports[own] = &controlpb.LoadReport{IntervalMs: 1000}
+		}
+		ref := &controlpb.ShardRef{Service: testService, Partition: uint32(prt)}
+		reports[own].Shards = append(reports[own].Shards, &controlpb.ShardLoad{Shard: ref, Requests: uint32(150 + prt%61)})
+	}
+	now := 10 * time.Second
+	b.Run("fill", func(b *testing.B) {
+		for b.Loop() {
+			trm.fill(tbl, time.Now())
+		}
+	})
+	b.Run("fill_and_plan", func(b *testing.B) {
+		for b.Loop() {
+			for own, rep := range reports { // 810 reports a second are 81 a tick
+				if own%10 == uint64(now/(100*time.Millisecond))%10 {
+					trm.loads.report(own, rep, time.Now())
+				}
+			}
+			now += 100 * time.Millisecond
+			trm.fill(tbl, time.Now())
+			ses.policy.Plan(now, tbl)
+		}
+	})
+	b.Run("sync", func(b *testing.B) {
+		for b.Loop() {
+			trm.sync(time.Now())
+		}
+	})
+}
+
+// counter counts messages and their bytes with gRPC's framing at the server.
+type counter struct {
+	in, inBytes, out, outBytes atomic.Int64
+}
+
+func (cnt *counter) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+func (cnt *counter) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+func (cnt *counter) HandleConn(context.Context, stats.ConnStats)                       {}
+
+func (cnt *counter) HandleRPC(_ context.Context, rpc stats.RPCStats) {
+	switch msg := rpc.(type) {
+	case *stats.InPayload:
+		cnt.in.Add(1)
+		cnt.inBytes.Add(int64(msg.WireLength))
+	case *stats.OutPayload:
+		cnt.out.Add(1)
+		cnt.outBytes.Add(int64(msg.WireLength))
+	}
+}
+
+func cpu() time.Duration {
+	var use unix.Rusage
+	_ = unix.Getrusage(unix.RUSAGE_SELF, &use)
+	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
+}
+
+// fleet is 810 sessions over loopback, 27 to a connection, with their clients in this process.
+type fleet struct {
+	log     *instant
+	counter counter
+	group   sync.WaitGroup
+	heard   atomic.Int64 // differences received
+}
+
+func (flt *fleet) start(ctx context.Context, b *testing.B) {
+	flt.log = newInstant()
+	flt.log.configure()
+	ses := New(Options{}, flt.log, flt.log.registry, assign.New(assign.Limits{}))
+	srv := grpc.NewServer(grpc.StatsHandler(&flt.counter))
+	ses.Register(srv)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(b, err)
+	flt.group.Go(func() { _ = ses.Run(ctx) })
+	flt.group.Go(func() { _ = srv.Serve(lis) })
+	time.Sleep(50 * time.Millisecond)
+	for con := range targetNodes / 27 {
+		conn, err := grpc.NewClient(lis.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+		must.NoError(b, err)
+		for num := range 27 {
+			flt.group.Go(func() { flt.agent(ctx, controlpb.NewSessionServiceClient(conn), con*27+num) })
+		}
+	}
+	context.AfterFunc(ctx, srv.Stop)
+}
+
+func (flt *fleet) agent(ctx context.Context, cli controlpb.SessionServiceClient, num int) {
+	stm, err := cli.Connect(ctx)
+	if err != nil {
+		return
+	}
+	_ = stm.Send(&controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Hello{Hello: &controlpb.Hello{Node: targetNode(num)}}})
+	var ver atomic.Uint64
+	go func() {
+		for seq := uint64(1); ctx.Err() == nil; seq++ {
+			ren := &controlpb.Renew{Sequence: seq, Version: ver.Load(), ConfigurationNumber: 1}
+			_ = stm.Send(&controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Renew{Renew: ren}})
+			sleep(ctx, 250*time.Millisecond)
+		}
+	}()
+	for {
+		msg, err := stm.Recv()
+		if err != nil {
+			return
+		}
+		if msg.GetDifference() != nil {
+			ver.Store(msg.GetDifference().GetTo())
+			flt.heard.Add(1)
+		}
+	}
+}
+
+// BenchmarkSessions measures bytes and CPU of 810 sessions at rest, and of one change told to all of them; the CPU is that of the leader and of the 810 clients together.
+func BenchmarkSessions(b *testing.B) {
+	flt := &fleet{}
+	ctx, cancel := context.WithCancel(b.Context())
+	flt.start(ctx, b)
+	time.Sleep(6 * time.Second)
+	b.Run("renewals", func(b *testing.B) {
+		for b.Loop() {
+			in, inBytes, out, outBytes := flt.counter.in.Load(), flt.counter.inBytes.Load(), flt.counter.out.Load(), flt.counter.outBytes.Load()
+			was := cpu()
+			time.Sleep(2 * time.Second)
+			used := cpu() - was
+			in, inBytes = flt.counter.in.Load()-in, flt.counter.inBytes.Load()-inBytes
+			out, outBytes = flt.counter.out.Load()-out, flt.counter.outBytes.Load()-outBytes
+			b.ReportMetric(float64(in)/2, "renewals/s")
+			b.ReportMetric(float64(inBytes)/float64(in), "bytes/renewal")
+			b.ReportMetric(float64(outBytes)/float64(out), "bytes/answer")
+			b.ReportMetric(float64(used.Microseconds())/float64(in), "cpu_us/renewal")
+			b.ReportMetric(100*used.Seconds()/2, "cpu_percent_of_a_core")
+		}
+	})
+	b.Run("change_told_to_all", func(b *testing.B) {
+		was, total := cpu(), 0
+		for b.Loop() {
+			heard := flt.heard.Load()
+			set := &controlpb.SetUpstream{Session: flt.log.registry.Tables().GetNodes()[0].GetSession(), Upstream: targetNode(0).GetUpstream()}
+			set.Upstream.Slots = uint32(20 + total%2)
+			_, _ = flt.log.Propose(ctx, &controlpb.Command{Kind: &controlpb.Command_SetUpstream{SetUpstream: set}})
+			for flt.heard.Load() < heard+targetNodes {
+				time.Sleep(100 * time.Microsecond)
+			}
+			total++
+		}
+		b.ReportMetric(float64((cpu()-was).Microseconds())/float64(total), "cpu_us/change")
+	})
+	cancel()
+	flt.group.Wait()
+}
+
+// BenchmarkEncode compares one encoding of a difference with 16 rows for all streams with one for each of 810.
+func BenchmarkEncode(b *testing.B) {
+	dif := &controlpb.Difference{From: 1_000_000, To: 1_000_001}
+	for prt := range uint32(16) {
+		row := &controlpb.Shard{Service: testService, Partition: prt * 900, Owner: 900_000, Token: 1_000_001, Phase: controlpb.Phase_PHASE_OWNED}
+		dif.Changes = append(dif.Changes, &controlpb.Change{Kind: &controlpb.Change_SetShard{SetShard: row}})
+	}
+	msg := &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Difference{Difference: dif}}
+	for name, cnt := range map[string]int{"shared": 1, "for_each_of_810": targetNodes} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				for range cnt {
+					raw, err := proto.Marshal(msg)
+					must.NoError(b, err)
+					b.ReportMetric(float64(len(raw)), "bytes")
+				}
+			}
+		})
+	}
+}
