Keep a new leader from evening out partitions, and refuse drains of unknown upstreams

Cause: a new leader knows no loads, and counted every upstream with few partitions as joining, though it may have few because they are hot; a misspelt drain was accepted silently. Change: an upstream seen for the first time counts as joining only while its ramp lasts or while it owns nothing; a drain of an upstream that no agent has is answered with NOT_FOUND; tests of both and of the load figures. Conclusion: a change of leader no longer moves rows for their number alone.

--- /dev/null
+++ b/internal/control/agent/loads_test.go
@@ -0,0 +1,64 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/control/assign"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// Guards against loads that stay after their requests have ended, hot keys that count twice once they have an override, and reports that do not age.
+func TestLoads(t *testing.T) {
+	ins := newInstant()
+	ins.configure()
+	_, _ = ins.Propose(t.Context(), &controlpb.Command{Kind: &controlpb.Command_RegisterNode{RegisterNode: &controlpb.RegisterNode{Node: targetNode(0)}}})
+	own, key := ins.registry.Index(), "hot"
+	prt := siskinrill.Partition(testService, key, targetPartitions)
+	assignOne := func(knd controlpb.AssignmentKind, key string, tok uint64) {
+		ref := &controlpb.ShardRef{Service: testService, Partition: prt, Key: key, Token: tok}
+		asg := &controlpb.Assign{Assignments: []*controlpb.Assignment{{Kind: knd, Shard: ref, Target: own}}}
+		res, _ := ins.Propose(t.Context(), &controlpb.Command{Kind: &controlpb.Command_Assign{Assign: asg}})
+		must.Zero(t, res.Skipped())
+	}
+	assignOne(controlpb.AssignmentKind_ASSIGNMENT_KIND_GRANT, "", 0)
+	trm := newTerm(t.Context(), New(Options{}, ins, ins.registry, assign.New(assign.Limits{})), ins.ldr)
+	tbl := &siskinrill.Tables{}
+	now := time.Now()
+	report := func(part, hot uint32) {
+		now = now.Add(time.Second)
+		ref := &controlpb.ShardRef{Service: testService, Partition: prt}
+		rep := &controlpb.LoadReport{IntervalMs: 500, Requests: part}
+		if part > 0 {
+			rep.Shards = []*controlpb.ShardLoad{{Shard: ref, Requests: part}}
+		}
+		if hot > 0 {
+			rep.HotKeys = []*controlpb.ShardLoad{{Shard: &controlpb.ShardRef{Service: testService, Partition: prt, Key: key}, Requests: hot}}
+		}
+		trm.loads.report(own, rep, now)
+		trm.fill(tbl, now)
+	}
+	trm.fill(tbl, now)
+	must.Eq(t, neverReported, tbl.Services[0].Upstreams[0].ReportAge)
+	report(500, 300)
+	svc := &tbl.Services[0]
+	must.Eq(t, 1000.0, svc.Partitions[prt].Load)
+	must.Eq(t, 1000.0, svc.Upstreams[0].Requests)
+	must.Eq(t, siskinrill.HotKey{Key: key, Partition: prt, Owner: own, Load: 600}, svc.HotKeys[0])
+
+	assignOne(controlpb.AssignmentKind_ASSIGNMENT_KIND_ISOLATE, key, svc.Partitions[prt].Token)
+	trm.fill(tbl, now)
+	must.Eq(t, 400.0, svc.Partitions[prt].Load)
+	must.Eq(t, 600.0, svc.Overrides[0].Load)
+	must.SliceEmpty(t, svc.HotKeys)
+	for range 10 {
+		report(0, 0)
+	}
+	must.Less(t, 60.0, svc.Partitions[prt].Load)
+	must.Less(t, 90.0, svc.Overrides[0].Load)
+	trm.fill(tbl, now.Add(7*time.Second))
+	must.Eq(t, 7*time.Second, svc.Upstreams[0].ReportAge)
+}
--- a/internal/control/assign/fill.go
+++ b/internal/control/assign/fill.go
@@ -6,13 +6,13 @@
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
-// greet marks upstreams that are seen for the first time and have less than their share as joining.
+// greet marks upstreams as joining that are seen for the first time and are young or own nothing. Others may have few partitions because those are hot, and after a change of leader nothing tells so yet.
 func (wrk *work) greet() {
 	for pos := range wrk.ups {
 		ups := &wrk.ups[pos]
 		filling, ok := wrk.mem.seen[ups.session]
 		if !ok {
-			filling = true
+			filling = ups.young || ups.count == 0
 		}
 		ups.joining = filling && ups.eligible && !wrk.filled(ups, ups.full/wrk.fulls)
 		wrk.mem.seen[ups.session] = ups.joining
--- a/internal/control/assign/policy_test.go
+++ b/internal/control/assign/policy_test.go
@@ -133,6 +133,24 @@
 	must.Between(t, 20, counts[silent], 23)
 }
 
+// Guards against a new leader, which has no load figures yet, that evens out the numbers of partitions.
+func TestNewLeader(t *testing.T) {
+	wld := newWorld(8, 256)
+	wld.sample(20, 0, 200_000)
+	wld.run(60 * time.Second)
+	wld.policy, wld.moves = New(Limits{}), 0
+	for pos := range wld.svc.Upstreams {
+		wld.svc.Upstreams[pos].ReportAge = time.Hour
+	}
+	wld.run(900 * time.Millisecond)
+	must.Zero(t, wld.moves)
+	for pos := range wld.svc.Upstreams {
+		wld.svc.Upstreams[pos].ReportAge = 0
+	}
+	wld.run(10 * time.Second)
+	must.LessEq(t, 2, wld.moves)
+}
+
 // Guards against young upstreams that get their whole share before their ramp is over.
 func TestRamp(t *testing.T) {
 	wld := newWorld(4, 1000)
--- a/internal/control/assign/work.go
+++ b/internal/control/assign/work.go
@@ -25,6 +25,7 @@
 	full     float64 // slots
 	load     float64 // of the rows planned for it
 	count    int     // partitions planned for it
+	young    bool    // its ramp lasts
 	eligible bool    // may receive rows
 	stale    bool    // its load report is too old
 	joining  bool    // is being filled
@@ -88,6 +89,7 @@
 		}
 		ups := upstream{session: src.Session, zone: zon, full: float64(max(src.Slots, 1))}
 		ups.weight = ups.full * ramp(src.Age, wrk.svc.Service.GetRampMs())
+		ups.young = ups.weight < ups.full
 		ups.eligible = src.State == controlpb.UpstreamState_UPSTREAM_STATE_SERVING
 		ups.stale = src.ReportAge > wrk.limits.StaleAfter
 		if ups.eligible {
--- a/internal/control/operator/service_test.go
+++ b/internal/control/operator/service_test.go
@@ -37,6 +37,8 @@
 	drn, err := fix.ops.Drain(t.Context(), &controlpb.DrainRequest{Upstream: "u-one"})
 	must.NoError(t, err)
 	must.Positive(t, drn.GetPartitions())
+	_, err = fix.ops.Drain(t.Context(), &controlpb.DrainRequest{Upstream: "u-typo"})
+	must.Eq(t, codes.NotFound, status.Code(err))
 }
 
 func (fix *fixture) awaitOwned(t *testing.T, ups string) {
--- a/internal/control/operator/status.go
+++ b/internal/control/operator/status.go
@@ -180,6 +180,12 @@
 	if req.GetUpstream() == "" {
 		return nil, status.Error(codes.InvalidArgument, "upstream is needed")
 	}
+	if err := svc.confirm(ctx); err != nil {
+		return nil, err
+	}
+	if !req.GetUndo() && !svc.known(req.GetUpstream()) {
+		return nil, status.Errorf(codes.NotFound, "unknown_upstream: %s", req.GetUpstream())
+	}
 	cmd := &controlpb.Command{Kind: &controlpb.Command_SetDrain{SetDrain: &controlpb.SetDrain{Upstream: req.GetUpstream(), Drain: !req.GetUndo()}}}
 	if _, err := svc.log.Propose(ctx, cmd); err != nil {
 		return nil, svc.fault(err)
@@ -196,3 +202,14 @@
 	})
 	return ans, nil
 }
+
+// known reports whether a registered agent has an upstream.
+func (svc *Service) known(ups string) bool {
+	found := false
+	svc.registry.View(func(stt *controlpb.RegistryState) {
+		for _, nod := range stt.GetNodes() {
+			found = found || nod.GetUpstream().GetId() == ups
+		}
+	})
+	return found
+}
