--- /dev/null
+++ b/internal/agent/caller/bench_test.go
@@ -0,0 +1,126 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/grpc"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/agent/peer"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// quickOwner answers at once with 200 bytes.
+type quickOwner struct{ localOwner }
+
+var quickHeaders = []*peerpb.HeaderField{
+	{Name: "Content-Type", Values: []string{"application/json"}},
+	{Name: siskinrill.HeaderUpstream, Values: []string{"checkout-1"}},
+}
+
+func (quickOwner) Handle(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
+	bdy := []byte(strings.Repeat("x", 200))
+	return siskinrill.NewAnswer(&peerpb.Response{Status: 200, Headers: quickHeaders, BodyLength: 200, Body: bdy, BodyEnd: true}, nil), nil
+}
+
+// newBench returns a handler whose owner is this agent or one behind loopback gRPC.
+func newBench(b *testing.B, remote bool) *Handler {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(b, err)
+	gsv := grpc.NewServer(peer.ServerOptions()...)
+	peer.NewServer(quickOwner{}, nil).Register(gsv)
+	go func() { _ = gsv.Serve(lis) }()
+	b.Cleanup(gsv.Stop)
+	poo := peer.NewPool(peer.Options{})
+	b.Cleanup(poo.Close)
+	ses := newFakeSession()
+	ses.nodes[1].PeerAddress = lis.Addr().String()
+	if !remote {
+		ses.shard.Owner = entrySession
+	}
+	return New(Options{}, ses, poo, quickOwner{}, siskinrill.NewCounters())
+}
+
+var variants = map[string]struct {
+	remote bool
+	method string
+}{
+	"local": {false, "GET"}, "forwarded": {true, "GET"}, "forwarded_once": {true, "POST"},
+}
+
+// BenchmarkHandler measures one request after the other without HTTP.
+func BenchmarkHandler(b *testing.B) {
+	for name, vrt := range variants {
+		b.Run(name, func(b *testing.B) {
+			han := newBench(b, vrt.remote)
+			req := newRequest(vrt.method, "order1", nil)
+			req.Body = http.NoBody
+			b.ReportAllocs()
+			for b.Loop() {
+				rec := httptest.NewRecorder()
+				han.ServeHTTP(rec, req)
+				if rec.Code != http.StatusOK {
+					b.Fatal(rec.Code, rec.Body.String())
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkRate sends 3,600 requests a second over HTTP and reports the latency from the intended send time; "direct" answers without the handler.
+func BenchmarkRate(b *testing.B) {
+	handlers := map[string]http.Handler{
+		"direct": http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
+			wri.Header().Set("Content-Type", "application/json")
+			_, _ = io.WriteString(wri, strings.Repeat("x", 200))
+		}),
+		"local":     newBench(b, false),
+		"forwarded": newBench(b, true),
+	}
+	for _, name := range []string{"direct", "local", "forwarded"} {
+		b.Run(name, func(b *testing.B) {
+			srv := httptest.NewServer(handlers[name])
+			defer srv.Close()
+			report(b, atRate(b, srv.URL, b.N))
+		})
+	}
+}
+
+func atRate(b *testing.B, url string, count int) []time.Duration {
+	cli := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}}
+	took := make([]time.Duration, count)
+	var all sync.WaitGroup
+	beg := time.Now()
+	for num := range count {
+		due := beg.Add(time.Duration(num) * time.Second / 3600)
+		time.Sleep(time.Until(due))
+		all.Go(func() {
+			rsp, err := cli.Get(url + "/orders/order1")
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, rsp.Body)
+			_ = rsp.Body.Close()
+			took[num] = time.Since(due)
+		})
+	}
+	all.Wait()
+	return took
+}
+
+func report(b *testing.B, took []time.Duration) {
+	sort.Slice(took, func(one, two int) bool { return took[one] < took[two] })
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+}
--- a/internal/agent/caller/fakes_test.go
+++ b/internal/agent/caller/fakes_test.go
@@ -116,6 +116,7 @@
 	wrong     siskinrill.Reason // the owner cannot tell whether it ran, and it did
 	undialled bool              // no connection
 	undone    bool              // the connection is lost before the owner got the attempt
+	taken     bool              // part of the body is read before that
 	lost      bool              // the attempt runs, its answer is lost
 	late      time.Duration     // the connection is lost, the owner gets the attempt after this time
 	queued    time.Duration     // time in the owner's queue
@@ -185,6 +186,9 @@
 	case flt.undialled:
 		return nil, siskinrill.NotRun(siskinrill.ReasonUnreachable)
 	case flt.undone:
+		if flt.taken && att.Body() != nil {
+			_, _ = att.Body().Read(make([]byte, 1000))
+		}
 		return nil, errCut
 	case flt.late > 0:
 		time.AfterFunc(flt.late, func() { _, _ = own.run(context.Background(), att, flt) })
--- a/internal/agent/caller/fault_test.go
+++ b/internal/agent/caller/fault_test.go
@@ -52,6 +52,8 @@
 				must.Eq(t, cse.outcome, tld.outcome)
 				must.GreaterEq(t, cse.least, tld.took)
 				time.Sleep(2 * time.Second)
+				fix.own.mu.Lock()
+				defer fix.own.mu.Unlock()
 				must.Eq(t, cse.runs, fix.own.runs["r1"])
 				if cse.counter != "" {
 					must.NotEq(t, "0", fix.count(cse.kind, cse.counter))
