Test the session with control

Cause: leases, failover and the routing table were shown only for the plain case, and an agent could wait up to 300 ms longer than needed for a new leader that it had tried before.

--- a/internal/agent/control/find.go
+++ b/internal/agent/control/find.go
@@ -42,6 +42,7 @@
 	due     chan string
 	running map[string]bool
 	pauses  map[string]time.Duration
+	hint    string // last one followed
 }
 
 // find returns a connection to the leader; an error is the context's.
@@ -139,17 +140,30 @@
 		sea.start(ctx, att.address)
 		return nil
 	}
-	if att.hint != "" && att.hint != att.address && !sea.running[att.hint] && sea.pauses[att.hint] == 0 {
+	// A hint is followed at once when it is new; one that was tried in vain is left to its own pause.
+	if att.hint != "" && att.hint != att.address && att.hint != sea.hint {
+		sea.hint = att.hint
 		sea.start(ctx, att.hint)
 	}
 	sea.again(att.address)
 	return nil
 }
 
-// again plans the next attempt at an address; the pause doubles, because hundreds of agents search at the same time.
+const (
+	// While the lease runs a new leader must be found within its last 950 ms.
+	pauseFactor = 6
+	// Without a lease hundreds of agents may search for a long time, each with a new connection for each attempt.
+	pauseFactorNoLease = 20
+)
+
+// again plans the next attempt at an address; the pause doubles up to a limit.
 func (sea *search) again(adr string) {
 	first := sea.ses.opt.Retry
-	pause := min(max(first, 2*sea.pauses[adr]), 6*first)
+	limit := pauseFactorNoLease * first
+	if _, valid := sea.ses.Expires(); valid {
+		limit = pauseFactor * first
+	}
+	pause := min(max(first, 2*sea.pauses[adr]), limit)
 	sea.pauses[adr] = pause
 	sea.later(adr, pause/2+rand.N(pause/2+1))
 }
--- a/internal/agent/control/options.go
+++ b/internal/agent/control/options.go
@@ -26,7 +26,7 @@
 	WelcomeTimeout time.Duration
 	// Stagger is the time between the first attempts at the addresses, 30 ms by default.
 	Stagger time.Duration
-	// Retry is the first pause before an address is tried again, 50 ms by default; it doubles up to six times itself.
+	// Retry is the first pause before an address is tried again, 50 ms by default; it doubles up to 300 ms while the lease runs and up to 1 s without one.
 	Retry time.Duration
 	// Report is the interval of load reports, 1 s by default.
 	Report time.Duration
--- /dev/null
+++ b/internal/agent/control/table_test.go
@@ -0,0 +1,149 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+func newRoute(name, method, path string) *controlpb.Route {
+	return &controlpb.Route{Name: name, Method: method, Path: path, Service: "checkout"}
+}
+
+// newSnapshot returns a snapshot of one service, whose partitions belong to session 101.
+func newSnapshot(partitions uint32) *controlpb.TableSnapshot {
+	svt := &controlpb.ServiceTable{Service: "checkout", Owners: make([]uint64, partitions), Tokens: make([]uint64, partitions)}
+	for num := range svt.GetOwners() {
+		svt.Owners[num], svt.Tokens[num] = 101, 40
+	}
+	return &controlpb.TableSnapshot{
+		Version: 50,
+		Configuration: &controlpb.Configuration{
+			Number:   3,
+			Services: []*controlpb.Service{{Name: "checkout", Partitions: partitions}},
+			Routes: []*controlpb.Route{
+				newRoute("a", "GET", "/shades/{code}"), newRoute("b", "POST", "/orders/{order}/payment"), newRoute("c", "GET", "/{tenant}/status"),
+			},
+		},
+		Nodes:  []*controlpb.Node{{Session: 101, Name: "a"}},
+		Tables: []*controlpb.ServiceTable{svt},
+	}
+}
+
+// TestMatch guards against paths that reach a wrong route or a wrong key.
+func TestMatch(t *testing.T) {
+	tbl := newTable()
+	must.NoError(t, tbl.replace(newSnapshot(16)))
+	cases := map[string]struct {
+		method, path, route, key string
+		reason                   siskinrill.Reason
+	}{
+		"key at the end":        {"GET", "/shades/RAL9005", "a", "RAL9005", ""},
+		"key in the middle":     {"POST", "/orders/17/payment", "b", "17", ""},
+		"key first":             {"GET", "/north/status", "c", "north", ""},
+		"escaped slash":         {"GET", "/shades/a%2Fb%20c", "a", "a/b c", ""},
+		"bad escape":            {"GET", "/shades/a%2", "", "", siskinrill.ReasonBadRequest},
+		"empty key":             {"GET", "/shades/", "", "", siskinrill.ReasonNoRoute},
+		"trailing slash":        {"GET", "/shades/x/", "", "", siskinrill.ReasonNoRoute},
+		"too short":             {"POST", "/orders/17", "", "", siskinrill.ReasonNoRoute},
+		"too long":              {"POST", "/orders/17/payment/x", "", "", siskinrill.ReasonNoRoute},
+		"other method":          {"PUT", "/shades/x", "", "", siskinrill.ReasonMethodNotAllowed},
+		"not a path":            {"GET", "*", "", "", siskinrill.ReasonNoRoute},
+		"root":                  {"GET", "/", "", "", siskinrill.ReasonNoRoute},
+		"literal before wanted": {"GET", "/shades/status", "a", "status", ""},
+	}
+	for name, cse := range cases {
+		t.Run(name, func(t *testing.T) {
+			rte, key, rsn := tbl.match(cse.method, cse.path)
+			must.Eq(t, cse.route, rte.GetName())
+			must.Eq(t, cse.key, key)
+			must.Eq(t, cse.reason, rsn)
+		})
+	}
+}
+
+func setShard(shd *controlpb.Shard) *controlpb.Change {
+	return &controlpb.Change{Kind: &controlpb.Change_SetShard{SetShard: shd}}
+}
+
+// TestDifference guards against rows, nodes and routes that differ from what control told.
+func TestDifference(t *testing.T) {
+	tbl := newTable()
+	must.NoError(t, tbl.replace(newSnapshot(16)))
+	par := siskinrill.Partition("checkout", "k", 16)
+	must.Eq(t, 101, tbl.shard("checkout", "k").GetOwner())
+	must.Len(t, 16, tbl.owned(101))
+	ref := &controlpb.ShardRef{Service: "checkout", Partition: par, Token: 40}
+	must.True(t, tbl.holds(101, ref))
+	must.NoError(t, tbl.apply(&controlpb.Difference{From: 50, To: 52, Changes: []*controlpb.Change{
+		setShard(&controlpb.Shard{Service: "checkout", Partition: par, Owner: 101, Token: 40, Phase: controlpb.Phase_PHASE_RELEASING, Target: 102}),
+		setShard(&controlpb.Shard{Service: "checkout", Key: "hot", Owner: 102, Token: 51, Phase: controlpb.Phase_PHASE_OWNED}),
+		{Kind: &controlpb.Change_SetNode{SetNode: &controlpb.Node{Session: 102}}},
+	}}))
+	must.Eq(t, controlpb.Phase_PHASE_RELEASING, tbl.shard("checkout", "k").GetPhase())
+	must.Eq(t, 102, tbl.shard("checkout", "hot").GetOwner())
+	must.NotNil(t, tbl.node(102))
+	must.Len(t, 16, tbl.owned(101))
+	must.NoError(t, tbl.apply(&controlpb.Difference{From: 52, To: 53, Changes: []*controlpb.Change{
+		setShard(&controlpb.Shard{Service: "checkout", Partition: par, Owner: 102, Token: 53, Phase: controlpb.Phase_PHASE_OWNED}),
+		{Kind: &controlpb.Change_RemoveOverride{RemoveOverride: &controlpb.ShardRef{Service: "checkout", Key: "hot"}}},
+		{Kind: &controlpb.Change_RemoveNode{RemoveNode: 101}},
+		{Kind: &controlpb.Change_Configuration{Configuration: &controlpb.ConfigurationChange{
+			Number: 4, RemoveRoutes: []string{"a"}, SetRoutes: []*controlpb.Route{newRoute("d", "GET", "/stock/{code}")},
+			SetServices: []*controlpb.Service{{Name: "photodesk", Partitions: 32}},
+		}}},
+	}}))
+	must.Eq(t, 102, tbl.shard("checkout", "k").GetOwner())
+	must.Eq(t, controlpb.Phase_PHASE_OWNED, tbl.shard("checkout", "k").GetPhase())
+	must.False(t, tbl.holds(101, ref))
+	must.Eq(t, "", tbl.shard("checkout", "hot").GetKey())
+	must.Nil(t, tbl.node(101))
+	must.Eq(t, controlpb.Phase_PHASE_ORPHAN, tbl.shard("photodesk", "k").GetPhase())
+	must.Nil(t, tbl.shard("unknown", "k"))
+	_, _, rsn := tbl.match("GET", "/shades/x")
+	must.Eq(t, siskinrill.ReasonNoRoute, rsn)
+	rte, _, _ := tbl.match("GET", "/stock/x")
+	must.Eq(t, "d", rte.GetName())
+	ver, num := tbl.versions()
+	must.Eq(t, [2]uint64{53, 4}, [2]uint64{ver, num})
+	must.Error(t, tbl.apply(&controlpb.Difference{From: 54, To: 55}))
+	must.Error(t, tbl.replace(newSnapshot(16)))
+}
+
+// TestAwait guards against a wait that misses a version or outlives its context.
+func TestAwait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tbl := newTable()
+		time.AfterFunc(time.Second, func() { _ = tbl.replace(newSnapshot(16)) })
+		beg := time.Now()
+		must.NoError(t, tbl.await(t.Context(), 49))
+		must.Eq(t, time.Second, time.Since(beg))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		must.ErrorIs(t, tbl.await(ctx, 50), context.DeadlineExceeded)
+	})
+}
+
+// BenchmarkLookup measures the match and row of one request in a table of 16,384 partitions and 100 routes.
+func BenchmarkLookup(b *testing.B) {
+	snp := newSnapshot(16384)
+	for num := range 100 {
+		snp.Configuration.Routes = append(snp.Configuration.Routes, newRoute(fmt.Sprintf("r%d", num), "GET", fmt.Sprintf("/p%d/{key}", num)))
+	}
+	ses := New(Options{})
+	must.NoError(b, ses.table.replace(snp))
+	b.ReportAllocs()
+	for b.Loop() {
+		rte, key, _ := ses.Match("GET", "/p50/RAL9005")
+		if ses.Shard(rte.GetService(), key).GetOwner() != 101 {
+			b.Fatal("wrong owner")
+		}
+	}
+}
