Catch a lease that counts from the answer to a renewal

Cause: a trial that counted the lease from the answer passed all tests, because the fake control group answered at once. Change: the fake answers 300 ms late in the lease test. Conclusion: the safety of the lease's start is now tested.

--- a/internal/agent/control/session_test.go
+++ b/internal/agent/control/session_test.go
@@ -23,6 +23,7 @@
 	silent   map[string]bool // nothing is answered
 	expired  map[uint64]bool
 	sessions uint64
+	delay    time.Duration // of answers to renewals
 	hellos   []*controlpb.Hello
 	messages []*controlpb.AgentMessage // other than hellos and renewals
 	streams  map[*fakeStream]bool
@@ -113,7 +114,8 @@
 	case *controlpb.AgentMessage_Hello:
 		str.hello(knd.Hello)
 	case *controlpb.AgentMessage_Renew:
-		str.out <- &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_RenewAnswer{RenewAnswer: &controlpb.RenewAnswer{Sequence: knd.Renew.GetSequence()}}}
+		ans := &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_RenewAnswer{RenewAnswer: &controlpb.RenewAnswer{Sequence: knd.Renew.GetSequence()}}}
+		time.AfterFunc(ctl.delay, func() { str.out <- ans })
 	default:
 		ctl.messages = append(ctl.messages, msg)
 	}
@@ -161,13 +163,19 @@
 // TestLeaseEnds guards against a lease that outlives 1,400 ms after its newest granted renewal was sent.
 func TestLeaseEnds(t *testing.T) {
 	within(t, func(ctl *fakeControl, ses *Session) {
+		ctl.set(func() { ctl.delay = 300 * time.Millisecond })
+		time.Sleep(time.Second)
 		for range 100 {
 			time.Sleep(50 * time.Millisecond)
 			exp, valid := ses.Expires()
 			must.True(t, valid)
-			must.GreaterEq(t, 1150*time.Millisecond, time.Until(exp))
+			must.GreaterEq(t, 800*time.Millisecond, time.Until(exp))
+			// The lease counts from the sending of a renewal, at least 300 ms ago.
+			must.LessEq(t, 1100*time.Millisecond, time.Until(exp))
 		}
 		ctl.set(func() { ctl.silent = map[string]bool{"c1": true, "c2": true, "c3": true} })
+		// Answers that are under way still arrive.
+		time.Sleep(ctl.delay)
 		exp, _ := ses.Expires()
 		must.LessEq(t, 1400*time.Millisecond, time.Until(exp))
 		time.Sleep(time.Until(exp) - time.Millisecond)
