Answer the requests that a stopping agent has read

Cause: http.Server.Shutdown drops requests that it has just read, so callers of a stopping agent saw EOF without knowing what became of their POST. Change: the listener closes 50 ms before the server shuts down; a drained agent serves for up to 1 s more and asks callers to close their connections. Conclusion: a planned stop interrupts no request that the agent has read.

--- a/internal/process/actor/server.go
+++ b/internal/process/actor/server.go
@@ -14,16 +14,22 @@
 // headerTimeout bounds the reading of a request's headers, so that idle connections that send nothing are closed.
 const headerTimeout = 10 * time.Second
 
+// acceptTime is how long the first request of an accepted connection may take to arrive and be read.
+const acceptTime = 50 * time.Millisecond
+
 // HTTP adds an HTTP server to a group; when the group ends, requests in flight have grace to finish.
 func HTTP(grp *run.Group, lis net.Listener, hdl http.Handler, grace time.Duration) {
 	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout}
 	grp.Add(
 		func() error { return served(srv.Serve(lis)) },
-		func(error) { shutdown(srv, grace) },
+		func(error) { shutdown(srv, lis, grace) },
 	)
 }
 
-func shutdown(srv *http.Server, grace time.Duration) {
+// shutdown closes the listener some time before the server, because a server that shuts down drops the requests that it has just read.
+func shutdown(srv *http.Server, lis net.Listener, grace time.Duration) {
+	_ = lis.Close()
+	time.Sleep(min(acceptTime, grace))
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	if srv.Shutdown(ctx) != nil {
@@ -32,7 +38,7 @@
 }
 
 func served(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return errors.Wrap(err, "serve HTTP")
--- /dev/null
+++ b/internal/process/actor/server_test.go
@@ -0,0 +1,83 @@
+package actor_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinrill/siskinrill/internal/process/actor"
+)
+
+// TestStopAnswers guards against a stop that drops requests which the server has read, as http.Server.Shutdown alone does.
+func TestStopAnswers(t *testing.T) {
+	for range 5 {
+		lis, err := actor.Listen("127.0.0.1:0")
+		must.NoError(t, err)
+		hdl := http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
+			wri.Header().Set("Connection", "close")
+			time.Sleep(5 * time.Millisecond)
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var grp run.Group
+		actor.Until(ctx, &grp, func() {})
+		actor.HTTP(&grp, lis, hdl, time.Second)
+		end := make(chan error, 1)
+		go func() { end <- grp.Run() }()
+		var served atomic.Int64
+		var wgr sync.WaitGroup
+		for range 16 {
+			wgr.Go(func() {
+				err := post("http://"+lis.Addr().String(), &served)
+				// A connection that the listener had not yet accepted is refused or reset; nothing was read from it.
+				must.True(t, errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET), must.Sprint(err))
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		cancel()
+		must.NoError(t, <-end)
+		wgr.Wait()
+		must.Positive(t, served.Load())
+	}
+}
+
+// post sends requests until one fails.
+func post(url string, served *atomic.Int64) error {
+	for {
+		res, err := http.Post(url, "text/plain", strings.NewReader("x"))
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+		if err != nil {
+			return err
+		}
+		served.Add(1)
+	}
+}
+
+// TestFailureEndsGroup guards against a part that fails while the others go on without it, and listeners that stay open.
+func TestFailureEndsGroup(t *testing.T) {
+	lis, err := actor.Listen("127.0.0.1:0")
+	must.NoError(t, err)
+	_, err = actor.Listen(lis.Addr().String(), lis)
+	must.ErrorIs(t, err, syscall.EADDRINUSE)
+	_, err = net.Dial("tcp", lis.Addr().String())
+	must.ErrorIs(t, err, syscall.ECONNREFUSED)
+	var grp run.Group
+	actor.Until(t.Context(), &grp, func() { t.Error("stopped as planned") })
+	actor.Loop(&grp, func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() })
+	actor.Loop(&grp, func(context.Context) error { return io.ErrUnexpectedEOF })
+	must.ErrorIs(t, grp.Run(), io.ErrUnexpectedEOF)
+}
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -29,6 +29,10 @@
 	adminGrace = 500 * time.Millisecond
 	// drainPoll is the time between two checks of a drain.
 	drainPoll = 20 * time.Millisecond
+	// lingerTime is how long a drained agent still serves callers, whose connections it asks to close; a request sent on a connection that closes at the same moment is lost to its caller.
+	lingerTime = time.Second
+	// quietTime is how long no request must have arrived for an earlier end of that.
+	quietTime = 200 * time.Millisecond
 )
 
 // Options configures an agent.
@@ -54,6 +58,7 @@
 	operator *adminhttp.Operator
 	admin    *adminhttp.Handler
 	stopping atomic.Bool
+	request  atomic.Int64 // Unix time in nanoseconds of the last request of a caller
 }
 
 // held names the embedded session, whose own name is that of one of its methods.
@@ -131,6 +136,7 @@
 // closing asks callers to close their connections once the agent stops, so that few requests meet a closing one.
 func (prc *Process) closing(hdl http.Handler) http.Handler {
 	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		prc.request.Store(time.Now().UnixNano())
 		if prc.stopping.Load() {
 			wri.Header().Set("Connection", "close")
 		}
@@ -191,6 +197,7 @@
 	for time.Now().Before(end) {
 		if prc.owner.Idle() {
 			log.Info("agent: Drained.")
+			prc.linger()
 			return
 		}
 		// Without a lease the agent serves nothing, and control grants its keys elsewhere.
@@ -202,3 +209,12 @@
 	}
 	log.Warn("agent: The drain took too long.")
 }
+
+// linger gives callers time to close their connections.
+func (prc *Process) linger() {
+	for end := time.Now().Add(lingerTime); time.Now().Before(end); time.Sleep(drainPoll) {
+		if time.Since(time.Unix(0, prc.request.Load())) > quietTime {
+			return
+		}
+	}
+}
