--- a/internal/agent/backend/client.go
+++ b/internal/agent/backend/client.go
@@ -26,6 +26,7 @@
 	holdUntil time.Time
 	left      bool                // the server has announced that it is leaving
 	granted   map[string]uint64   // by fence partition
+	runs      map[*run]struct{}   // requests that have not ended
 	told      *controlpb.Upstream // last one given to OnUpstream
 
 	tellMu sync.Mutex // serializes OnUpstream
@@ -35,7 +36,7 @@
 
 // New returns a client that waits for the first announcement.
 func New(opt Options, cnt *siskinrill.Counters) *Client {
-	return &Client{opt: opt, cnt: cnt, granted: map[string]uint64{}}
+	return &Client{opt: opt, cnt: cnt, granted: map[string]uint64{}, runs: map[*run]struct{}{}}
 }
 
 // Figures returns the agent's own counts of what the backend server did.
@@ -87,7 +88,24 @@
 	return cli.tgt
 }
 
-// fail marks the backend server as failed; the cause is a word for the log and the counter.
+// begin registers a request with a usable server, or returns nil.
+func (cli *Client) begin(rnn *run) *target {
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	if !cli.usable() {
+		return nil
+	}
+	cli.runs[rnn] = struct{}{}
+	return cli.tgt
+}
+
+func (cli *Client) end(rnn *run) {
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	delete(cli.runs, rnn)
+}
+
+// fail marks the backend server as failed; the cause is a word for the log and the counter. No request is written after the report, because control then grants the shards to others at once.
 func (cli *Client) fail(tgt *target, cause string) {
 	cli.mu.Lock()
 	if cli.tgt != tgt || !cli.usable() {
@@ -102,6 +120,9 @@
 	cli.failures++
 	cli.holdUntil = time.Now().Add(hold)
 	idt := cli.ann.ID
+	for rnn := range cli.runs {
+		rnn.serverFailed()
+	}
 	cli.mu.Unlock()
 	cli.cnt.Event("backend_failed_" + cause)
 	logrus.Warnf("backend: server %s counts as failed: %s", idt, cause)
--- a/internal/agent/owner/run.go
+++ b/internal/agent/owner/run.go
@@ -52,7 +52,8 @@
 // runOnce runs an attempt that must not run twice: it goes on when its caller goes away, so that its answer can be asked for.
 func (own *Owner) runOnce(ctx context.Context, tck *ticket, grt siskinrill.Grant) (*siskinrill.Answer, error) {
 	long, cancel := context.WithDeadline(context.WithoutCancel(ctx), tck.deadline)
-	defer tck.cancel() // of the wait; the run has its own context
+	// The end of the run must not end ctx, which here tells that the caller has gone.
+	defer tck.cancel()
 	tck.cancel = cancel
 	out := make(chan result)
 	gone := make(chan struct{})
@@ -127,9 +128,12 @@
 	own.resolve(tck, how)
 	own.settle(tck, how.outcome, how.response)
 	own.pump()
+	moving := len(own.moves) > 0
 	own.mu.Unlock()
 	if tck.cancel != nil {
 		tck.cancel()
 	}
-	own.wakeRun()
+	if moving {
+		own.wakeRun()
+	}
 }
