Move no keys of an idle service for a few requests

Cause: 20 requests for one key at 2/s made the policy give the key an override and empty the partitions of two of five upstreams, because shares of a tiny load count like those of a large one. Change: while no upstream has over 0.25 requests/s for each slot, nor over 5% of its slots in use, all rows count alike and nothing is isolated or balanced; this ends at 0.5 requests/s. Conclusion: an idle deployment keeps its owners.

--- a/internal/control/assign/policy.go
+++ b/internal/control/assign/policy.go
@@ -80,6 +80,7 @@
 	cold      map[string]time.Duration // since when an override has been cold
 	seen      map[uint64]bool          // sessions, true while one is being filled
 	high      time.Duration            // since when the highest upstream has been too high, negative: it is not
+	idle      bool                     // the service had too few requests to be balanced
 	spare     work                     // buffers of the previous tick
 }
 
@@ -111,8 +112,10 @@
 	wrk.drain()
 	wrk.fill()
 	wrk.retire()
-	wrk.isolate()
-	wrk.balance()
+	if !mem.idle {
+		wrk.isolate()
+		wrk.balance()
+	}
 	return wrk.out
 }
 
--- a/internal/control/assign/policy_test.go
+++ b/internal/control/assign/policy_test.go
@@ -242,3 +242,26 @@
 	must.SliceEmpty(t, wld.policy.Plan(wld.now, &siskinrill.Tables{}))
 	must.MapLen(t, 0, wld.policy.memory)
 }
+
+// Guards against keys that move in an idle service because of a few requests, and against a service that is still idle under load.
+func TestIdle(t *testing.T) {
+	for name, tcs := range map[string]struct {
+		rate, busy float64
+		moves      bool
+	}{
+		"few requests":         {rate: 2},
+		"many requests":        {rate: 900, moves: true},
+		"few that take long":   {rate: 2, busy: 2, moves: true},
+		"below the idle limit": {rate: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			wld := newWorld(5, 256)
+			wld.run(time.Second)
+			wld.svc.Upstreams[1].Busy = tcs.busy
+			wld.hot = []hotKey{{name: "one", partition: 12, rate: tcs.rate}}
+			wld.moves = 0
+			wld.run(30 * time.Second)
+			must.Eq(t, tcs.moves, wld.moves+len(wld.svc.Overrides) > 0)
+		})
+	}
+}
--- a/internal/control/assign/work.go
+++ b/internal/control/assign/work.go
@@ -17,6 +17,15 @@
 // countShare is the load that each row counts for beside its own, as a share of the mean row, so that rows without traffic are spread too.
 const countShare = 0.01
 
+const (
+	// idleLoad is the load of every upstream, in requests a second for each slot, under which a service counts as idle; requests of 4 ms then use 0.1% of the slots.
+	idleLoad = 0.25
+	// idleEnd is the load of any upstream over which it no longer does.
+	idleEnd = 0.5
+	// idleBusy is the share of the slots in use over which a service is not idle, for services whose few requests take long.
+	idleBusy = 0.05
+)
+
 // upstream is the planned state of one upstream during a tick.
 type upstream struct {
 	session  uint64
@@ -68,6 +77,7 @@
 	wrk.out, wrk.inFlight = nil, 0
 	wrk.buildUpstreams()
 	wrk.buildRows()
+	wrk.findIdle()
 	wrk.estimate()
 	wrk.sum()
 	wrk.bucket()
@@ -132,6 +142,32 @@
 	wrk.rows = append(wrk.rows, row{source: src, owner: own, load: src.Load})
 }
 
+// findIdle makes all rows of an idle service count alike: balancing a few requests a second would only move keys.
+func (wrk *work) findIdle() {
+	limit := idleLoad
+	if wrk.mem.idle {
+		limit = idleEnd
+	}
+	loads := make([]float64, len(wrk.ups))
+	for pos := range wrk.rows {
+		if own := wrk.rows[pos].owner; own != none {
+			loads[own] += wrk.rows[pos].load
+		}
+	}
+	wrk.mem.idle = true
+	for pos := range wrk.ups {
+		if loads[pos] > limit*wrk.ups[pos].full || wrk.svc.Upstreams[pos].Busy > idleBusy*wrk.ups[pos].full {
+			wrk.mem.idle = false
+		}
+	}
+	if !wrk.mem.idle {
+		return
+	}
+	for pos := range wrk.rows {
+		wrk.rows[pos].load = 0
+	}
+}
+
 // estimate replaces the loads of rows whose owner's report is stale, so that such an upstream counts as the mean.
 func (wrk *work) estimate() {
 	known, weight := 0.0, 0.0
