Add manual pages for configuration, settings and the admin API

Cause: keys, ranges, defaults and answers were only in the code. Change: docs/config.md, docs/settings.md and docs/admin.md; a test compares the keys and defaults of the first with the reader. Measured: go test ./internal/config/... passes. Conclusion: an operator finds each key in one place.

--- a/internal/config/file/file_test.go
+++ b/internal/config/file/file_test.go
@@ -104,6 +104,25 @@
 	must.Eq(t, "", file.Difference(cur, again))
 }
 
+// TestManual guards against a manual page that lacks a key or names another default.
+func TestManual(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/config.md")
+	must.NoError(t, err)
+	cfg := load(t, map[string]string{"1.toml": "[service.a]\n[route.r]\nmethod = \"GET\"\npath = \"/{k}\"\nservice = \"a\"\nkind = \"idempotent\""})
+	for _, lin := range strings.Split(file.Text(cfg), "\n") {
+		key, val, fnd := strings.Cut(lin, " = ")
+		if !fnd {
+			continue
+		}
+		_, row, fnd := strings.Cut(string(page), "| `"+key+"` |")
+		must.True(t, fnd, must.Sprint(key))
+		row, _, _ = strings.Cut(row, "\n")
+		if !strings.Contains(row, "| required |") {
+			must.StrContains(t, row, "| "+strings.Trim(val, `"`), must.Sprint(key))
+		}
+	}
+}
+
 func load(t *testing.T, fils map[string]string) *controlpb.Configuration {
 	t.Helper()
 	raw := map[string][]byte{}
