scale: measure what sessions cost with real control processes

Cause: the target's limits for a node (22 KB/s, 5% of a core) and for changes (14 s) were not measured.

--- /dev/null
+++ b/internal/bench/scale/fleet.go
@@ -0,0 +1,114 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/siskinrill/siskinrill/internal/agent/control"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	slots = 18
+	// startPause spreads the starts, since hosts of a real deployment do not start within one millisecond.
+	startPause = 2 * time.Millisecond
+)
+
+// Fleet is a number of agents without callers and backend servers: sessions that renew, watch, report load and release.
+type Fleet struct {
+	opt     Options
+	members []*member
+	meter   Meter
+}
+
+type member struct {
+	session *control.Session
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+// Options describe a fleet.
+type Options struct {
+	Size       int
+	Service    string
+	Partitions int      // of the service, over which the requests are spread evenly
+	Controls   []string // IP:port of the control processes
+	Zones      []string // used in turn
+}
+
+// NewFleet starts sessions for upstreams of a service.
+func NewFleet(ctx context.Context, opt Options) *Fleet {
+	flt := &Fleet{opt: opt}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for idx := range opt.Size {
+		flt.members = append(flt.members, flt.start(ctx, idx, log))
+		time.Sleep(startPause)
+	}
+	return flt
+}
+
+func (flt *Fleet) start(ctx context.Context, idx int, log *logrus.Logger) *member {
+	svc, zone := flt.opt.Service, flt.opt.Zones[idx%len(flt.opt.Zones)]
+	adr := fmt.Sprintf("10.%d.%d.1:7000", idx/250, idx%250)
+	ses := control.New(control.Options{
+		Node: &controlpb.Node{
+			Name: fmt.Sprintf("agent-%s-%04d", svc, idx), Zone: zone, Region: "region-1",
+			PeerAddress: adr, CallerAddress: adr, AdminAddress: adr,
+		},
+		Control: flt.opt.Controls, Logger: log, Dial: flt.meter.Dial,
+	})
+	ses.SetUpstream(&controlpb.Upstream{
+		Id: fmt.Sprintf("%s-%04d", svc, idx), Service: svc, Slots: slots, Connections: 120,
+		State: controlpb.UpstreamState_UPSTREAM_STATE_SERVING,
+	})
+	src := &source{session: ses, service: svc, rate: requestsPerSecond * float64(flt.opt.Size) / float64(flt.opt.Partitions)}
+	ses.SetLoadSource(src)
+	ctx, cancel := context.WithCancel(ctx)
+	mem := &member{session: ses, cancel: cancel, done: make(chan struct{})}
+	var grp sync.WaitGroup
+	grp.Go(func() { _ = ses.Run(ctx) })
+	grp.Go(func() { src.releaseAll(ctx) })
+	go func() {
+		grp.Wait()
+		close(mem.done)
+	}()
+	return mem
+}
+
+// Size returns the number of sessions that run.
+func (flt *Fleet) Size() int { return len(flt.members) }
+
+// Meter returns the byte counts of all sessions.
+func (flt *Fleet) Meter() *Meter { return &flt.meter }
+
+// Leased returns how many sessions hold a valid lease.
+func (flt *Fleet) Leased() int {
+	num := 0
+	for _, mem := range flt.members {
+		if _, ok := mem.session.Expires(); ok {
+			num++
+		}
+	}
+	return num
+}
+
+// Lose ends the sessions from index from up to to without a word to control, as a loss of their hosts does.
+func (flt *Fleet) Lose(from, upto int) {
+	lost := flt.members[from:upto]
+	for _, mem := range lost {
+		mem.cancel()
+	}
+	for _, mem := range lost {
+		<-mem.done
+	}
+	flt.members = append(append([]*member{}, flt.members[:from]...), flt.members[upto:]...)
+}
+
+// Stop ends all sessions.
+func (flt *Fleet) Stop() { flt.Lose(0, len(flt.members)) }
--- /dev/null
+++ b/internal/bench/scale/source.go
@@ -0,0 +1,71 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/siskinrill/siskinrill/internal/agent/control"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	// Figures of a report, at the request rate of one node at the project's target size.
+	requestsPerSecond = 3600
+	busyPerRequest    = 4 * time.Millisecond
+	hotKeys           = 16
+)
+
+// source gives load reports of a full size and releases what control moves away.
+type source struct {
+	session *control.Session
+	service string
+	rate    float64 // requests a second of each partition
+}
+
+// Load reports even requests over the owned shards and as many hot keys as a real owner does.
+func (src *source) Load(itv time.Duration) *controlpb.LoadReport {
+	own := src.session.Owned()
+	rep := &controlpb.LoadReport{IntervalMs: uint32(itv.Milliseconds()), Limit: slots}
+	if len(own) == 0 {
+		return rep
+	}
+	each := uint32(src.rate * itv.Seconds())
+	rep.Requests = each * uint32(len(own))
+	rep.BusyMs = rep.Requests * uint32(busyPerRequest.Milliseconds())
+	for _, shd := range own {
+		rep.Shards = append(rep.Shards, &controlpb.ShardLoad{
+			Shard:    &controlpb.ShardRef{Service: shd.GetService(), Partition: shd.GetPartition(), Key: shd.GetKey(), Token: shd.GetToken()},
+			Requests: each, BusyMs: rep.BusyMs / uint32(len(own)),
+		})
+	}
+	for num := range hotKeys {
+		shd := own[num%len(own)]
+		rep.HotKeys = append(rep.HotKeys, &controlpb.ShardLoad{
+			Shard:    &controlpb.ShardRef{Service: src.service, Partition: shd.GetPartition(), Key: fmt.Sprintf("key-%d-%d", shd.GetPartition(), num)},
+			Requests: rep.Requests / 200, BusyMs: rep.BusyMs / 200,
+		})
+	}
+	return rep
+}
+
+// releaseAll confirms the release of each shard at once, as an owner without requests in flight does.
+func (src *source) releaseAll(ctx context.Context) {
+	for {
+		ver := src.session.Version()
+		var refs []*controlpb.ShardRef
+		for _, shd := range src.session.Owned() {
+			if shd.GetPhase() == controlpb.Phase_PHASE_RELEASING {
+				refs = append(refs, &controlpb.ShardRef{
+					Service: shd.GetService(), Partition: shd.GetPartition(), Key: shd.GetKey(), Token: shd.GetToken(),
+				})
+			}
+		}
+		if len(refs) > 0 {
+			src.session.Release(refs)
+		}
+		if src.session.Await(ctx, ver) != nil {
+			return
+		}
+	}
+}
