--- a/internal/control/agent/cluster_test.go
+++ b/internal/control/agent/cluster_test.go
@@ -15,13 +15,14 @@
 
 // cluster is a replicated log that never loses an entry, with leaders that may not know that they were replaced.
 type cluster struct {
-	mut    sync.Mutex
-	rnd    *rand.Rand
-	procs  []*process
-	leader int
-	term   uint64
-	sends  int
-	log    []*controlpb.Command
+	mut     sync.Mutex
+	rnd     *rand.Rand
+	procs   []*process
+	leader  int
+	term    uint64
+	sends   int
+	instant bool // proposals and confirmations take no time
+	log     []*controlpb.Command
 }
 
 // process is one control process; it implements siskinrill.Log.
@@ -52,6 +53,9 @@
 func (clu *cluster) between(least, most time.Duration) time.Duration {
 	clu.mut.Lock()
 	defer clu.mut.Unlock()
+	if clu.instant {
+		return 0
+	}
 	return least + time.Duration(clu.rnd.Int64N(int64(most-least)+1))
 }
 
