--- a/internal/control/member/change.go
+++ b/internal/control/member/change.go
@@ -83,15 +83,16 @@
 	if name != "" && ans.GetName() != name {
 		return 0, &ChangeError{name: name, reason: fmt.Sprintf("the process at %s is %q", addr, ans.GetName())}
 	}
-	mid, err := grp.addLearner(ctx, ans, addr)
+	mid, err := grp.addLearner(ctx, ans, addr, name != "")
 	if err != nil || learner {
 		return mid, err
 	}
 	return mid, grp.commitMembers(ctx, func(mbs *controlpb.Members) bool { return promote(mbs, mid) })
 }
 
-func (grp *Group) addLearner(ctx context.Context, ans *controlpb.IdentifyAnswer, addr string) (uint64, error) {
-	mid, held := uint64(0), false
+// addLearner returns the member id of a store, which is added unless it is a member; with a new name asked for, a name in use is refused.
+func (grp *Group) addLearner(ctx context.Context, ans *controlpb.IdentifyAnswer, addr string, named bool) (uint64, error) {
+	mid, held, taken := uint64(0), false, false
 	err := grp.commitMembers(ctx, func(mbs *controlpb.Members) bool {
 		for _, mem := range mbs.GetMembers() {
 			if mem.GetStoreId() == ans.GetStoreId() {
@@ -99,7 +100,8 @@
 				return false
 			}
 		}
-		if ans.GetFormed() {
+		taken = named && slices.ContainsFunc(mbs.GetMembers(), func(mem *controlpb.Member) bool { return mem.GetName() == ans.GetName() })
+		if ans.GetFormed() || taken {
 			return false
 		}
 		mid = mbs.GetNextId()
@@ -107,7 +109,11 @@
 		mbs.Members = append(mbs.Members, &controlpb.Member{Id: mid, Name: ans.GetName(), StoreId: ans.GetStoreId(), Address: addr, Learner: true})
 		return true
 	})
-	if err == nil && ans.GetFormed() && !held {
+	switch {
+	case err != nil || held:
+	case taken:
+		err = &ChangeError{name: ans.GetName(), reason: "a member with another data directory has this name; replace it"}
+	case ans.GetFormed():
 		err = &ChangeError{name: ans.GetName(), reason: "its data directory belongs to cluster " + ans.GetClusterId()}
 	}
 	return mid, err
--- a/internal/control/member/group_test.go
+++ b/internal/control/member/group_test.go
@@ -38,6 +38,22 @@
 	}
 }
 
+// Guards against a founding member that stays out because the founder ended before it sent the formation.
+func TestFounderEnds(tst *testing.T) {
+	clu := newClusterWith(tst, 3, func(opt *Options) { opt.InitialMembers = nil })
+	fnd := clu.prcs["c1"]
+	asker := &Group{opt: fnd.opt, wal: fnd.wal}
+	asker.opt.InitialMembers = clu.peers
+	mbs, formed := asker.gather(context.Background())
+	must.Eq(tst, "", formed)
+	must.NoError(tst, fnd.call(context.Background(), func() { fnd.acceptFormation(mbs) }))
+	clu.run(clu.leader(settle), "a", 3)
+	clu.converge(3, settle)
+	must.NoError(tst, fnd.kill())
+	delete(clu.prcs, "c1")
+	clu.run(clu.leader(settle), "b", 3)
+}
+
 // Guards against a slow election after the loss of the leader, and against losing what it acknowledged.
 func TestLeaderKilled(tst *testing.T) {
 	clu := newCluster(tst, 5)
@@ -151,6 +167,9 @@
 	ldr := clu.leader(settle)
 	clu.run(ldr, "b", 5)
 	must.SliceEmpty(tst, empty.led.list())
+	var che *ChangeError
+	_, err := ldr.ChangeMembers(context.Background(), &controlpb.MembersRequest{Name: "c1", Address: lost.opt.Address})
+	must.True(tst, errors.As(err, &che), must.Sprintf("error is %v", err))
 	ans := clu.change(ldr, controlpb.MemberAction_MEMBER_ACTION_REPLACE, "c1", lost.opt.Address)
 	must.Len(tst, 5, ans.GetMembers().GetMembers())
 	for _, mem := range ans.GetMembers().GetMembers() {
--- a/internal/control/member/loop.go
+++ b/internal/control/member/loop.go
@@ -78,10 +78,23 @@
 	if grp.rft == nil {
 		return
 	}
+	if !grp.genuine(arr) {
+		return
+	}
 	grp.origins[arr.msg.GetFrom()] = arr.from
 	grp.rft.Step(arr.msg)
 }
 
+// genuine reports whether a message comes from the store that the membership holds under the sender's id, as far as it holds the sender.
+func (grp *Group) genuine(arr arrival) bool {
+	for _, mem := range grp.rft.Members().GetMembers() {
+		if mem.GetId() == arr.msg.GetFrom() {
+			return mem.GetStoreId() == arr.from.storeID
+		}
+	}
+	return true
+}
+
 // finishTurn makes the turn durable, sends, applies, and tells the callers.
 func (grp *Group) finishTurn(ctx context.Context, wgr *sync.WaitGroup) error {
 	if grp.rft == nil {
--- a/internal/control/member/peer.go
+++ b/internal/control/member/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -22,6 +23,9 @@
 	pingTimeout    = 250 * time.Millisecond // after which the connection counts as silent and is replaced
 	idleAfter      = 5 * time.Second        // without a message, after which the connection is closed
 	batchLimit     = 64                     // messages in one RaftBatch
+	batchBytes     = 1 << 20                // content after which a RaftBatch takes no more messages
+	// slowPingTimeout applies while a snapshot is on its way, because its bytes in the socket delay the answer to a ping.
+	slowPingTimeout = 10 * time.Second
 )
 
 var dialOptions = []grpc.DialOption{
@@ -39,6 +43,7 @@
 	cid    string
 	queue  chan *controlpb.RaftMessage
 	cancel context.CancelFunc
+	slow   atomic.Bool // a snapshot was sent since the newest ping
 }
 
 // sendAll queues messages; one that does not fit is dropped, because raft sends again.
@@ -191,10 +196,11 @@
 // batch adds what else is queued.
 func (per *peer) batch(msg *controlpb.RaftMessage) *controlpb.RaftBatch {
 	bat := &controlpb.RaftBatch{ClusterId: per.cid, Messages: []*controlpb.RaftMessage{msg}}
-	for len(bat.Messages) < batchLimit {
+	for size := per.content(msg); len(bat.Messages) < batchLimit && size < batchBytes; {
 		select {
 		case nxt := <-per.queue:
 			bat.Messages = append(bat.Messages, nxt)
+			size += per.content(nxt)
 		default:
 			return bat
 		}
@@ -202,6 +208,18 @@
 	return bat
 }
 
+// content returns the bytes of entries and snapshot in a message.
+func (per *peer) content(msg *controlpb.RaftMessage) int {
+	if msg.GetSnapshot() != nil {
+		per.slow.Store(true)
+	}
+	size := len(msg.GetSnapshot().GetData())
+	for _, ent := range msg.GetEntries() {
+		size += len(ent.GetData())
+	}
+	return size
+}
+
 // ping returns an error once the connection no longer answers, which a stream of one direction does not notice.
 func (per *peer) ping(ctx context.Context, cln controlpb.MemberServiceClient) error {
 	for {
@@ -209,7 +227,11 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		pctx, cancel := context.WithTimeout(ctx, pingTimeout)
+		limit := pingTimeout
+		if per.slow.Swap(false) {
+			limit = slowPingTimeout
+		}
+		pctx, cancel := context.WithTimeout(ctx, limit)
 		_, err := cln.Identify(pctx, &controlpb.IdentifyRequest{})
 		cancel()
 		if err != nil {
--- a/internal/control/member/publish.go
+++ b/internal/control/member/publish.go
@@ -40,7 +40,11 @@
 // publish copies the loop's state for other goroutines.
 func (grp *Group) publish() {
 	leading := grp.rft.Role() == raft.Leader && grp.applied >= grp.rft.TermStart() && !grp.stopping
-	ldr := siskinrill.NewLeadership(grp.rft.Term(), leading, grp.addressOf(grp.rft.LeaderID()), time.Now())
+	addr := grp.addressOf(grp.rft.LeaderID())
+	if grp.stopping && grp.rft.Role() == raft.Leader {
+		addr = ""
+	}
+	ldr := siskinrill.NewLeadership(grp.rft.Term(), leading, addr, time.Now())
 	mbs := grp.statuses()
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
--- a/internal/control/raft/property_test.go
+++ b/internal/control/raft/property_test.go
@@ -15,7 +15,7 @@
 }
 
 // hostile strikes leaders most of the time, which leaves uncommitted entries of many terms behind.
-var hostile = faults{drop: 5, delay: 30, crash: 20, restart: 30, cut: 20, heal: 20, aim: 80, propose: 30, confirm: 10}
+var hostile = faults{drop: 10, delay: 30, crash: 2, restart: 30, cut: 40, heal: 20, aim: 80, propose: 30}
 
 // play runs a simulation and returns the first violation, a panic of the core included.
 func play(sim *simulation, rounds int, seed func(num int) uint64) (err error) {
@@ -69,6 +69,7 @@
 	}
 	table := map[string]variant{
 		"vote not synced":           {ordinary, func(flt *faults) { flt.unsyncedVote = true }, "election safety"},
+		"answer before the sync":    {ordinary, func(flt *faults) { flt.earlyAnswers = true }, "durability"},
 		"commit of an earlier term": {hostile, func(flt *faults) { flt.flw.commitEarlierTerm = true }, "leader completeness"},
 		"empty disk keeps identity": {ordinary, func(flt *faults) { flt.keepsIdentity, flt.change = true, 0 }, "election safety"},
 		"no pre-vote":               {ordinary, func(flt *faults) { flt.flw.noPreVote = true }, "pre-vote"},
@@ -83,7 +84,7 @@
 			run := uint64(0)
 			for ; err == nil && run < limit; run++ {
 				sim := newSimulation(vrt.flt, 3, run*3)
-				err = play(sim, 200, func(num int) uint64 { return run<<32 + uint64(num) })
+				err = play(sim, 400, func(num int) uint64 { return run<<32 + uint64(num) })
 			}
 			must.Error(tst, err)
 			must.StrContains(tst, err.Error(), vrt.caught)
--- a/internal/control/raft/simulation_test.go
+++ b/internal/control/raft/simulation_test.go
@@ -21,6 +21,7 @@
 
 	flw           flaws
 	unsyncedVote  bool // term and vote are not stored
+	earlyAnswers  bool // answers are sent before the sync
 	keepsIdentity bool // a member whose disk was lost returns empty under its old id
 }
 
@@ -217,6 +218,9 @@
 			return
 		}
 		sim.send(rdy.Early)
+		if sim.flt.earlyAnswers {
+			sim.send(rdy.Messages)
+		}
 		if rdy.MustSync && sim.chance(sim.flt.crash) {
 			nod.rft = nil
 			return
--- a/internal/control/wal/open.go
+++ b/internal/control/wal/open.go
@@ -164,6 +164,7 @@
 	if err := lg.opt.FileSystem.Remove(path); err != nil {
 		return errors.Wrap(err, "remove an unfinished segment")
 	}
+	// errors.Wrap turns nil into an error.
 	if err := lg.opt.FileSystem.SyncDir(lg.opt.Dir); err != nil {
 		return errors.Wrap(err, "sync the data directory")
 	}
