--- a/internal/control/agent/stream.go
+++ b/internal/control/agent/stream.go
@@ -119,6 +119,12 @@
 // open registers a new session or resumes one, and welcomes the agent.
 func (stm *stream) open(hel *controlpb.Hello) bool {
 	num := hel.GetSession()
+	if hel.GetVersion() > stm.term.sessions.registry.Index() {
+		// Only a later leader can have told that version, so this process no longer leads, and its tables would set the agent back.
+		msg := &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Redirect{Redirect: &controlpb.Redirect{Reason: "behind"}}}
+		_ = stm.server.Send(msg)
+		return false
+	}
 	if num == 0 {
 		num = stm.register(hel.GetNode())
 		if num == 0 {
