Bound the requests that wait for an owner and reap vanished peers

Cause: while many keys have no owner, every request waits up to 3 s, which at 3,600 requests/s is more than an agent's memory; those that waited also used up the limit of the owner they had tried; a server kept the connections of peers that vanished. Change: at most 4,096 requests wait, and they count at no owner; the server pings connections that are quiet for 30 s; the rate benchmark sends to the handler and to a direct answer in turn; a test of duplicate answers.

--- a/internal/agent/caller/bench_test.go
+++ b/internal/agent/caller/bench_test.go
@@ -77,50 +77,52 @@
 	}
 }
 
-// BenchmarkRate sends 3,600 requests a second over HTTP and reports the latency from the intended send time; "direct" answers without the handler.
+// BenchmarkRate sends 3,600 requests a second over HTTP to a handler and as many to one that answers itself, in turn, and reports both latencies from the intended send time.
 func BenchmarkRate(b *testing.B) {
-	handlers := map[string]http.Handler{
-		"direct": http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
-			wri.Header().Set("Content-Type", "application/json")
-			_, _ = io.WriteString(wri, strings.Repeat("x", 200))
-		}),
-		"local":     newBench(b, false),
-		"forwarded": newBench(b, true),
-	}
-	for _, name := range []string{"direct", "local", "forwarded"} {
+	direct := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
+		wri.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(wri, strings.Repeat("x", 200))
+	}))
+	defer direct.Close()
+	for _, name := range []string{"local", "forwarded"} {
 		b.Run(name, func(b *testing.B) {
-			srv := httptest.NewServer(handlers[name])
+			srv := httptest.NewServer(newBench(b, variants[name].remote))
 			defer srv.Close()
-			report(b, atRate(b, srv.URL, b.N))
+			urls := []string{direct.URL, srv.URL}
+			tooks := make([][]time.Duration, 2)
+			for num := range tooks {
+				tooks[num] = make([]time.Duration, b.N)
+			}
+			atRate(b, urls, tooks)
+			report(b, "direct-", tooks[0])
+			report(b, "", tooks[1])
 		})
 	}
 }
 
-func atRate(b *testing.B, url string, count int) []time.Duration {
+func atRate(b *testing.B, urls []string, tooks [][]time.Duration) {
 	cli := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}}
-	took := make([]time.Duration, count)
 	var all sync.WaitGroup
 	beg := time.Now()
-	for num := range count {
-		due := beg.Add(time.Duration(num) * time.Second / 3600)
+	for num := range len(urls) * b.N {
+		due := beg.Add(time.Duration(num) * time.Second / time.Duration(3600*len(urls)))
 		time.Sleep(time.Until(due))
 		all.Go(func() {
-			rsp, err := cli.Get(url + "/orders/order1")
+			rsp, err := cli.Get(urls[num%len(urls)] + "/orders/order1")
 			if err != nil {
 				b.Error(err)
 				return
 			}
 			_, _ = io.Copy(io.Discard, rsp.Body)
 			_ = rsp.Body.Close()
-			took[num] = time.Since(due)
+			tooks[num%len(urls)][num/len(urls)] = time.Since(due)
 		})
 	}
 	all.Wait()
-	return took
 }
 
-func report(b *testing.B, took []time.Duration) {
+func report(b *testing.B, name string, took []time.Duration) {
 	sort.Slice(took, func(one, two int) bool { return took[one] < took[two] })
-	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
-	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), name+"p50-us")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), name+"p99-us")
 }
--- a/internal/agent/caller/call.go
+++ b/internal/agent/caller/call.go
@@ -89,6 +89,13 @@
 	if left <= 0 {
 		return cal.expired(rsn)
 	}
+	// A call that waits is nobody's load, so that a lost owner's limit does not refuse those who come after.
+	cal.finish()
+	defer cal.han.waiting.Add(-1)
+	if cal.han.waiting.Add(1) > int64(cal.han.opt.MaxWaiting) {
+		cal.han.counters.Event("waiting_limit")
+		return siskinrill.NotRun(rsn).WithRetryAfter(leastRetryAfter)
+	}
 	if poll {
 		left = min(left, cal.pause)
 		cal.pause = min(2*cal.pause, 16*cal.han.opt.Poll)
--- a/internal/agent/caller/handler.go
+++ b/internal/agent/caller/handler.go
@@ -26,6 +26,7 @@
 	budgets     budgets
 	outstanding outstanding
 	attempts    atomic.Uint64
+	waiting     atomic.Int64
 	// The newest session, kept because attempt ids must stay unique while a new one is being registered.
 	entry atomic.Uint64
 }
--- a/internal/agent/caller/options.go
+++ b/internal/agent/caller/options.go
@@ -16,11 +16,17 @@
 	Grace time.Duration
 	// Poll is the first pause before an owner that could not serve is asked again without news from control, 25 ms by default; it doubles up to 16 times itself.
 	Poll time.Duration
+	// MaxWaiting is the largest number of requests that wait for an owner at the same time, 4,096 by default; further ones are refused at once.
+	MaxWaiting int
 }
 
 func (opt Options) withDefaults() Options {
 	opt.Grace = orDefault(opt.Grace, 100*time.Millisecond)
 	opt.Poll = orDefault(opt.Poll, 25*time.Millisecond)
+	if opt.MaxWaiting <= 0 {
+		// At 3,600 requests/s this is about one second of all requests, and some 100 MB.
+		opt.MaxWaiting = 4096
+	}
 	if opt.Logger == nil {
 		opt.Logger = logrus.StandardLogger()
 	}
--- a/internal/agent/peer/fault_test.go
+++ b/internal/agent/peer/fault_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/shoenig/test/must"
+	"google.golang.org/grpc"
 
 	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
@@ -212,6 +213,34 @@
 	must.Eq(t, "second", string(got))
 }
 
+// twice answers each attempt two times.
+type twice struct {
+	peerpb.UnimplementedPeerServiceServer
+}
+
+func (twice) Forward(str peerpb.PeerService_ForwardServer) error {
+	msg, err := str.Recv()
+	if err != nil {
+		return err
+	}
+	bdy := msg.GetOpen().GetBody()
+	rsp := &peerpb.OwnerMessage{Kind: &peerpb.OwnerMessage_Response{Response: &peerpb.Response{Status: 200, BodyLength: int64(len(bdy)), Body: bdy, BodyEnd: true}}}
+	_ = str.Send(rsp)
+	return str.Send(rsp)
+}
+
+// TestDuplicateAnswer guards against a second answer that reaches the next request.
+func TestDuplicateAnswer(t *testing.T) {
+	t.Parallel()
+	fix := newFixture(t)
+	adr := serve(t, func(gsv *grpc.Server) { peerpb.RegisterPeerServiceServer(gsv, twice{}) })
+	for _, txt := range []string{"first", "second", "third"} {
+		ans, err := fix.poo.Forward(t.Context(), adr, newAttempt(idempotent, []byte(txt)))
+		must.NoError(t, err)
+		must.Eq(t, txt, string(ans.Head().GetBody()))
+	}
+}
+
 // TestRefusedUpload guards against an upload that can't be retried because a refused attempt has read its body.
 func TestRefusedUpload(t *testing.T) {
 	t.Parallel()
--- a/internal/agent/peer/relay_test.go
+++ b/internal/agent/peer/relay_test.go
@@ -152,14 +152,19 @@
 func newFixture(t testing.TB) *fixture {
 	own := &fakeOwner{handle: echo}
 	fix := &fixture{own: own, srv: NewServer(own, nil), cnt: siskinrill.NewCounters()}
+	fix.rel = newRelay(t, serve(t, func(gsv *grpc.Server) { fix.srv.Register(gsv) }))
+	fix.poo = NewPool(Options{Counters: fix.cnt})
+	t.Cleanup(fix.poo.Close)
+	return fix
+}
+
+// serve starts a gRPC server on loopback and returns its address.
+func serve(t testing.TB, register func(*grpc.Server)) string {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	gsv := grpc.NewServer(ServerOptions()...)
-	fix.srv.Register(gsv)
+	register(gsv)
 	go func() { _ = gsv.Serve(lis) }()
 	t.Cleanup(gsv.Stop)
-	fix.rel = newRelay(t, lis.Addr().String())
-	fix.poo = NewPool(Options{Counters: fix.cnt})
-	t.Cleanup(fix.poo.Close)
-	return fix
+	return lis.Addr().String()
 }
--- a/internal/agent/peer/server.go
+++ b/internal/agent/peer/server.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
 	"github.com/siskinrill/siskinrill"
@@ -49,6 +50,8 @@
 		grpc.InitialConnWindowSize(connectionWindow),
 		grpc.MaxRecvMsgSize(largestMessage),
 		grpc.ConnectionTimeout(5 * time.Second),
+		// A peer that vanished without closing its connection must not hold its buffers for ever.
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 30 * time.Second, Timeout: 5 * time.Second}),
 		// Workers keep their grown stacks; requests beyond their number get goroutines of their own.
 		grpc.NumStreamWorkers(uint32(2 * runtime.GOMAXPROCS(0))),
 	}
