Bound stalled uploads and close connections with an unread body

Cause: a caller that stalled in the middle of a streamed upload kept its handler for ever, because net/http removes the read deadline while an attempt waits for the body; after an answer before the end of a body the rest might be taken for the next request; a caller that stopped reading held its answer.

--- a/internal/agent/caller/answer.go
+++ b/internal/agent/caller/answer.go
@@ -87,6 +87,7 @@
 	bdy, _ := json.Marshal(problem{
 		Type: problemPrefix + string(rsn), Title: http.StatusText(sts), Status: sts, Detail: detail(ref), Reason: string(rsn),
 	})
+	hdr.Set("Content-Length", strconv.Itoa(len(bdy)))
 	wri.WriteHeader(sts)
 	_, _ = wri.Write(bdy)
 }
@@ -137,7 +138,8 @@
 }}
 
 // copyAnswer writes an answer; one that was cut aborts the connection, so that it never looks complete.
-func (han *Handler) copyAnswer(wri http.ResponseWriter, req *http.Request, ans *siskinrill.Answer) {
+func (cal *call) copyAnswer(wri http.ResponseWriter, ans *siskinrill.Answer) {
+	han, req := cal.han, cal.req
 	hea := ans.Head()
 	hdr := wri.Header()
 	inward(hdr, hea.GetHeaders())
@@ -156,6 +158,10 @@
 	if ans.Body() == nil {
 		return
 	}
+	// A caller that reads no more must not hold the answer past the deadline; net/http keeps this limit for the next request unless it is removed.
+	ctl := http.NewResponseController(wri)
+	_ = ctl.SetWriteDeadline(cal.deadline.Add(han.opt.Grace))
+	defer func() { _ = ctl.SetWriteDeadline(time.Time{}) }()
 	buf, _ := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
 	if err := copyBody(wri, ans.Body(), *buf, length-int64(len(hea.GetBody()))); err != nil {
--- a/internal/agent/caller/body.go
+++ b/internal/agent/caller/body.go
@@ -12,6 +12,9 @@
 // A body up to this length is held, so that an attempt can be repeated.
 const heldBody = 64 << 10
 
+// A caller that is refused in the middle of a body may send this much more before its connection is closed.
+const lingerBytes = 256 << 10
+
 // body is the body of a caller's request: a first part that is held, and the rest that can be read once.
 type body struct {
 	first  []byte
@@ -140,9 +143,17 @@
 	return bdy.turn
 }
 
-// stop frees an attempt that still reads the body, so that the connection can be closed.
-func (bdy *body) stop(wri http.ResponseWriter) {
-	if bdy.rest != nil && !bdy.rest.ended.Load() {
-		_ = http.NewResponseController(wri).SetReadDeadline(time.Now())
+// unread reports whether bytes of the body may still be on the caller's connection.
+func (bdy *body) unread() bool { return bdy.rest != nil && !bdy.rest.ended.Load() }
+
+// linger reads what the caller still sends for a while, so that it is not reset before it has the answer, and reports whether the connection has to be closed. It also outlasts an attempt that waits for the body: net/http would remove the read deadline while one does, and wait for ever.
+func (bdy *body) linger(wri http.ResponseWriter, req *http.Request, grace time.Duration) bool {
+	if !bdy.unread() {
+		return false
 	}
+	ctl := http.NewResponseController(wri)
+	_ = ctl.Flush()
+	_ = ctl.SetReadDeadline(time.Now().Add(grace))
+	_, err := io.CopyN(io.Discard, req.Body, lingerBytes)
+	return err != io.EOF
 }
--- a/internal/agent/caller/handler.go
+++ b/internal/agent/caller/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -57,13 +58,14 @@
 		return
 	}
 	defer cal.finish()
-	defer cal.body.stop(wri)
 	ans, ref := cal.serve()
+	if cal.body.unread() {
+		// The rest of a body must never be taken for the next request.
+		wri.Header().Set("Connection", "close")
+	}
 	if ref != nil {
-		if !cal.body.repeatable() {
-			wri.Header().Set("Connection", "close")
-		}
 		han.refuse(wri, req, cal.honest(ref))
+		cal.leaveBody(wri)
 		return
 	}
 	defer func() { _ = ans.Close() }()
@@ -71,7 +73,15 @@
 		han.refuse(wri, req, siskinrill.Unknown(siskinrill.ReasonBackendBadAnswer, nil))
 		return
 	}
-	han.copyAnswer(wri, req, ans)
+	cal.copyAnswer(wri, ans)
+	cal.leaveBody(wri)
+}
+
+// leaveBody closes the connection if the body was not read to its end. An answer of unknown length ends only when the handler returns, and closes the connection then.
+func (cal *call) leaveBody(wri http.ResponseWriter) {
+	if cal.body.linger(wri, cal.req, cal.han.opt.Grace) && wri.Header().Get("Content-Length") != "" {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // call is one request of a caller on its way.
@@ -164,6 +174,9 @@
 	if errors.As(err, &big) {
 		return siskinrill.ReasonBodyTooLarge
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return siskinrill.ReasonDeadline
+	}
 	if ctx.Err() != nil {
 		return siskinrill.ReasonCallerGone
 	}
--- a/internal/agent/caller/handler_test.go
+++ b/internal/agent/caller/handler_test.go
@@ -1,9 +1,11 @@
 package caller
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -185,12 +187,12 @@
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	gsv := grpc.NewServer(peer.ServerOptions()...)
-	peer.NewServer(scripted{handle: handle}, nil).Register(gsv)
+	ses := newFakeSession()
+	peer.NewServer(scripted{localOwner{newFakeOwners(ses)}, handle}, nil).Register(gsv)
 	go func() { _ = gsv.Serve(lis) }()
 	t.Cleanup(gsv.Stop)
 	poo := peer.NewPool(peer.Options{})
 	t.Cleanup(poo.Close)
-	ses := newFakeSession()
 	ses.nodes[1].PeerAddress = lis.Addr().String()
 	srv := httptest.NewServer(New(Options{}, ses, poo, nil, siskinrill.NewCounters()))
 	t.Cleanup(srv.Close)
@@ -243,3 +245,29 @@
 		})
 	}
 }
+
+// TestStackStalledUpload guards against an upload that stalls for ever, and against the rest of a body that is taken for a request.
+func TestStackStalledUpload(t *testing.T) {
+	for name, size := range map[string]int{"held part": 10 << 10, "streamed part": 100 << 10} {
+		t.Run(name, func(t *testing.T) {
+			url := newStack(t, func(att *siskinrill.Attempt) (*siskinrill.Answer, error) {
+				_, err := io.Copy(io.Discard, att.Body())
+				return nil, siskinrill.Unknown(siskinrill.ReasonBackendLost, err)
+			})
+			con, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+			must.NoError(t, err)
+			defer func() { _ = con.Close() }()
+			_, _ = fmt.Fprintf(con, "PUT /orders/r1 HTTP/1.1\r\nHost: x\r\nContent-Length: 204800\r\nSiskinrill-Timeout: 200ms\r\n\r\n%s", make([]byte, size))
+			beg := time.Now()
+			rdr := bufio.NewReader(con)
+			rsp, err := http.ReadResponse(rdr, nil)
+			must.NoError(t, err)
+			must.Eq(t, http.StatusGatewayTimeout, rsp.StatusCode)
+			must.Less(t, time.Second, time.Since(beg))
+			_, _ = io.Copy(io.Discard, rsp.Body)
+			_, _ = io.WriteString(con, "GET /orders/r2 HTTP/1.1\r\nHost: x\r\n\r\n")
+			_, err = http.ReadResponse(rdr, nil)
+			must.Error(t, err)
+		})
+	}
+}
