Merge the tests of each package and let lingering wait for the attempt

Change: reading a body is serialised and ends for attempts once the handler returns; fakes and tables are shorter; withdrawals and transfers are tested on silent and cut connections; fake owners check the session that is asked for.

--- a/internal/agent/caller/bench_test.go
+++ b/internal/agent/caller/bench_test.go
@@ -17,11 +17,12 @@
 
 	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/agent/peer"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
 
 // quickOwner answers at once with 200 bytes.
-type quickOwner struct{ localOwner }
+type quickOwner struct{ *fakeOwners }
 
 var quickHeaders = []*peerpb.HeaderField{
 	{Name: "Content-Type", Values: []string{"application/json"}},
@@ -46,7 +47,7 @@
 	ses := newFakeSession()
 	ses.nodes[1].PeerAddress = lis.Addr().String()
 	if !remote {
-		ses.shard.Owner = entrySession
+		ses.move(entrySession, controlpb.Phase_PHASE_OWNED)
 	}
 	return New(Options{}, ses, poo, quickOwner{}, siskinrill.NewCounters())
 }
--- a/internal/agent/caller/body.go
+++ b/internal/agent/caller/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +27,9 @@
 
 // rest is what follows the held part; one attempt may read it.
 type rest struct {
+	mu     sync.Mutex // held while reading, so that lingering waits for the attempt
 	rdr    io.Reader
+	over   bool // the handler is about to return
 	ended  atomic.Bool
 	failed atomic.Pointer[error]
 }
@@ -49,15 +52,33 @@
 	if !trn.state.CompareAndSwap(turnIdle, turnBegun) && trn.state.Load() == turnRevoked {
 		return 0, errors.New("the attempt is over")
 	}
-	num, err := trn.rest.rdr.Read(buf)
+	return trn.rest.read(buf)
+}
+
+func (rst *rest) read(buf []byte) (int, error) {
+	rst.mu.Lock()
+	defer rst.mu.Unlock()
+	if rst.over {
+		return 0, errors.New("the request is over")
+	}
+	num, err := rst.rdr.Read(buf)
 	if err == io.EOF {
-		trn.rest.ended.Store(true)
+		rst.ended.Store(true)
 	} else if err != nil {
-		trn.rest.failed.Store(&err)
+		rst.failed.Store(&err)
 	}
 	return num, err
 }
 
+// finish reads on until the end of the body, a limit or an error, and lets no attempt read after that.
+func (rst *rest) finish() error {
+	rst.mu.Lock()
+	defer rst.mu.Unlock()
+	rst.over = true
+	_, err := io.CopyN(io.Discard, rst.rdr, lingerBytes)
+	return err
+}
+
 // revoke ends a turn and reports whether nothing was read in it.
 func (trn *turn) revoke() bool {
 	return trn.state.CompareAndSwap(turnIdle, turnRevoked) || trn.state.Load() == turnRevoked
@@ -147,13 +168,12 @@
 func (bdy *body) unread() bool { return bdy.rest != nil && !bdy.rest.ended.Load() }
 
 // linger reads what the caller still sends for a while, so that it is not reset before it has the answer, and reports whether the connection has to be closed. It also outlasts an attempt that waits for the body: net/http would remove the read deadline while one does, and wait for ever.
-func (bdy *body) linger(wri http.ResponseWriter, req *http.Request, grace time.Duration) bool {
+func (bdy *body) linger(wri http.ResponseWriter, grace time.Duration) bool {
 	if !bdy.unread() {
 		return false
 	}
 	ctl := http.NewResponseController(wri)
 	_ = ctl.Flush()
 	_ = ctl.SetReadDeadline(time.Now().Add(grace))
-	_, err := io.CopyN(io.Discard, req.Body, lingerBytes)
-	return err != io.EOF
+	return bdy.rest.finish() != io.EOF
 }
--- a/internal/agent/caller/fakes_test.go
+++ b/internal/agent/caller/fakes_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"expvar"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -19,35 +21,34 @@
 
 type noSession struct{ siskinrill.Session }
 
+// row is the state of the only shard at one version.
+type row struct {
+	owner   uint64
+	phase   controlpb.Phase
+	version uint64
+	changed chan struct{}
+}
+
 // fakeSession is a session whose single shard the test moves.
 type fakeSession struct {
 	noSession
-	mu      sync.Mutex
 	stale   bool
 	service *controlpb.Service
-	shard   *controlpb.Shard
 	nodes   map[uint64]*controlpb.Node
-	version uint64
-	changed chan struct{}
+	row     atomic.Pointer[row]
 }
 
 const entrySession = 7
 
 func newFakeSession() *fakeSession {
-	return &fakeSession{
+	ses := &fakeSession{
 		service: &controlpb.Service{Name: "checkout", Partitions: 16},
-		shard:   &controlpb.Shard{Service: "checkout", Owner: 1, Token: 1, Phase: controlpb.Phase_PHASE_OWNED},
-		nodes: map[uint64]*controlpb.Node{
-			1: {Session: 1, PeerAddress: "owner1"}, 2: {Session: 2, PeerAddress: "owner2"},
-		},
-		version: 1,
-		changed: make(chan struct{}),
+		nodes:   map[uint64]*controlpb.Node{1: {PeerAddress: "owner1"}, 2: {PeerAddress: "owner2"}},
 	}
+	ses.row.Store(&row{owner: 1, phase: controlpb.Phase_PHASE_OWNED, version: 1, changed: make(chan struct{})})
+	return ses
 }
 
-func (ses *fakeSession) Session() uint64 { return entrySession }
-func (ses *fakeSession) Fresh() bool     { return !ses.stale }
-
 var kinds = map[string]controlpb.RequestKind{
 	"GET": controlpb.RequestKind_REQUEST_KIND_IDEMPOTENT, "POST": controlpb.RequestKind_REQUEST_KIND_NON_IDEMPOTENT, "PUT": controlpb.RequestKind_REQUEST_KIND_UPLOAD,
 }
@@ -64,50 +65,37 @@
 	return &controlpb.Route{Service: "checkout", Kind: knd, TimeoutMs: 5000, MaxBodyBytes: 1 << 20}, key, ""
 }
 
+func (ses *fakeSession) Session() uint64                   { return entrySession }
+func (ses *fakeSession) Fresh() bool                       { return !ses.stale }
 func (ses *fakeSession) Service(string) *controlpb.Service { return ses.service }
+func (ses *fakeSession) Node(num uint64) *controlpb.Node   { return ses.nodes[num] }
+func (ses *fakeSession) Version() uint64                   { return ses.row.Load().version }
 
 func (ses *fakeSession) Shard(string, string) *controlpb.Shard {
-	ses.mu.Lock()
-	defer ses.mu.Unlock()
-	return &controlpb.Shard{Service: "checkout", Owner: ses.shard.GetOwner(), Token: ses.shard.GetToken(), Phase: ses.shard.GetPhase()}
-}
-
-func (ses *fakeSession) Node(num uint64) *controlpb.Node {
-	ses.mu.Lock()
-	defer ses.mu.Unlock()
-	return ses.nodes[num]
-}
-
-func (ses *fakeSession) Version() uint64 {
-	ses.mu.Lock()
-	defer ses.mu.Unlock()
-	return ses.version
+	row := ses.row.Load()
+	return &controlpb.Shard{Service: "checkout", Owner: row.owner, Token: row.version, Phase: row.phase}
 }
 
 func (ses *fakeSession) Await(ctx context.Context, ver uint64) error {
-	for {
-		ses.mu.Lock()
-		cur, chg := ses.version, ses.changed
-		ses.mu.Unlock()
-		if cur > ver {
-			return nil
-		}
+	for row := ses.row.Load(); row.version <= ver; row = ses.row.Load() {
 		select {
-		case <-chg:
+		case <-row.changed:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
+	return nil
 }
 
 // move sets the row of the shard as a new version; session 0 makes it an orphan.
 func (ses *fakeSession) move(own uint64, phs controlpb.Phase) {
-	ses.mu.Lock()
-	defer ses.mu.Unlock()
-	ses.version++
-	ses.shard = &controlpb.Shard{Owner: own, Token: ses.version, Phase: phs}
-	close(ses.changed)
-	ses.changed = make(chan struct{})
+	for {
+		old := ses.row.Load()
+		if ses.row.CompareAndSwap(old, &row{owner: own, phase: phs, version: old.version + 1, changed: make(chan struct{})}) {
+			close(old.changed)
+			return
+		}
+	}
 }
 
 // fault is what happens to one attempt.
@@ -202,22 +190,17 @@
 
 // over runs an attempt whose answer is lost when the context ends first.
 func (own *fakeOwners) over(ctx context.Context, att *siskinrill.Attempt, flt fault) (*siskinrill.Answer, error) {
-	type end struct {
-		ans *siskinrill.Answer
-		err error
+	if flt.queued > 0 {
+		return own.run(ctx, att, flt)
 	}
-	ended := make(chan end, 1)
+	ended := make(chan func() (*siskinrill.Answer, error), 1)
 	go func() {
 		ans, err := own.run(ctx, att, flt)
-		ended <- end{ans, err}
+		ended <- func() (*siskinrill.Answer, error) { return ans, err }
 	}()
-	if flt.queued > 0 {
-		res := <-ended
-		return res.ans, res.err
-	}
 	select {
 	case res := <-ended:
-		return res.ans, res.err
+		return res()
 	case <-ctx.Done():
 		return nil, siskinrill.Unknown(siskinrill.ReasonDeadline, ctx.Err())
 	}
@@ -240,6 +223,9 @@
 	if flt.refuse != "" {
 		return nil, siskinrill.NotRun(flt.refuse).WithVersion(own.ses.Version())
 	}
+	if row := own.ses.row.Load(); row.owner != att.Open().GetOwnerSession() || row.phase != controlpb.Phase_PHASE_OWNED {
+		return nil, siskinrill.NotRun(siskinrill.ReasonWrongOwner).WithVersion(row.version)
+	}
 	if !sleep(ctx, flt.queued) {
 		return nil, siskinrill.NotRun(siskinrill.ReasonDeadlineInQueue)
 	}
@@ -312,18 +298,7 @@
 	}
 }
 
-func (own *fakeOwners) Transfer(context.Context, string, *peerpb.TransferRequest) (*peerpb.TransferAnswer, error) {
-	return nil, nil
-}
-
-// localOwner gives the fake the method set of an owner.
-type localOwner struct{ *fakeOwners }
-
-func (own localOwner) Withdraw(ctx context.Context, req *peerpb.WithdrawRequest) (*peerpb.WithdrawAnswer, error) {
-	return own.fakeOwners.Withdraw(ctx, req)
-}
-
-func (own localOwner) Transfer(context.Context, *peerpb.TransferRequest) (*peerpb.TransferAnswer, error) {
+func (own *fakeOwners) Transfer(context.Context, *peerpb.TransferRequest) (*peerpb.TransferAnswer, error) {
 	return nil, nil
 }
 
@@ -334,6 +309,10 @@
 	return own.fakeOwners.Withdraw(ctx, req)
 }
 
+func (own remoteOwner) Transfer(ctx context.Context, _ string, req *peerpb.TransferRequest) (*peerpb.TransferAnswer, error) {
+	return own.fakeOwners.Transfer(ctx, req)
+}
+
 // fixture is a handler with fakes around it.
 type fixture struct {
 	ses *fakeSession
@@ -345,7 +324,7 @@
 func newFixture() *fixture {
 	fix := &fixture{ses: newFakeSession(), cnt: siskinrill.NewCounters()}
 	fix.own = newFakeOwners(fix.ses)
-	fix.han = New(Options{}, fix.ses, remoteOwner{fix.own}, localOwner{fix.own}, fix.cnt)
+	fix.han = New(Options{}, fix.ses, remoteOwner{fix.own}, fix.own, fix.cnt)
 	return fix
 }
 
@@ -381,11 +360,9 @@
 
 // count returns a counter by the name of its map and its own.
 func (fix *fixture) count(kind, name string) string {
-	val := fix.cnt.Vars()[kind]
-	for part := range strings.SplitSeq(strings.Trim(val.String(), "{}"), ", ") {
-		if got, ok := strings.CutPrefix(part, `"`+name+`": `); ok {
-			return got
-		}
+	all, _ := fix.cnt.Vars()[kind].(*expvar.Map)
+	if val := all.Get(name); val != nil {
+		return val.String()
 	}
 	return "0"
 }
--- a/internal/agent/caller/handler.go
+++ b/internal/agent/caller/handler.go
@@ -79,7 +79,7 @@
 
 // leaveBody closes the connection if the body was not read to its end. An answer of unknown length ends only when the handler returns, and closes the connection then.
 func (cal *call) leaveBody(wri http.ResponseWriter) {
-	if cal.body.linger(wri, cal.req, cal.han.opt.Grace) && wri.Header().Get("Content-Length") != "" {
+	if cal.body.linger(wri, cal.han.opt.Grace) && wri.Header().Get("Content-Length") != "" {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/agent/caller/property_test.go
+++ b/internal/agent/caller/property_test.go
@@ -23,26 +23,20 @@
 			return time.Duration(rapid.IntRange(0, 3000).Draw(rt, label)) * time.Millisecond
 		}
 		flt := fault{queued: millis("queued") / 10, busy: millis("busy") / 2}
-		switch rapid.IntRange(0, 9).Draw(rt, "fault") {
-		case 1:
-			flt.undialled = true
-		case 2:
-			flt.undone, flt.taken = true, rapid.Bool().Draw(rt, "taken")
-		case 3:
-			flt.lost = true
-		case 4:
-			flt.late = millis("late") + time.Millisecond
-		case 5:
-			flt.cut = true
-		case 6:
-			flt.refuse = rapid.SampledFrom([]siskinrill.Reason{siskinrill.ReasonWrongOwner, siskinrill.ReasonQueueFull, siskinrill.ReasonBackendUnreachable, siskinrill.ReasonMoving}).Draw(rt, "reason")
-		case 7:
-			flt.wrong = siskinrill.ReasonBackendLost
-		case 8:
-			flt.moved = true
-		case 9:
-			flt.lost, flt.frozen = true, true
+		rsn := rapid.SampledFrom([]siskinrill.Reason{siskinrill.ReasonWrongOwner, siskinrill.ReasonQueueFull, siskinrill.ReasonBackendUnreachable, siskinrill.ReasonMoving}).Draw(rt, "reason")
+		variants := []func(){
+			func() {},
+			func() { flt.undialled = true },
+			func() { flt.undone, flt.taken = true, rapid.Bool().Draw(rt, "taken") },
+			func() { flt.lost = true },
+			func() { flt.late = millis("late") + time.Millisecond },
+			func() { flt.cut = true },
+			func() { flt.refuse = rsn },
+			func() { flt.wrong = siskinrill.ReasonBackendLost },
+			func() { flt.moved = true },
+			func() { flt.lost, flt.frozen = true, true },
 		}
+		variants[rapid.IntRange(0, len(variants)-1).Draw(rt, "fault")]()
 		return flt
 	})
 }
--- a/internal/agent/peer/fault_test.go
+++ b/internal/agent/peer/fault_test.go
@@ -30,7 +30,8 @@
 		return num, err
 	}
 	if rdr.then != nil {
-		rdr.then()
+		time.Sleep(20 * time.Millisecond)
+		pause(rdr.then, 20*time.Millisecond)
 		rdr.then = nil
 	}
 	return num, rdr.err
@@ -38,8 +39,10 @@
 
 func (*sequenceReader) Close() error { return nil }
 
-// cutAnswer answers with a head that tells of 100 bytes, a body that ends early, and an error.
-func cutAnswer(then func(), err error) func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
+type handler = func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error)
+
+// cutAnswer answers with a head that tells of 192 KB, a body of 128 KB, and an error after a function has run.
+func cutAnswer(then func(), err error) handler {
 	return func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
 		bdy := strings.NewReader(strings.Repeat("x", 2*smallBody))
 		hea := &peerpb.Response{Status: 200, BodyLength: 3 * smallBody}
@@ -47,15 +50,40 @@
 	}
 }
 
-// blocked serves after a signal and tells of its start.
-func blocked(started chan<- struct{}, serve <-chan struct{}) func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
+// failing ends each attempt with an error.
+func failing(err error) handler {
+	return func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) { return nil, err }
+}
+
+func answering(rsp *peerpb.Response) handler {
+	return func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
+		return siskinrill.NewAnswer(rsp, nil), nil
+	}
+}
+
+// after reads a part of the body, runs a function and then answers.
+func after(fnc func(), part int) handler {
 	return func(ctx context.Context, att *siskinrill.Attempt) (*siskinrill.Answer, error) {
-		started <- struct{}{}
-		<-serve
+		if part > 0 {
+			_, _ = io.ReadFull(att.Body(), make([]byte, part))
+		}
+		fnc()
 		return echo(ctx, att)
 	}
 }
 
+func pause(fnc func(), dur time.Duration) {
+	fnc()
+	time.Sleep(dur)
+}
+
+// thawed lets a frozen peer miss one request.
+func thawed(fix *fixture) {
+	pause(fix.rel.freeze, 250*time.Millisecond)
+	_, _ = fix.poo.Forward(context.Background(), fix.rel.address(), newAttempt(nonIdempotent, nil))
+	fix.rel.frozen.Store(false)
+}
+
 // TestFaults guards against a false proof, an answer that looks complete and a hanging request for each fault of a connection.
 func TestFaults(t *testing.T) {
 	cases := map[string]struct {
@@ -63,91 +91,35 @@
 		size    int
 		warm    bool // a request went over the connection before
 		fault   func(fix *fixture)
-		owner   func(fix *fixture) func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error)
+		owner   func(fix *fixture) handler
 		reason  siskinrill.Reason // empty: served
 		notRun  bool
 		arrived int32
 		event   string
 		limit   time.Duration
 	}{
-		"connection refused": {kind: idempotent, fault: func(fix *fixture) { _ = fix.rel.lis.Close() }, reason: siskinrill.ReasonUnreachable, notRun: true, event: "peer_connect_failed"},
-		"cut before the request": {kind: nonIdempotent, warm: true, arrived: 1, fault: func(fix *fixture) {
-			fix.rel.cut()
-			time.Sleep(50 * time.Millisecond)
-		}, event: "peer_connected"},
-		"cut before the request, peer gone": {kind: nonIdempotent, warm: true, fault: func(fix *fixture) {
-			fix.rel.refuse.Store(true)
-			fix.rel.cut()
-			time.Sleep(50 * time.Millisecond)
-		}, reason: siskinrill.ReasonUnreachable, notRun: true, event: "peer_connect_failed"},
-		"cut in the middle of the request": {kind: upload, size: 8 << 20, arrived: 1, owner: func(fix *fixture) func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
-			return func(ctx context.Context, att *siskinrill.Attempt) (*siskinrill.Answer, error) {
-				_, _ = io.ReadFull(att.Body(), make([]byte, 1<<20))
-				fix.rel.cut()
-				return echo(ctx, att)
-			}
-		}, reason: siskinrill.ReasonConnectionLost, event: "peer_connection_closed"},
-		"cut before the answer": {kind: idempotent, arrived: 1, owner: func(fix *fixture) func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
-			return func(ctx context.Context, att *siskinrill.Attempt) (*siskinrill.Answer, error) {
-				fix.rel.cut()
-				return echo(ctx, att)
-			}
-		}, reason: siskinrill.ReasonConnectionLost, event: "peer_connection_closed"},
-		"cut in the middle of the answer": {kind: idempotent, arrived: 1, owner: func(fix *fixture) func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
-			return cutAnswer(func() {
-				time.Sleep(20 * time.Millisecond)
-				fix.rel.cut()
-				time.Sleep(20 * time.Millisecond)
-			}, io.EOF)
-		}, reason: siskinrill.ReasonConnectionLost, event: "peer_connection_closed"},
-		"backend server cut the answer": {kind: idempotent, arrived: 1, owner: func(*fixture) func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
+		"connection refused":                {fault: func(fix *fixture) { _ = fix.rel.lis.Close() }, reason: siskinrill.ReasonUnreachable, notRun: true, event: "peer_connect_failed"},
+		"cut before the request":            {kind: nonIdempotent, warm: true, arrived: 1, event: "peer_connected", fault: func(fix *fixture) { pause(fix.rel.cut, 50*time.Millisecond) }},
+		"cut before the request, peer gone": {kind: nonIdempotent, warm: true, reason: siskinrill.ReasonUnreachable, notRun: true, event: "peer_connect_failed", fault: func(fix *fixture) { pause(fix.rel.shut, 50*time.Millisecond) }},
+		"cut in the middle of the request":  {kind: upload, size: 8 << 20, arrived: 1, reason: siskinrill.ReasonConnectionLost, event: "peer_connection_closed", owner: func(fix *fixture) handler { return after(fix.rel.cut, 1<<20) }},
+		"cut before the answer":             {arrived: 1, reason: siskinrill.ReasonConnectionLost, event: "peer_connection_closed", owner: func(fix *fixture) handler { return after(fix.rel.cut, 0) }},
+		"cut in the middle of the answer":   {arrived: 1, reason: siskinrill.ReasonConnectionLost, event: "peer_connection_closed", owner: func(fix *fixture) handler { return cutAnswer(fix.rel.cut, io.EOF) }},
+		"backend server cut the answer": {arrived: 1, reason: siskinrill.ReasonBackendBadAnswer, owner: func(*fixture) handler {
 			return cutAnswer(nil, siskinrill.Unknown(siskinrill.ReasonBackendLost, io.EOF))
-		}, reason: siskinrill.ReasonBackendBadAnswer},
-		"wrong length of a streamed answer": {kind: idempotent, arrived: 1, owner: func(*fixture) func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
-			return cutAnswer(nil, io.EOF)
-		}, reason: siskinrill.ReasonBackendBadAnswer},
-		"wrong length of a small answer": {kind: idempotent, arrived: 1, owner: func(*fixture) func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
-			return func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
-				return siskinrill.NewAnswer(&peerpb.Response{Status: 200, BodyLength: 3, Body: []byte("xy"), BodyEnd: true}, nil), nil
-			}
-		}, reason: siskinrill.ReasonBackendBadAnswer},
-		"silent connection, non-idempotent": {kind: nonIdempotent, warm: true, arrived: 1, fault: func(fix *fixture) {
-			fix.rel.silence()
-			time.Sleep(250 * time.Millisecond)
-		}, event: "peer_ping_failed", limit: 300 * time.Millisecond},
-		"silent before the answer": {kind: nonIdempotent, arrived: 1, owner: func(fix *fixture) func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
-			return func(ctx context.Context, att *siskinrill.Attempt) (*siskinrill.Answer, error) {
-				fix.rel.silence()
-				return echo(ctx, att)
-			}
-		}, reason: siskinrill.ReasonConnectionLost, event: "peer_ping_failed", limit: 1100 * time.Millisecond},
-		"frozen peer": {kind: nonIdempotent, warm: true, fault: func(fix *fixture) {
-			fix.rel.silence()
-			fix.rel.frozen.Store(true)
-			time.Sleep(250 * time.Millisecond)
-		}, reason: siskinrill.ReasonUnreachable, notRun: true, event: "peer_connect_failed", limit: 800 * time.Millisecond},
-		"frozen peer that returned": {kind: nonIdempotent, warm: true, arrived: 1, fault: func(fix *fixture) {
-			fix.rel.silence()
-			fix.rel.frozen.Store(true)
-			time.Sleep(250 * time.Millisecond)
-			_, _ = fix.poo.Forward(context.Background(), fix.rel.address(), newAttempt(nonIdempotent, nil))
-			fix.rel.frozen.Store(false)
-		}, event: "peer_connect_failed"},
-		"refused by the owner": {kind: nonIdempotent, arrived: 1, owner: func(*fixture) func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
-			return func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
-				return nil, errors.Wrap(siskinrill.NotRun(siskinrill.ReasonQueueFull), "wrapped")
-			}
-		}, reason: siskinrill.ReasonQueueFull, notRun: true},
-		"error without a type": {kind: nonIdempotent, arrived: 1, owner: func(*fixture) func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
-			return func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) { return nil, io.EOF }
-		}, reason: siskinrill.ReasonInternal},
-		"deadline": {kind: nonIdempotent, arrived: 1, owner: func(*fixture) func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
-			return func(ctx context.Context, _ *siskinrill.Attempt) (*siskinrill.Answer, error) {
-				<-ctx.Done()
-				time.Sleep(50 * time.Millisecond)
-				return nil, ctx.Err()
-			}
-		}, reason: siskinrill.ReasonDeadline, limit: 2100 * time.Millisecond},
+		}},
+		"wrong length of a streamed answer": {arrived: 1, reason: siskinrill.ReasonBackendBadAnswer, owner: func(*fixture) handler { return cutAnswer(nil, io.EOF) }},
+		"wrong length of a small answer": {arrived: 1, reason: siskinrill.ReasonBackendBadAnswer, owner: func(*fixture) handler {
+			return answering(&peerpb.Response{Status: 200, BodyLength: 3, Body: []byte("xy"), BodyEnd: true})
+		}},
+		"silent connection, non-idempotent": {kind: nonIdempotent, warm: true, arrived: 1, event: "peer_ping_failed", limit: 300 * time.Millisecond, fault: func(fix *fixture) { pause(fix.rel.silence, 250*time.Millisecond) }},
+		"silent before the answer":          {kind: nonIdempotent, arrived: 1, reason: siskinrill.ReasonConnectionLost, event: "peer_ping_failed", limit: 1100 * time.Millisecond, owner: func(fix *fixture) handler { return after(fix.rel.silence, 0) }},
+		"frozen peer":                       {kind: nonIdempotent, warm: true, reason: siskinrill.ReasonUnreachable, notRun: true, event: "peer_connect_failed", limit: 800 * time.Millisecond, fault: func(fix *fixture) { pause(fix.rel.freeze, 250*time.Millisecond) }},
+		"frozen peer that returned":         {kind: nonIdempotent, warm: true, arrived: 1, event: "peer_connect_failed", fault: thawed},
+		"refused by the owner": {kind: nonIdempotent, arrived: 1, reason: siskinrill.ReasonQueueFull, notRun: true, owner: func(*fixture) handler {
+			return failing(errors.Wrap(siskinrill.NotRun(siskinrill.ReasonQueueFull), "wrapped"))
+		}},
+		"error without a type": {kind: nonIdempotent, arrived: 1, reason: siskinrill.ReasonInternal, owner: func(*fixture) handler { return failing(io.EOF) }},
+		"deadline":             {kind: nonIdempotent, arrived: 1, reason: siskinrill.ReasonDeadline, limit: 2100 * time.Millisecond, owner: func(*fixture) handler { return after(func() { time.Sleep(2050 * time.Millisecond) }, 0) }},
 	}
 	for name, cse := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -196,21 +168,15 @@
 func TestLateAnswer(t *testing.T) {
 	t.Parallel()
 	fix := newFixture(t)
-	started, serve := make(chan struct{}, 1), make(chan struct{})
-	fix.own.handle = blocked(started, serve)
+	serve := make(chan struct{})
 	ctx, cancel := context.WithCancel(t.Context())
-	go func() {
-		<-started
-		cancel()
-	}()
+	fix.own.handle = after(func() { cancel(); <-serve }, 0)
 	_, err := fix.poo.Forward(ctx, fix.rel.address(), newAttempt(idempotent, []byte("first")))
 	must.ErrorContains(t, err, string(siskinrill.ReasonCallerGone))
 	close(serve)
 	ans, err := fix.poo.Forward(t.Context(), fix.rel.address(), newAttempt(idempotent, []byte("second")))
 	must.NoError(t, err)
-	got, err := content(ans)
-	must.NoError(t, err)
-	must.Eq(t, "second", string(got))
+	must.Eq(t, "second", string(ans.Head().GetBody()))
 }
 
 // twice answers each attempt two times.
@@ -245,9 +211,7 @@
 func TestRefusedUpload(t *testing.T) {
 	t.Parallel()
 	fix := newFixture(t)
-	fix.own.handle = func(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
-		return nil, siskinrill.NotRun(siskinrill.ReasonMoving).WithVersion(9).WithRetryAfter(2 * time.Second)
-	}
+	fix.own.handle = failing(siskinrill.NotRun(siskinrill.ReasonMoving).WithVersion(9).WithRetryAfter(2 * time.Second))
 	bdy := bytes.NewReader(make([]byte, 1<<20))
 	opn := newAttempt(upload, make([]byte, 2*smallBody)).Open()
 	_, err := fix.poo.Forward(t.Context(), fix.rel.address(), siskinrill.NewAttempt(opn, bdy))
@@ -309,3 +273,66 @@
 	must.NoError(t, ping(false))
 	must.Error(t, ping(true))
 }
+
+const (
+	idempotent    = controlpb.RequestKind_REQUEST_KIND_IDEMPOTENT
+	nonIdempotent = controlpb.RequestKind_REQUEST_KIND_NON_IDEMPOTENT
+	upload        = controlpb.RequestKind_REQUEST_KIND_UPLOAD
+)
+
+// newAttempt returns an attempt whose first message holds up to 64 KB of the body.
+func newAttempt(knd controlpb.RequestKind, bdy []byte) *siskinrill.Attempt {
+	opn := &peerpb.Open{Kind: uint32(knd), TimeoutMs: 5000, BodyLength: int64(len(bdy)), Method: "PUT", Target: "/photos/1"}
+	if len(bdy) <= smallBody {
+		opn.Body, opn.BodyEnd = bdy, true
+		return siskinrill.NewAttempt(opn, nil)
+	}
+	opn.Body = bdy[:smallBody]
+	return siskinrill.NewAttempt(opn, bytes.NewReader(bdy[smallBody:]))
+}
+
+// content reads a whole answer.
+func content(ans *siskinrill.Answer) ([]byte, error) {
+	defer func() { _ = ans.Close() }()
+	if ans.Body() == nil {
+		return ans.Head().GetBody(), nil
+	}
+	rst, err := io.ReadAll(ans.Body())
+	return append(append([]byte{}, ans.Head().GetBody()...), rst...), err
+}
+
+// TestBodies guards against bodies that change on the way, at the lengths where their treatment changes.
+func TestBodies(t *testing.T) {
+	fix := newFixture(t)
+	for name, size := range map[string]int{"empty": 0, "small": 100, "held": smallBody, "streamed": smallBody + 1, "chunks": smallBody + 3*chunkSize, "large": 5 << 20} {
+		t.Run(name, func(t *testing.T) {
+			bdy := bytes.Repeat([]byte("0123456789abcde"), size/15+1)[:size]
+			ans, err := fix.poo.Forward(t.Context(), fix.rel.address(), newAttempt(upload, bdy))
+			must.NoError(t, err)
+			got, err := content(ans)
+			must.NoError(t, err)
+			must.True(t, bytes.Equal(bdy, got))
+		})
+	}
+}
+
+// TestCalls guards against withdrawals that wait on a silent connection, and transfers over the largest message.
+func TestCalls(t *testing.T) {
+	t.Parallel()
+	fix := newFixture(t)
+	for _, fault := range []func(){func() {}, fix.rel.silence, fix.rel.cut} {
+		pause(fault, 250*time.Millisecond)
+		beg := time.Now()
+		ans, err := fix.poo.Withdraw(t.Context(), fix.rel.address(), &peerpb.WithdrawRequest{})
+		must.NoError(t, err)
+		must.Eq(t, peerpb.WithdrawResult_WITHDRAW_RESULT_WITHDRAWN, ans.GetResult())
+		must.Less(t, 300*time.Millisecond, time.Since(beg))
+	}
+	req := &peerpb.TransferRequest{}
+	for range 500 {
+		req.Records = append(req.Records, &peerpb.IdempotencyRecord{Response: &peerpb.Response{Body: make([]byte, 16<<10)}})
+	}
+	ans, err := fix.poo.Transfer(t.Context(), fix.rel.address(), req)
+	must.NoError(t, err)
+	must.Eq(t, 500, ans.GetKept())
+}
--- a/internal/agent/peer/relay_test.go
+++ b/internal/agent/peer/relay_test.go
@@ -17,14 +17,13 @@
 
 // relay forwards TCP connections and can stop forwarding those it has, without closing them.
 type relay struct {
-	lis     net.Listener
-	target  string
-	mu      sync.Mutex
-	epoch   *relayEpoch
-	conns   []net.Conn
-	refuse  atomic.Bool
-	frozen  atomic.Bool // new connections are silent as well
-	dialled atomic.Int32
+	lis    net.Listener
+	target string
+	mu     sync.Mutex
+	epoch  *relayEpoch
+	conns  []net.Conn
+	refuse atomic.Bool
+	frozen atomic.Bool // new connections are silent as well
 }
 
 // relayEpoch holds the state of the connections that were accepted since the last silence.
@@ -50,7 +49,6 @@
 		if err != nil {
 			return
 		}
-		rel.dialled.Add(1)
 		out, err := net.Dial("tcp", rel.target)
 		if err != nil || rel.refuse.Load() {
 			_ = inn.Close()
@@ -96,6 +94,18 @@
 	rel.epoch = &relayEpoch{}
 }
 
+// freeze makes old and new connections silent.
+func (rel *relay) freeze() {
+	rel.silence()
+	rel.frozen.Store(true)
+}
+
+// shut cuts the connections and refuses new ones.
+func (rel *relay) shut() {
+	rel.refuse.Store(true)
+	rel.cut()
+}
+
 // cut closes the connections that exist.
 func (rel *relay) cut() {
 	rel.mu.Lock()
