Prove that nothing was written also for connections that the peer closed

Cause: a new test of the proof failed: gRPC writes a last frame to a broken connection, so that the count of writes rose for each attempt on it and the entry had to answer unknown or ask the owner. Change: a failed read ends writing; refused writes are not counted. A pool that is closed keeps no connection that is being made. Conclusion: an attempt on a connection that the peer closed before is retried.

--- a/internal/agent/peer/fault_test.go
+++ b/internal/agent/peer/fault_test.go
@@ -336,3 +336,19 @@
 	must.NoError(t, err)
 	must.Eq(t, 500, ans.GetKept())
 }
+
+// TestProof guards against a proof of not_run for an attempt of which a byte may have been written.
+func TestProof(t *testing.T) {
+	for written, notRun := range map[uint64]bool{0: true, 1: false} {
+		fix := newFixture(t)
+		lnk, err := fix.poo.acquire(t.Context(), fix.rel.address())
+		must.NoError(t, err)
+		must.NoError(t, lnk.socket.Close())
+		att := newAttempt(nonIdempotent, nil)
+		fwd := &forward{pool: fix.poo, link: lnk, att: att, ctx: t.Context(), writes: lnk.socket.writes.Load() - written}
+		_, err = fwd.run(t.Context(), att)
+		ref := &siskinrill.Refusal{}
+		must.True(t, errors.As(err, &ref))
+		must.Eq(t, notRun, ref.NotRun())
+	}
+}
--- a/internal/agent/peer/link.go
+++ b/internal/agent/peer/link.go
@@ -30,30 +30,36 @@
 	net.Conn
 	born     time.Time
 	received atomic.Int64  // nanoseconds after born
-	writes   atomic.Uint64 // calls of Write
-	closed   atomic.Bool
+	writes   atomic.Uint64 // calls of Write that reached the connection
+	closed   atomic.Bool   // no further call of Write reaches it
 }
 
-// Read records the time of what it receives.
+// Read records the time of what it receives; its failure ends writing as well, because gRPC writes a last frame to a broken connection, which would spoil the proof that nothing was written.
 func (sck *socket) Read(buf []byte) (int, error) {
 	num, err := sck.Conn.Read(buf)
 	if num > 0 {
 		sck.received.Store(int64(time.Since(sck.born)))
 	}
+	if err != nil {
+		sck.closed.Store(true)
+	}
 	return num, err
 }
 
-// Write counts before it writes, so that an unchanged count proves that nothing was written.
+// Write counts before it looks whether the socket is closed, so that an unchanged count of a closed socket proves that nothing was and will be written.
 func (sck *socket) Write(buf []byte) (int, error) {
 	sck.writes.Add(1)
+	if sck.closed.Load() {
+		sck.writes.Add(^uint64(0))
+		return 0, net.ErrClosed
+	}
 	return sck.Conn.Write(buf)
 }
 
-// Close marks the socket as closed once nothing more can be written.
+// Close ends writing and closes the connection.
 func (sck *socket) Close() error {
-	err := sck.Conn.Close()
 	sck.closed.Store(true)
-	return err
+	return sck.Conn.Close()
 }
 
 func (sck *socket) silence() time.Duration {
--- a/internal/agent/peer/pool.go
+++ b/internal/agent/peer/pool.go
@@ -64,7 +64,8 @@
 	done   sync.WaitGroup
 
 	mu      sync.Mutex
-	current map[string]*link   // by address
+	current map[string]*link // by address
+	over    bool
 	all     map[*link]struct{} // those that were replaced and still carry requests included
 }
 
@@ -93,6 +94,7 @@
 	close(poo.closed)
 	poo.done.Wait()
 	poo.mu.Lock()
+	poo.over = true
 	lnks := make([]*link, 0, len(poo.all))
 	for lnk := range poo.all {
 		lnks = append(lnks, lnk)
@@ -155,6 +157,10 @@
 	poo.opt.Counters.Event("peer_connected")
 	poo.mu.Lock()
 	defer poo.mu.Unlock()
+	if poo.over {
+		lnk.close()
+		return errors.New("the pool is closed")
+	}
 	lnk.used = time.Now()
 	poo.current[addr] = lnk
 	poo.all[lnk] = struct{}{}
