Refuse HTTP/1.0 and send the rest of a body once

Cause: an answer of unknown length ends with the connection in HTTP/1.0, so that a cut one looks complete there; a second Continue of an owner would have sent the rest of a body twice. Change: requests older than HTTP/1.1 are refused with bad_request; a second Continue is ignored; the rate benchmark opens at most 200 connections.

--- a/internal/agent/caller/bench_test.go
+++ b/internal/agent/caller/bench_test.go
@@ -88,7 +88,7 @@
 }
 
 func atRate(b *testing.B, urls []string, tooks [][]time.Duration) {
-	cli := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}}
+	cli := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200, MaxConnsPerHost: 200}}
 	var all sync.WaitGroup
 	beg := time.Now()
 	for num := range len(urls) * b.N {
--- a/internal/agent/caller/handler.go
+++ b/internal/agent/caller/handler.go
@@ -132,6 +132,10 @@
 }
 
 func (cal *call) readHeader() error {
+	if !cal.req.ProtoAtLeast(1, 1) {
+		// The end of an answer of unknown length is the end of the connection there, so that a cut one looks complete.
+		return errors.New("HTTP/1.1 or newer is required")
+	}
 	if cal.key == "" || len(cal.key) > siskinrill.MaxKeyBytes {
 		return errors.Errorf("the key has %d bytes, allowed are 1 to %d", len(cal.key), siskinrill.MaxKeyBytes)
 	}
--- a/internal/agent/caller/handler_test.go
+++ b/internal/agent/caller/handler_test.go
@@ -43,6 +43,7 @@
 		"long idempotency key": {method: "POST", status: 400, reason: "bad_request", change: func(_ *fixture, req *http.Request) {
 			req.Header.Set(siskinrill.HeaderIdempotencyKey, strings.Repeat("k", 257))
 		}},
+		"old protocol":          {method: "GET", status: 400, reason: "bad_request", change: func(_ *fixture, req *http.Request) { req.ProtoMinor = 0 }},
 		"large body":            {method: "PUT", body: 1<<20 + 1, status: 413, reason: "body_too_large"},
 		"cut body":              {method: "PUT", status: 400, reason: "bad_request", change: func(_ *fixture, req *http.Request) { req.ContentLength = 10 }},
 		"not fresh":             {method: "GET", status: 503, reason: "no_lease", retry: "1", change: func(fix *fixture, _ *http.Request) { fix.ses.stale = true }},
--- a/internal/agent/peer/forward.go
+++ b/internal/agent/peer/forward.go
@@ -18,14 +18,15 @@
 
 // forward is one attempt on one link.
 type forward struct {
-	pool   *Pool
-	link   *link
-	att    *siskinrill.Attempt
-	ctx    context.Context // of the caller
-	cancel context.CancelFunc
-	stream grpc.ClientStream
-	writes uint64 // of the link before the attempt
-	ended  atomic.Bool
+	pool     *Pool
+	link     *link
+	att      *siskinrill.Attempt
+	ctx      context.Context // of the caller
+	cancel   context.CancelFunc
+	stream   grpc.ClientStream
+	writes   uint64 // of the link before the attempt
+	ended    atomic.Bool
+	proceeds bool // the rest of the body is being sent
 }
 
 // An attempt whose whole body is in the first message needs no further frame to end its side.
@@ -119,7 +120,8 @@
 
 // proceed starts to send the rest of the body.
 func (fwd *forward) proceed() {
-	if fwd.att.Body() != nil {
+	if fwd.att.Body() != nil && !fwd.proceeds {
+		fwd.proceeds = true
 		go fwd.upload(fwd.att)
 	}
 }
