Count the events of the session

Cause: a change of leader, a silent one or a gap in the table showed only in the log. Change: six events in siskinrill.Counters, which Options may name. Conclusion: the admin address can show why an agent lost its lease.

--- a/internal/agent/control/find.go
+++ b/internal/agent/control/find.go
@@ -229,6 +229,7 @@
 
 // expire gives the session up, so that the next hello registers a new one.
 func (ses *Session) expire(err error) {
+	ses.opt.Counters.Event(eventExpired)
 	ses.opt.Logger.Warnf("session: %d expired: %v", ses.lease.number(), err)
 	ses.lease.end()
 }
--- a/internal/agent/control/options.go
+++ b/internal/agent/control/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
@@ -16,6 +17,8 @@
 	Control []string
 	// Logger is logrus's standard logger when nil.
 	Logger *logrus.Logger
+	// Counters counts the events of the session when set.
+	Counters *siskinrill.Counters
 	// Lease is the time to live counted from the sending of a renewal, 1,400 ms by default; a shorter one named by control takes precedence.
 	Lease time.Duration
 	// Renew is the interval of renewals, 250 ms by default.
@@ -34,6 +37,16 @@
 	Freshness time.Duration
 }
 
+// Events of a session.
+const (
+	eventConnected = "session_connected"
+	eventLost      = "session_connection_lost"
+	eventSilent    = "session_leader_silent"
+	eventExpired   = "session_expired"
+	eventSnapshot  = "session_table_snapshot"
+	eventGap       = "session_table_gap"
+)
+
 func orDefault(dur, def time.Duration) time.Duration {
 	if dur > 0 {
 		return dur
@@ -53,6 +66,9 @@
 	if opt.Logger == nil {
 		opt.Logger = logrus.StandardLogger()
 	}
+	if opt.Counters == nil {
+		opt.Counters = siskinrill.NewCounters()
+	}
 	if opt.Node == nil {
 		opt.Node = &controlpb.Node{}
 	}
--- a/internal/agent/control/serve.go
+++ b/internal/agent/control/serve.go
@@ -35,7 +35,7 @@
 func (ses *Session) serve(ctx context.Context, con *connection) error {
 	exc := ses.begin(con)
 	// A dead connection may block Send and Recv, so that only the end of its context frees them.
-	exc.watchdog = time.AfterFunc(ses.opt.AnswerTimeout, con.cancel)
+	exc.watchdog = time.AfterFunc(ses.opt.AnswerTimeout, exc.abandon)
 	defer exc.watchdog.Stop()
 	ended := make(chan error, 1)
 	var rcv sync.WaitGroup
@@ -47,6 +47,13 @@
 	return err
 }
 
+// abandon ends a connection whose leader has not answered a renewal in time.
+func (exc *exchange) abandon() {
+	exc.ses.opt.Counters.Event(eventSilent)
+	exc.ses.opt.Logger.Warnf("session: leader %s does not answer renewals", exc.con.address)
+	exc.con.cancel()
+}
+
 // begin takes over what the welcome says.
 func (ses *Session) begin(con *connection) *exchange {
 	wlc := con.welcome
@@ -64,6 +71,7 @@
 	ses.mu.Lock()
 	ses.leader = con.address
 	ses.mu.Unlock()
+	ses.opt.Counters.Event(eventConnected)
 	ses.opt.Logger.Infof("session: %d at leader %s", wlc.GetSession(), con.address)
 	return &exchange{ses: ses, con: con, session: wlc.GetSession(), lease: ttl, renew: renew}
 }
@@ -174,11 +182,13 @@
 		exc.answered(knd.RenewAnswer.GetSequence())
 	case *controlpb.ControlMessage_Snapshot:
 		if err := ses.table.replace(knd.Snapshot); err != nil {
-			return err
+			return errors.Wrap(err, "snapshot")
 		}
+		ses.opt.Counters.Event(eventSnapshot)
 		ses.dropReleased()
 	case *controlpb.ControlMessage_Difference:
 		if err := ses.table.apply(knd.Difference); err != nil {
+			ses.opt.Counters.Event(eventGap)
 			ses.table.forget()
 			return errors.Wrap(err, "apply")
 		}
--- a/internal/agent/control/session.go
+++ b/internal/agent/control/session.go
@@ -61,6 +61,7 @@
 		err = ses.serve(ctx, con)
 		con.close()
 		if ctx.Err() == nil {
+			ses.opt.Counters.Event(eventLost)
 			ses.opt.Logger.Infof("session: connection to %s ended: %v", con.address, err)
 		}
 	}
--- a/internal/agent/control/session_test.go
+++ b/internal/agent/control/session_test.go
@@ -212,6 +212,7 @@
 				must.True(t, valid)
 				must.GreaterEq(t, 1100*time.Millisecond, time.Until(exp))
 				last := ctl.hellos[len(ctl.hellos)-1]
+				must.Eq(t, name == "silent", strings.Contains(ses.opt.Counters.Vars()["events"].String(), eventSilent))
 				must.Eq(t, []uint64{101, 101, 50}, []uint64{ses.Session(), last.GetSession(), last.GetVersion()})
 			})
 		})
@@ -269,6 +270,7 @@
 		ctl.set(func() { ctl.leader = "c2" })
 		time.Sleep(500 * time.Millisecond)
 		must.Eq(t, 103, ses.Session())
+		must.StrContains(t, ses.opt.Counters.Vars()["events"].String(), `"session_expired": 2`)
 	})
 }
 
