Refuse an answer whose length is wrong and whose end is implied

Cause: an answer of this agent's own owner without a body reader and without the mark of its end was passed on with a length that its body lacks. Change: such an answer counts as ended; a test of malformed answers.

--- a/internal/agent/caller/answer.go
+++ b/internal/agent/caller/answer.go
@@ -116,7 +116,8 @@
 }
 
 // malformed reports whether an answer cannot be passed on: its status is not final, or its body lacks or exceeds the told length.
-func malformed(method string, hea *peerpb.Response) bool {
+func malformed(method string, ans *siskinrill.Answer) bool {
+	hea := ans.Head()
 	if hea.GetStatus() < http.StatusOK || hea.GetStatus() > 599 {
 		return true
 	}
@@ -124,7 +125,8 @@
 	if told < 0 || bodyless(method, hea.GetStatus()) {
 		return false
 	}
-	return got > told || (hea.GetBodyEnd() && got < told)
+	ended := hea.GetBodyEnd() || ans.Body() == nil
+	return got > told || (ended && got < told)
 }
 
 // bodyless reports whether an answer has no body, whatever its length tells.
--- a/internal/agent/caller/handler.go
+++ b/internal/agent/caller/handler.go
@@ -69,7 +69,7 @@
 		return
 	}
 	defer func() { _ = ans.Close() }()
-	if malformed(req.Method, ans.Head()) {
+	if malformed(req.Method, ans) {
 		han.refuse(wri, req, siskinrill.Unknown(siskinrill.ReasonBackendBadAnswer, nil))
 		return
 	}
--- a/internal/agent/caller/handler_test.go
+++ b/internal/agent/caller/handler_test.go
@@ -320,3 +320,18 @@
 		must.Eq(t, "1", fix.count("refusals", "moving"))
 	})
 }
+
+// TestMalformed guards against answers of this agent's own owner that are passed on with a wrong length or status.
+func TestMalformed(t *testing.T) {
+	bdy := io.NopCloser(strings.NewReader(""))
+	for name, ans := range map[string]*siskinrill.Answer{
+		"short":         siskinrill.NewAnswer(&peerpb.Response{Status: 200, BodyLength: 3, Body: []byte("xy"), BodyEnd: true}, nil),
+		"short, no end": siskinrill.NewAnswer(&peerpb.Response{Status: 200, BodyLength: 3, Body: []byte("xy")}, nil),
+		"long":          siskinrill.NewAnswer(&peerpb.Response{Status: 200, BodyLength: 1, Body: []byte("xy")}, bdy),
+		"not final":     siskinrill.NewAnswer(&peerpb.Response{Status: 100, BodyEnd: true}, nil),
+	} {
+		must.True(t, malformed("GET", ans), must.Sprint(name))
+	}
+	must.False(t, malformed("HEAD", siskinrill.NewAnswer(&peerpb.Response{Status: 200, BodyLength: 3, BodyEnd: true}, nil)))
+	must.False(t, malformed("GET", siskinrill.NewAnswer(&peerpb.Response{Status: 200, BodyLength: -1, Body: []byte("xy")}, bdy)))
+}
