--- a/internal/agent/caller/bench_test.go
+++ b/internal/agent/caller/bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -12,16 +11,13 @@
 	"testing"
 	"time"
 
-	"github.com/shoenig/test/must"
-	"google.golang.org/grpc"
-
 	"github.com/siskinrill/siskinrill"
-	"github.com/siskinrill/siskinrill/internal/agent/peer"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
 
 // quickOwner answers at once with 200 bytes.
-type quickOwner struct{ localOwner }
+type quickOwner struct{ *fakeOwners }
 
 var quickHeaders = []*peerpb.HeaderField{
 	{Name: "Content-Type", Values: []string{"application/json"}},
@@ -35,20 +31,11 @@
 
 // newBench returns a handler whose owner is this agent or one behind loopback gRPC.
 func newBench(b *testing.B, remote bool) *Handler {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(b, err)
-	gsv := grpc.NewServer(peer.ServerOptions()...)
-	peer.NewServer(quickOwner{}, nil).Register(gsv)
-	go func() { _ = gsv.Serve(lis) }()
-	b.Cleanup(gsv.Stop)
-	poo := peer.NewPool(peer.Options{})
-	b.Cleanup(poo.Close)
-	ses := newFakeSession()
-	ses.nodes[1].PeerAddress = lis.Addr().String()
+	han, ses := newStack(b, quickOwner{})
 	if !remote {
-		ses.shard.Owner = entrySession
+		ses.move(entrySession, controlpb.Phase_PHASE_OWNED)
 	}
-	return New(Options{}, ses, poo, quickOwner{}, siskinrill.NewCounters())
+	return han
 }
 
 var variants = map[string]struct {
@@ -77,50 +64,52 @@
 	}
 }
 
-// BenchmarkRate sends 3,600 requests a second over HTTP and reports the latency from the intended send time; "direct" answers without the handler.
+// BenchmarkRate sends 3,600 requests a second over HTTP to a handler and as many to one that answers itself, in turn, and reports both latencies from the intended send time.
 func BenchmarkRate(b *testing.B) {
-	handlers := map[string]http.Handler{
-		"direct": http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
-			wri.Header().Set("Content-Type", "application/json")
-			_, _ = io.WriteString(wri, strings.Repeat("x", 200))
-		}),
-		"local":     newBench(b, false),
-		"forwarded": newBench(b, true),
-	}
-	for _, name := range []string{"direct", "local", "forwarded"} {
+	direct := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
+		wri.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(wri, strings.Repeat("x", 200))
+	}))
+	defer direct.Close()
+	for _, name := range []string{"local", "forwarded"} {
 		b.Run(name, func(b *testing.B) {
-			srv := httptest.NewServer(handlers[name])
+			srv := httptest.NewServer(newBench(b, variants[name].remote))
 			defer srv.Close()
-			report(b, atRate(b, srv.URL, b.N))
+			urls := []string{direct.URL, srv.URL}
+			tooks := make([][]time.Duration, 2)
+			for num := range tooks {
+				tooks[num] = make([]time.Duration, b.N)
+			}
+			atRate(b, urls, tooks)
+			report(b, "direct-", tooks[0])
+			report(b, "", tooks[1])
 		})
 	}
 }
 
-func atRate(b *testing.B, url string, count int) []time.Duration {
-	cli := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}}
-	took := make([]time.Duration, count)
+func atRate(b *testing.B, urls []string, tooks [][]time.Duration) {
+	cli := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200, MaxConnsPerHost: 200}}
 	var all sync.WaitGroup
 	beg := time.Now()
-	for num := range count {
-		due := beg.Add(time.Duration(num) * time.Second / 3600)
+	for num := range len(urls) * b.N {
+		due := beg.Add(time.Duration(num) * time.Second / time.Duration(3600*len(urls)))
 		time.Sleep(time.Until(due))
 		all.Go(func() {
-			rsp, err := cli.Get(url + "/orders/order1")
+			rsp, err := cli.Get(urls[num%len(urls)] + "/orders/order1")
 			if err != nil {
 				b.Error(err)
 				return
 			}
 			_, _ = io.Copy(io.Discard, rsp.Body)
 			_ = rsp.Body.Close()
-			took[num] = time.Since(due)
+			tooks[num%len(urls)][num/len(urls)] = time.Since(due)
 		})
 	}
 	all.Wait()
-	return took
 }
 
-func report(b *testing.B, took []time.Duration) {
+func report(b *testing.B, name string, took []time.Duration) {
 	sort.Slice(took, func(one, two int) bool { return took[one] < took[two] })
-	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
-	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), name+"p50-us")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), name+"p99-us")
 }
--- a/internal/agent/caller/handler.go
+++ b/internal/agent/caller/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,7 @@
 	budgets     budgets
 	outstanding outstanding
 	attempts    atomic.Uint64
+	waiting     atomic.Int64
 	// The newest session, kept because attempt ids must stay unique while a new one is being registered.
 	entry atomic.Uint64
 }
@@ -57,17 +59,29 @@
 	}
 	defer cal.finish()
 	ans, ref := cal.serve()
+	if cal.body.unread() {
+		// The rest of a body must never be taken for the next request.
+		wri.Header().Set("Connection", "close")
+	}
 	if ref != nil {
-		cal.stopBody(wri)
 		han.refuse(wri, req, cal.honest(ref))
+		cal.leaveBody(wri)
 		return
 	}
 	defer func() { _ = ans.Close() }()
-	if malformed(req.Method, ans.Head()) {
+	if malformed(req.Method, ans) {
 		han.refuse(wri, req, siskinrill.Unknown(siskinrill.ReasonBackendBadAnswer, nil))
 		return
 	}
-	han.copyAnswer(wri, req, ans)
+	cal.copyAnswer(wri, ans)
+	cal.leaveBody(wri)
+}
+
+// leaveBody closes the connection if the body was not read to its end. An answer of unknown length ends only when the handler returns, and closes the connection then.
+func (cal *call) leaveBody(wri http.ResponseWriter) {
+	if cal.body.linger(wri, cal.han.opt.Grace) && wri.Header().Get("Content-Length") != "" {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // call is one request of a caller on its way.
@@ -118,6 +132,10 @@
 }
 
 func (cal *call) readHeader() error {
+	if !cal.req.ProtoAtLeast(1, 1) {
+		// The end of an answer of unknown length is the end of the connection there, so that a cut one looks complete.
+		return errors.New("HTTP/1.1 or newer is required")
+	}
 	if cal.key == "" || len(cal.key) > siskinrill.MaxKeyBytes {
 		return errors.Errorf("the key has %d bytes, allowed are 1 to %d", len(cal.key), siskinrill.MaxKeyBytes)
 	}
@@ -145,6 +163,10 @@
 	bdy, err := readBody(wri, cal.req, maxBody(cal.route))
 	if err == nil {
 		cal.body = bdy
+		if bdy.rest != nil {
+			// An owner may answer before it has read the whole body; without this, net/http would then read the rest itself.
+			_ = http.NewResponseController(wri).EnableFullDuplex()
+		}
 		return nil
 	}
 	return siskinrill.NewRefusal(bodyReason(cal.req.Context(), err), peerpb.Outcome_OUTCOME_NOT_RUN, err)
@@ -156,21 +178,15 @@
 	if errors.As(err, &big) {
 		return siskinrill.ReasonBodyTooLarge
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return siskinrill.ReasonDeadline
+	}
 	if ctx.Err() != nil {
 		return siskinrill.ReasonCallerGone
 	}
 	return siskinrill.ReasonBadRequest
 }
 
-// stopBody frees an attempt that still reads the body, so that the connection can be closed.
-func (cal *call) stopBody(wri http.ResponseWriter) {
-	if cal.body.repeatable() {
-		return
-	}
-	wri.Header().Set("Connection", "close")
-	_ = http.NewResponseController(wri).SetReadDeadline(time.Now())
-}
-
 // finish ends the counting of the call at its owner.
 func (cal *call) finish() {
 	if cal.counted != 0 {
--- /dev/null
+++ b/internal/agent/caller/handler_test.go
@@ -0,0 +1,337 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/grpc"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/agent/peer"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// TestRefusals guards against requests that are run though they must be refused, and refusals of a wrong form.
+func TestRefusals(t *testing.T) {
+	cases := map[string]struct {
+		change func(fix *fixture, req *http.Request)
+		method string
+		path   string
+		body   int
+		status int
+		reason string
+		retry  string
+	}{
+		"no route":           {method: "GET", path: "/nowhere", status: 404, reason: "no_route"},
+		"method not allowed": {method: "DELETE", path: "/orders/r1", status: 405, reason: "method_not_allowed"},
+		"long key":           {method: "GET", path: "/orders/" + strings.Repeat("k", 257), status: 400, reason: "bad_request"},
+		"bad deadline":       {method: "GET", status: 400, reason: "bad_request", change: func(_ *fixture, req *http.Request) { req.Header.Set(siskinrill.HeaderTimeout, "soon") }},
+		"negative deadline":  {method: "GET", status: 400, reason: "bad_request", change: func(_ *fixture, req *http.Request) { req.Header.Set(siskinrill.HeaderTimeout, "-1s") }},
+		"long idempotency key": {method: "POST", status: 400, reason: "bad_request", change: func(_ *fixture, req *http.Request) {
+			req.Header.Set(siskinrill.HeaderIdempotencyKey, strings.Repeat("k", 257))
+		}},
+		"old protocol":          {method: "GET", status: 400, reason: "bad_request", change: func(_ *fixture, req *http.Request) { req.ProtoMinor = 0 }},
+		"large body":            {method: "PUT", body: 1<<20 + 1, status: 413, reason: "body_too_large"},
+		"cut body":              {method: "PUT", status: 400, reason: "bad_request", change: func(_ *fixture, req *http.Request) { req.ContentLength = 10 }},
+		"not fresh":             {method: "GET", status: 503, reason: "no_lease", retry: "1", change: func(fix *fixture, _ *http.Request) { fix.ses.stale = true }},
+		"shed":                  {method: "POST", status: 503, reason: "backend_shed", retry: "1", change: refusing(siskinrill.ReasonBackendShed)},
+		"records full":          {method: "POST", status: 503, reason: "records_full", retry: "1", change: refusing(siskinrill.ReasonRecordsFull)},
+		"idempotency key again": {method: "POST", status: 422, reason: "idempotency_key_reused", change: refusing(siskinrill.ReasonIdempotencyKeyReused)},
+		"outstanding limit":     {method: "GET", status: 429, reason: "outstanding_limit", retry: "1", change: func(fix *fixture, _ *http.Request) { fix.han.outstanding.counts[1] = defaultOutstanding }},
+		"owner is gone":         {method: "GET", status: 503, reason: "no_owner", retry: "1", change: func(fix *fixture, _ *http.Request) { delete(fix.ses.nodes, 1) }},
+		"own timeout": {method: "GET", status: 504, reason: "deadline", change: func(fix *fixture, req *http.Request) {
+			req.Header.Set(siskinrill.HeaderTimeout, "1s")
+			delete(fix.ses.nodes, 1)
+		}},
+	}
+	for name, cse := range cases {
+		bubble(t, name, func(t *testing.T, fix *fixture) {
+			req := newRequest(cse.method, "r1", make([]byte, cse.body))
+			if cse.path != "" {
+				req.URL.Path = cse.path
+			}
+			if cse.change != nil {
+				cse.change(fix, req)
+			}
+			tld := fix.ask(req)
+			must.Eq(t, cse.status, tld.status)
+			must.Eq(t, "not_run", tld.outcome)
+			must.Eq(t, 0, fix.own.runs["r1"])
+			must.Eq(t, "1", fix.count("refusals", cse.reason))
+			must.Eq(t, "application/problem+json", tld.header.Get("Content-Type"))
+			must.Eq(t, cse.retry, tld.header.Get("Retry-After"))
+			var prb problem
+			must.NoError(t, json.Unmarshal([]byte(tld.body), &prb))
+			must.Eq(t, problem{"urn:siskinrill:problem:" + cse.reason, http.StatusText(cse.status), cse.status, prb.Detail, cse.reason}, prb)
+			must.Eq(t, cse.status == 405, slices.Equal(tld.header["Allow"], []string{"GET", "POST", "PUT"}))
+		})
+	}
+}
+
+func refusing(rsn siskinrill.Reason) func(*fixture, *http.Request) {
+	return func(fix *fixture, _ *http.Request) { fix.own.script["r1"] = []fault{{refuse: rsn}} }
+}
+
+// TestHeaders guards against headers of one connection that are passed on, and fencing tokens that a caller makes up.
+func TestHeaders(t *testing.T) {
+	hdr := http.Header{
+		"Connection": {"x-private, keep-alive"}, "X-Private": {"1"}, "Keep-Alive": {"1"}, "Te": {"trailers"}, "Expect": {"100-continue"},
+		"Siskinrill-Fence-Token": {"9"}, "X-Request-Id": {"r1"}, "Accept": {"a", "b"}, "Idempotency-Key": {"i"},
+	}
+	got := map[string][]string{}
+	for _, fld := range outward(hdr) {
+		got[fld.GetName()] = fld.GetValues()
+	}
+	must.Eq(t, map[string][]string{"X-Request-Id": {"r1"}, "Accept": {"a", "b"}, "Idempotency-Key": {"i"}}, got)
+	back := http.Header{}
+	inward(back, []*peerpb.HeaderField{
+		{Name: "connection", Values: []string{"x-private"}},
+		{Name: "x-private", Values: []string{"1"}},
+		{Name: "Content-Length", Values: []string{"7"}},
+		{Name: "set-cookie", Values: []string{"a", "b"}},
+		{Name: "Siskinrill-Upstream", Values: []string{"u"}},
+	})
+	must.Eq(t, http.Header{"Set-Cookie": {"a", "b"}, "Siskinrill-Upstream": {"u"}}, back)
+}
+
+// TestHedge guards against a hedge that waits for the slow attempt, exceeds the attempts or runs a request twice that must not be.
+func TestHedge(t *testing.T) {
+	for method, took := range map[string]time.Duration{"GET": 50 * time.Millisecond, "POST": time.Second} {
+		bubble(t, method, func(t *testing.T, fix *fixture) {
+			fix.ses.service = &controlpb.Service{Name: "checkout", HedgeAfterMs: 50}
+			fix.own.script["r1"] = []fault{{busy: time.Second}}
+			tld := fix.ask(newRequest(method, "r1", nil))
+			must.Eq(t, 200, tld.status)
+			must.Eq(t, took, tld.took)
+			must.Eq(t, method == "GET", fix.count("events", "hedge") == "1")
+		})
+	}
+}
+
+// TestBudget guards against retries that multiply the load of a failing service.
+func TestBudget(t *testing.T) {
+	bubble(t, "lost", func(t *testing.T, fix *fixture) {
+		for range 1000 {
+			fix.own.script["r1"] = []fault{{lost: true}, {lost: true}, {lost: true}}
+			must.Eq(t, 502, fix.ask(newRequest("GET", "r1", nil)).status)
+		}
+		// 10% of 1,000 requests and the 10 of the first second.
+		must.Between(t, 1100, fix.own.runs["r1"], 1111)
+		must.NotEq(t, "0", fix.count("events", "retry_budget"))
+		time.Sleep(time.Second)
+		fix.own.script["r1"] = []fault{{lost: true}, {lost: true}}
+		must.Eq(t, 200, fix.ask(newRequest("GET", "r1", nil)).status)
+	})
+}
+
+// TestCallerGone guards against a non-idempotent request that is cut off while it runs, or runs though its caller left the queue.
+func TestCallerGone(t *testing.T) {
+	for runs, flt := range []fault{{queued: time.Second}, {busy: time.Second}} {
+		bubble(t, fmt.Sprint(runs), func(t *testing.T, fix *fixture) {
+			fix.own.script["r1"] = []fault{flt}
+			ctx, cancel := context.WithCancel(t.Context())
+			time.AfterFunc(500*time.Millisecond, cancel)
+			must.Eq(t, time.Second, fix.ask(newRequest("POST", "r1", nil).WithContext(ctx)).took)
+			must.Eq(t, runs, fix.own.runs["r1"])
+			must.Eq(t, "1", fix.count("events", "caller_gone"))
+		})
+	}
+}
+
+// scripted is an owner that answers by a function.
+type scripted struct {
+	*fakeOwners
+	handle func(att *siskinrill.Attempt) (*siskinrill.Answer, error)
+}
+
+func (own scripted) Handle(_ context.Context, att *siskinrill.Attempt) (*siskinrill.Answer, error) {
+	return own.handle(att)
+}
+
+// newStack returns a handler for callers whose owner is behind gRPC on loopback.
+func newStack(t testing.TB, own siskinrill.Owner) (*Handler, *fakeSession) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	gsv := grpc.NewServer(peer.ServerOptions()...)
+	peer.NewServer(own, nil).Register(gsv)
+	go func() { _ = gsv.Serve(lis) }()
+	t.Cleanup(gsv.Stop)
+	poo := peer.NewPool(peer.Options{})
+	t.Cleanup(poo.Close)
+	ses := newFakeSession()
+	ses.nodes[1].PeerAddress = lis.Addr().String()
+	return New(Options{}, ses, poo, own, siskinrill.NewCounters()), ses
+}
+
+// newServer returns the URL of a stack whose owner answers by a function.
+func newServer(t *testing.T, handle func(att *siskinrill.Attempt) (*siskinrill.Answer, error)) string {
+	han, _ := newStack(t, scripted{newFakeOwners(newFakeSession()), handle})
+	srv := httptest.NewServer(han)
+	t.Cleanup(srv.Close)
+	return srv.URL
+}
+
+// TestStackBodies guards against bodies that change between a caller and an owner, and refused uploads that are not sent again.
+func TestStackBodies(t *testing.T) {
+	refused := map[string]bool{}
+	url := newServer(t, func(att *siskinrill.Attempt) (*siskinrill.Answer, error) {
+		if !refused[att.Open().GetKey()] {
+			refused[att.Open().GetKey()] = true
+			return nil, siskinrill.NotRun(siskinrill.ReasonBackendUnreachable)
+		}
+		bdy := io.MultiReader(bytes.NewReader(att.Open().GetBody()))
+		if att.Body() != nil {
+			bdy = io.MultiReader(bdy, att.Body())
+		}
+		return siskinrill.NewAnswer(&peerpb.Response{Status: 201, BodyLength: -1}, io.NopCloser(bdy)), nil
+	})
+	for name, size := range map[string]int{"empty": 0, "held": heldBody, "streamed": heldBody + 1, "large": 1 << 20} {
+		for _, length := range []int64{int64(size), -1} {
+			sent := bytes.Repeat([]byte("0123456789abcde"), size/15+1)[:size]
+			req, err := http.NewRequest("PUT", url+"/orders/"+name, bytes.NewReader(sent))
+			must.NoError(t, err)
+			req.ContentLength = length
+			rsp, err := http.DefaultClient.Do(req)
+			must.NoError(t, err)
+			got, err := io.ReadAll(rsp.Body)
+			must.NoError(t, err)
+			must.Eq(t, 201, rsp.StatusCode)
+			must.Eq(t, "complete", rsp.Header.Get(siskinrill.HeaderOutcome))
+			must.True(t, bytes.Equal(sent, got))
+		}
+	}
+}
+
+// TestStackCut guards against an answer that was cut and looks complete to an HTTP client.
+func TestStackCut(t *testing.T) {
+	for name, length := range map[string]int64{"known length": 3 << 20, "unknown length": -1} {
+		t.Run(name, func(t *testing.T) {
+			url := newServer(t, func(*siskinrill.Attempt) (*siskinrill.Answer, error) {
+				bdy := io.MultiReader(bytes.NewReader(make([]byte, 1<<20)), cutBody{})
+				return siskinrill.NewAnswer(&peerpb.Response{Status: 200, BodyLength: length}, io.NopCloser(bdy)), nil
+			})
+			rsp, err := http.Get(url + "/orders/r1")
+			must.NoError(t, err)
+			_, err = io.Copy(io.Discard, rsp.Body)
+			must.Error(t, err)
+		})
+	}
+}
+
+// TestStackStalledUpload guards against an upload that stalls for ever, and against the rest of a body that is taken for a request.
+func TestStackStalledUpload(t *testing.T) {
+	for name, size := range map[string]int{"held part": 10 << 10, "streamed part": 100 << 10} {
+		t.Run(name, func(t *testing.T) {
+			url := newServer(t, func(att *siskinrill.Attempt) (*siskinrill.Answer, error) {
+				_, err := io.Copy(io.Discard, att.Body())
+				return nil, siskinrill.Unknown(siskinrill.ReasonBackendLost, err)
+			})
+			con, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+			must.NoError(t, err)
+			defer func() { _ = con.Close() }()
+			_, _ = fmt.Fprintf(con, "PUT /orders/r1 HTTP/1.1\r\nHost: x\r\nContent-Length: 204800\r\nSiskinrill-Timeout: 200ms\r\n\r\n%s", make([]byte, size))
+			beg := time.Now()
+			rdr := bufio.NewReader(con)
+			rsp, err := http.ReadResponse(rdr, nil)
+			must.NoError(t, err)
+			must.Eq(t, http.StatusGatewayTimeout, rsp.StatusCode)
+			must.Less(t, time.Second, time.Since(beg))
+			_, _ = io.Copy(io.Discard, rsp.Body)
+			_, _ = io.WriteString(con, "GET /orders/r2 HTTP/1.1\r\nHost: x\r\n\r\n")
+			_, err = http.ReadResponse(rdr, nil)
+			must.Error(t, err)
+		})
+	}
+}
+
+// TestFaults guards against a wrong outcome, a second run and a missing counter for each fault of an owner or connection.
+func TestFaults(t *testing.T) {
+	cases := map[string]struct {
+		method  string
+		faults  []fault
+		status  int
+		outcome string
+		runs    int
+		kind    string // of the counter that rises
+		counter string
+		least   time.Duration // that the caller waits
+	}{
+		"served":                            {method: "POST", status: 200, outcome: "complete", runs: 1},
+		"refused connection is asked again": {method: "POST", faults: []fault{{undialled: true}}, status: 200, outcome: "complete", runs: 1, kind: "retries", counter: "unreachable"},
+		"lost before the owner, withdrawn":  {method: "POST", faults: []fault{{undone: true}}, status: 200, outcome: "complete", runs: 1, kind: "retries", counter: "withdrawn"},
+		"lost answer is recorded":           {method: "POST", faults: []fault{{lost: true}}, status: 200, outcome: "complete", runs: 1, kind: "events", counter: "withdraw"},
+		"late attempt finds a tombstone":    {method: "POST", faults: []fault{{late: time.Second}}, status: 200, outcome: "complete", runs: 1, kind: "retries", counter: "withdrawn"},
+		"lost answer of a frozen owner":     {method: "POST", faults: []fault{{lost: true, frozen: true}}, status: 502, outcome: "unknown", runs: 1, kind: "refusals", counter: "connection_lost", least: 5 * time.Second},
+		"idempotent is retried":             {method: "GET", faults: []fault{{lost: true}}, status: 200, outcome: "complete", runs: 2, kind: "retries", counter: "connection_lost"},
+		"idempotent gives up":               {method: "GET", faults: []fault{{lost: true}, {lost: true}, {lost: true}}, status: 502, outcome: "unknown", runs: 3, kind: "refusals", counter: "connection_lost"},
+		"earlier run is not denied":         {method: "GET", faults: []fault{{lost: true}, {refuse: siskinrill.ReasonQueueFull}}, status: 503, outcome: "unknown", runs: 1, kind: "refusals", counter: "queue_full"},
+		"shed":                              {method: "POST", faults: []fault{{refuse: siskinrill.ReasonQueueFull}}, status: 503, outcome: "not_run", kind: "refusals", counter: "queue_full"},
+		"moving owner":                      {method: "POST", faults: []fault{{refuse: siskinrill.ReasonMoving, moved: true}}, status: 200, outcome: "complete", runs: 1, kind: "retries", counter: "moving", least: 50 * time.Millisecond},
+		"wrong owner":                       {method: "POST", faults: []fault{{refuse: siskinrill.ReasonWrongOwner, moved: true}}, status: 200, outcome: "complete", runs: 1, kind: "retries", counter: "wrong_owner", least: 50 * time.Millisecond},
+		"backend server lost":               {method: "POST", faults: []fault{{wrong: siskinrill.ReasonBackendLost}}, status: 502, outcome: "unknown", runs: 1, kind: "refusals", counter: "backend_lost"},
+		"deadline in the queue":             {method: "POST", faults: []fault{{queued: time.Minute}}, status: 504, outcome: "not_run", kind: "refusals", counter: "deadline_in_queue", least: 5 * time.Second},
+		"deadline while running":            {method: "POST", faults: []fault{{busy: 6 * time.Second}}, status: 504, outcome: "unknown", runs: 1, kind: "refusals", counter: "deadline", least: 5 * time.Second},
+		"answer after a lost connection":    {method: "POST", faults: []fault{{lost: true, busy: 2 * time.Second}}, status: 200, outcome: "complete", runs: 1},
+		"upload lost before the owner":      {method: "PUT", faults: []fault{{undone: true}}, status: 200, outcome: "complete", runs: 1, kind: "retries", counter: "withdrawn"},
+	}
+	for name, cse := range cases {
+		bubble(t, name, func(t *testing.T, fix *fixture) {
+			fix.own.script["r1"] = cse.faults
+			tld := fix.ask(newRequest(cse.method, "r1", []byte("body")))
+			must.Eq(t, cse.status, tld.status)
+			must.Eq(t, cse.outcome, tld.outcome)
+			must.GreaterEq(t, cse.least, tld.took)
+			time.Sleep(2 * time.Second)
+			fix.own.mu.Lock()
+			defer fix.own.mu.Unlock()
+			must.Eq(t, cse.runs, fix.own.runs["r1"])
+			must.Eq(t, cse.counter != "", fix.count(cse.kind, cse.counter) != "0")
+			must.Eq(t, cse.status == 200, tld.body == "r1")
+		})
+	}
+}
+
+// TestHold guards against requests that fail while their shard has no owner for a moment, or wait for ever.
+func TestHold(t *testing.T) {
+	bubble(t, "moves", func(t *testing.T, fix *fixture) {
+		fix.ses.move(0, controlpb.Phase_PHASE_ORPHAN)
+		time.AfterFunc(time.Second, func() { fix.ses.move(2, controlpb.Phase_PHASE_OWNED) })
+		tld := fix.ask(newRequest("POST", "r1", nil))
+		must.Eq(t, http.StatusOK, tld.status)
+		must.Eq(t, time.Second, tld.took)
+		fix.ses.move(1, controlpb.Phase_PHASE_RELEASING)
+		tld = fix.ask(newRequest("POST", "r2", nil))
+		must.Eq(t, http.StatusServiceUnavailable, tld.status)
+		must.Eq(t, defaultHold, tld.took)
+		must.Eq(t, "1", tld.header.Get("Retry-After"))
+		must.Eq(t, "1", fix.count("refusals", "moving"))
+	})
+}
+
+// TestMalformed guards against answers of this agent's own owner that are passed on with a wrong length or status.
+func TestMalformed(t *testing.T) {
+	bdy := io.NopCloser(strings.NewReader(""))
+	for name, ans := range map[string]*siskinrill.Answer{
+		"short":         siskinrill.NewAnswer(&peerpb.Response{Status: 200, BodyLength: 3, Body: []byte("xy"), BodyEnd: true}, nil),
+		"short, no end": siskinrill.NewAnswer(&peerpb.Response{Status: 200, BodyLength: 3, Body: []byte("xy")}, nil),
+		"long":          siskinrill.NewAnswer(&peerpb.Response{Status: 200, BodyLength: 1, Body: []byte("xy")}, bdy),
+		"not final":     siskinrill.NewAnswer(&peerpb.Response{Status: 100, BodyEnd: true}, nil),
+	} {
+		must.True(t, malformed("GET", ans), must.Sprint(name))
+	}
+	must.False(t, malformed("HEAD", siskinrill.NewAnswer(&peerpb.Response{Status: 200, BodyLength: 3, BodyEnd: true}, nil)))
+	must.False(t, malformed("GET", siskinrill.NewAnswer(&peerpb.Response{Status: 200, BodyLength: -1, Body: []byte("xy")}, bdy)))
+}
--- a/internal/agent/peer/relay_test.go
+++ b/internal/agent/peer/relay_test.go
@@ -17,14 +17,13 @@
 
 // relay forwards TCP connections and can stop forwarding those it has, without closing them.
 type relay struct {
-	lis     net.Listener
-	target  string
-	mu      sync.Mutex
-	epoch   *relayEpoch
-	conns   []net.Conn
-	refuse  atomic.Bool
-	frozen  atomic.Bool // new connections are silent as well
-	dialled atomic.Int32
+	lis    net.Listener
+	target string
+	mu     sync.Mutex
+	epoch  *relayEpoch
+	conns  []net.Conn
+	refuse atomic.Bool
+	frozen atomic.Bool // new connections are silent as well
 }
 
 // relayEpoch holds the state of the connections that were accepted since the last silence.
@@ -50,7 +49,6 @@
 		if err != nil {
 			return
 		}
-		rel.dialled.Add(1)
 		out, err := net.Dial("tcp", rel.target)
 		if err != nil || rel.refuse.Load() {
 			_ = inn.Close()
@@ -96,6 +94,18 @@
 	rel.epoch = &relayEpoch{}
 }
 
+// freeze makes old and new connections silent.
+func (rel *relay) freeze() {
+	rel.silence()
+	rel.frozen.Store(true)
+}
+
+// shut cuts the connections and refuses new ones.
+func (rel *relay) shut() {
+	rel.refuse.Store(true)
+	rel.cut()
+}
+
 // cut closes the connections that exist.
 func (rel *relay) cut() {
 	rel.mu.Lock()
@@ -152,14 +162,19 @@
 func newFixture(t testing.TB) *fixture {
 	own := &fakeOwner{handle: echo}
 	fix := &fixture{own: own, srv: NewServer(own, nil), cnt: siskinrill.NewCounters()}
+	fix.rel = newRelay(t, serve(t, func(gsv *grpc.Server) { fix.srv.Register(gsv) }))
+	fix.poo = NewPool(Options{Counters: fix.cnt})
+	t.Cleanup(fix.poo.Close)
+	return fix
+}
+
+// serve starts a gRPC server on loopback and returns its address.
+func serve(t testing.TB, register func(*grpc.Server)) string {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	gsv := grpc.NewServer(ServerOptions()...)
-	fix.srv.Register(gsv)
+	register(gsv)
 	go func() { _ = gsv.Serve(lis) }()
 	t.Cleanup(gsv.Stop)
-	fix.rel = newRelay(t, lis.Addr().String())
-	fix.poo = NewPool(Options{Counters: fix.cnt})
-	t.Cleanup(fix.poo.Close)
-	return fix
+	return lis.Addr().String()
 }
