Tell refused membership changes at once and do not repeat lost ones

Cause: members remove of an unknown name came back as unavailable, so the search for the leader repeated it for 64 s and then reported no leader. Change: the operator service answers such changes with FAILED_PRECONDITION; the client follows only answers with a redirect, repeats a membership change only if nothing was asked, and tells no_leader from unavailable. Conclusion: an operator's mistake is told at once.

--- a/internal/admin/http/handler.go
+++ b/internal/admin/http/handler.go
@@ -11,6 +11,7 @@
 	"sort"
 	"strings"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -201,8 +202,13 @@
 		write(wri, http.StatusOK, msg)
 		return
 	}
-	cod, rsn := httpStatus(err)
 	logrus.WithError(err).Debug("admin: Request failed.")
+	var nle *NoLeaderError
+	if errors.As(err, &nle) {
+		problem(wri, http.StatusServiceUnavailable, "no_leader", nle.Error())
+		return
+	}
+	cod, rsn := httpStatus(err)
 	problem(wri, cod, rsn, status.Convert(err).Message())
 }
 
@@ -242,15 +248,10 @@
 		return http.StatusBadRequest, "bad_request"
 	case codes.NotFound:
 		return http.StatusNotFound, "not_found"
-	case codes.AlreadyExists, codes.Aborted:
-		return http.StatusConflict, "conflict"
-	case codes.FailedPrecondition:
-		if notLeader(err) {
-			return http.StatusServiceUnavailable, "no_leader"
-		}
+	case codes.AlreadyExists, codes.Aborted, codes.FailedPrecondition:
 		return http.StatusConflict, "conflict"
 	case codes.Unavailable, codes.DeadlineExceeded, codes.Canceled:
-		return http.StatusServiceUnavailable, "no_leader"
+		return http.StatusServiceUnavailable, "unavailable"
 	default:
 		return http.StatusInternalServerError, "internal"
 	}
--- a/internal/admin/http/http_test.go
+++ b/internal/admin/http/http_test.go
@@ -65,6 +65,16 @@
 	return &controlpb.ApplyAnswer{Record: rec}, mem.redirect(ctx)
 }
 
+func (mem *member) ChangeMembers(ctx context.Context, req *controlpb.MembersRequest) (*controlpb.MembersAnswer, error) {
+	if err := mem.redirect(ctx); err != nil {
+		return nil, err
+	}
+	if req.GetName() == "lost" {
+		return nil, status.Error(codes.Unavailable, "outcome unknown: x")
+	}
+	return nil, status.Error(codes.FailedPrecondition, "there is no such member; the leader knows")
+}
+
 func newMember(t *testing.T, ldr *atomic.Pointer[string]) *member {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
@@ -143,7 +153,9 @@
 		"refused":         {"POST", "/v1/config", "Bearer secret", "application/json", `{"change_id":"bad"}`, 409, `"number_taken"`},
 		"no key":          {"GET", "/v1/owner?service=a", "Bearer secret", "", "", 400, `"reason":"bad_request"`},
 		"unknown service": {"GET", "/v1/owner?service=a&key=b", "Bearer secret", "", "", 404, `"detail":"unknown_service: a"`},
-		"not implemented": {"POST", "/v1/members", "Bearer secret", "application/json", `{}`, 500, `"reason":"internal"`},
+		"not implemented": {"POST", "/v1/drain", "Bearer secret", "application/json", `{}`, 500, `"reason":"internal"`},
+		"no member":       {"POST", "/v1/members", "Bearer secret", "application/json", `{}`, 409, `"reason":"conflict"`},
+		"lost outcome":    {"POST", "/v1/members", "Bearer secret", "application/json", `{"name":"lost"}`, 503, `"detail":"outcome unknown: x"`},
 		"not ready":       {"GET", "/v1/ready", "Bearer secret", "", "", 503, `"reason":"no lease"`},
 		"counters":        {"GET", "/debug/vars", "Bearer secret", "", "", 200, `"refusals": {"queue_full": 1}`},
 		"unknown path":    {"GET", "/v2/status", "Bearer secret", "", "", 404, ""},
--- a/internal/admin/http/operator.go
+++ b/internal/admin/http/operator.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"net/netip"
-	"regexp"
+	"strings"
 	"sync"
 	"time"
 
@@ -51,7 +50,7 @@
 // Status returns the leader's figures.
 func (opr *Operator) Status(ctx context.Context) (*controlpb.StatusAnswer, error) {
 	var ans *controlpb.StatusAnswer
-	err := opr.call(ctx, 0, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
+	err := opr.call(ctx, manner{}, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
 		ans, err = cli.Status(ctx, &controlpb.StatusRequest{})
 		return err
 	})
@@ -62,7 +61,7 @@
 // Show returns the configuration.
 func (opr *Operator) Show(ctx context.Context) (*controlpb.ShowAnswer, error) {
 	var ans *controlpb.ShowAnswer
-	err := opr.call(ctx, 0, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
+	err := opr.call(ctx, manner{}, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
 		ans, err = cli.Show(ctx, &controlpb.ShowRequest{})
 		return err
 	})
@@ -72,7 +71,7 @@
 // Owner returns the owner of a key.
 func (opr *Operator) Owner(ctx context.Context, req *controlpb.OwnerRequest) (*controlpb.OwnerAnswer, error) {
 	var ans *controlpb.OwnerAnswer
-	err := opr.call(ctx, 0, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
+	err := opr.call(ctx, manner{}, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
 		ans, err = cli.Owner(ctx, req)
 		return err
 	})
@@ -83,7 +82,7 @@
 func (opr *Operator) Apply(ctx context.Context, req *controlpb.ApplyRequest) (*controlpb.ApplyAnswer, error) {
 	var ans *controlpb.ApplyAnswer
 	wait := time.Duration(req.GetWaitMs()) * time.Millisecond
-	err := opr.call(ctx, wait, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
+	err := opr.call(ctx, manner{wait: wait}, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
 		ans, err = cli.Apply(ctx, req)
 		return err
 	})
@@ -93,7 +92,7 @@
 // Drain starts or undoes the drain of an upstream.
 func (opr *Operator) Drain(ctx context.Context, req *controlpb.DrainRequest) (*controlpb.DrainAnswer, error) {
 	var ans *controlpb.DrainAnswer
-	err := opr.call(ctx, 0, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
+	err := opr.call(ctx, manner{}, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
 		ans, err = cli.Drain(ctx, req)
 		return err
 	})
@@ -103,7 +102,7 @@
 // ChangeMembers changes the membership of the control group, which may take as long as a new member needs to catch up.
 func (opr *Operator) ChangeMembers(ctx context.Context, req *controlpb.MembersRequest) (*controlpb.MembersAnswer, error) {
 	var ans *controlpb.MembersAnswer
-	err := opr.call(ctx, membersWait, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
+	err := opr.call(ctx, manner{wait: membersWait, once: true}, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
 		ans, err = cli.ChangeMembers(ctx, req)
 		return err
 	})
@@ -113,15 +112,31 @@
 // membersWait is how long a new member may take to catch up before the call ends.
 const membersWait = time.Minute
 
-// call runs fn against the leader; wait is how long the call itself may take beyond a plain answer.
-func (opr *Operator) call(ctx context.Context, wait time.Duration, fn func(context.Context, controlpb.OperatorServiceClient) error) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+findTimeout)
+// manner tells how a call is made.
+type manner struct {
+	wait time.Duration // that the call itself may take beyond a plain answer
+	once bool          // it is not repeated when its answer was lost, because the second answer would mislead
+}
+
+// NoLeaderError tells that no control process answered as the leader within the time for the search.
+type NoLeaderError struct {
+	last string
+}
+
+// Error names the control process that was asked last and its answer.
+func (nle *NoLeaderError) Error() string {
+	return "no control leader answered; the last answer was " + nle.last
+}
+
+// call runs fn against the leader.
+func (opr *Operator) call(ctx context.Context, man manner, fn func(context.Context, controlpb.OperatorServiceClient) error) error {
+	ctx, cancel := context.WithTimeout(ctx, man.wait+findTimeout)
 	defer cancel()
 	last := "no control address is known"
 	for {
 		for _, adr := range opr.order() {
-			err := opr.attempt(ctx, adr, wait, fn)
-			if err == nil || !again(err) {
+			err := opr.attempt(ctx, adr, man.wait, fn)
+			if err == nil || !man.again(err) {
 				return err
 			}
 			last = adr + ": " + explain(err)
@@ -131,7 +146,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return status.Errorf(codes.Unavailable, "no control leader answered; the last answer was %s", last)
+			return &NoLeaderError{last: last}
 		case <-time.After(findPause):
 		}
 	}
@@ -153,55 +168,43 @@
 
 // explain returns what an answer of one control process means to an operator.
 func explain(err error) string {
-	if status.Code(err) == codes.FailedPrecondition && redirectAddress(err) == "" {
+	if redirect(err) != nil && redirectAddress(err) == "" {
 		return "no leader is known"
 	}
 	return status.Convert(err).Message()
 }
 
 // again reports whether another control process may answer where this one did not.
-func again(err error) bool {
+func (man manner) again(err error) bool {
 	switch status.Code(err) {
-	case codes.Unavailable, codes.DeadlineExceeded:
-		return true
+	case codes.Unavailable:
+		// The message of a connection that could not be made, so that nothing was asked.
+		return !man.once || strings.HasPrefix(status.Convert(err).Message(), "connection error")
+	case codes.DeadlineExceeded:
+		return !man.once
 	case codes.FailedPrecondition:
-		return notLeader(err)
+		return redirect(err) != nil
 	default:
 		return false
 	}
 }
 
-// notLeader reports whether the answer is a redirect, with or without the leader's address.
-func notLeader(err error) bool {
-	return leaderPattern.MatchString(status.Convert(err).Message())
-}
-
-var (
-	leaderPattern  = regexp.MustCompile(`(?i)leader`)
-	addressPattern = regexp.MustCompile(`[0-9A-Fa-f.:\[\]]+:[0-9]+`)
-)
-
-// redirectAddress returns the IP:port of the leader that a FAILED_PRECONDITION names, or nothing.
-func redirectAddress(err error) string {
-	sta := status.Convert(err)
-	for _, det := range sta.Details() {
+// redirect returns the detail of a control process that does not lead, nil for any other answer.
+func redirect(err error) *controlpb.Redirect {
+	for _, det := range status.Convert(err).Details() {
 		if red, isRed := det.(*controlpb.Redirect); isRed {
-			return red.GetLeaderAddress()
+			return red
 		}
 	}
-	adr := addressPattern.FindString(sta.Message())
-	if _, err := netip.ParseAddrPort(adr); err != nil {
-		return ""
-	}
-	return adr
+	return nil
 }
 
+// redirectAddress returns the IP:port of the leader that an answer names, or nothing.
+func redirectAddress(err error) string { return redirect(err).GetLeaderAddress() }
+
 // redirected notes the leader that an answer names, and reports whether it is another process.
 func (opr *Operator) redirected(adr string, err error) bool {
-	to := ""
-	if status.Code(err) == codes.FailedPrecondition {
-		to = redirectAddress(err)
-	}
+	to := redirectAddress(err)
 	opr.setLeader(to)
 	return to != "" && to != adr
 }
--- a/internal/control/operator/service.go
+++ b/internal/control/operator/service.go
@@ -10,6 +10,8 @@
 
 	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/control/agent"
+	"github.com/siskinrill/siskinrill/internal/control/member"
+	"github.com/siskinrill/siskinrill/internal/control/raft"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
@@ -34,12 +36,16 @@
 	controlpb.RegisterOperatorServiceServer(reg, svc)
 }
 
-// fault turns an error of the log into a status. A process that does not lead returns FAILED_PRECONDITION with the message "leader=IP:PORT", empty after the sign while no leader is known, and a Redirect as detail.
+// fault turns an error of the log into a status. A process that does not lead returns FAILED_PRECONDITION with the message "leader=IP:PORT", empty after the sign while no leader is known, and a Redirect as detail; a change of the members that is not possible returns FAILED_PRECONDITION without one.
 func (svc *Service) fault(err error) error {
 	var nle *siskinrill.NotLeaderError
+	var che *member.ChangeError
+	var mbe *raft.MembersError
 	switch {
 	case errors.As(err, &nle):
 		return notLeader(nle.Address())
+	case errors.As(err, &che), errors.As(err, &mbe):
+		return status.Error(codes.FailedPrecondition, err.Error())
 	case errors.Is(err, context.DeadlineExceeded):
 		return status.Errorf(codes.DeadlineExceeded, "outcome unknown: %v", err)
 	case errors.Is(err, context.Canceled):
