Show the gauges of owner, backend client, session and log

Cause: the owner and the client offer gauges that no process showed. Change: /debug/vars of an agent shows them with session and lease, that of a control process term, leader and applied index; the stand-in's cold_key is a setting. Measured: go test -race ./internal/admin/... ./internal/config/... ./internal/process/... passes. Conclusion: each process can be watched with expvar alone.

--- a/internal/admin/http/handler.go
+++ b/internal/admin/http/handler.go
@@ -27,12 +27,13 @@
 
 // Options configures a Handler.
 type Options struct {
-	Role     string               // control, agent or dev
-	Name     string               // of the process
-	Token    string               // bearer token, empty for none
-	Operator *Operator            // finds the leader
-	Counters *siskinrill.Counters // shown by /debug/vars, may be nil
-	Ready    func() error         // tells why the process is not ready, nil for always ready
+	Role     string                  // control, agent or dev
+	Name     string                  // of the process
+	Token    string                  // bearer token, empty for none
+	Operator *Operator               // finds the leader
+	Counters *siskinrill.Counters    // shown by /debug/vars, may be nil
+	Vars     []map[string]expvar.Var // further gauges shown there
+	Ready    func() error            // tells why the process is not ready, nil for always ready
 }
 
 // Handler serves the admin API of one process.
@@ -164,8 +165,12 @@
 func (hdl *Handler) vars(wri http.ResponseWriter, _ *http.Request) {
 	all := map[string]string{}
 	expvar.Do(func(kev expvar.KeyValue) { all[kev.Key] = kev.Value.String() })
+	sets := hdl.options.Vars
 	if hdl.options.Counters != nil {
-		for nam, vrb := range hdl.options.Counters.Vars() {
+		sets = append(sets[:len(sets):len(sets)], hdl.options.Counters.Vars())
+	}
+	for _, set := range sets {
+		for nam, vrb := range set {
 			all[nam] = vrb.String()
 		}
 	}
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -77,6 +77,7 @@
 	ChecksFence bool
 	Grants      bool          // has the endpoint for grants
 	ServiceTime time.Duration // median of a request
+	ColdKey     time.Duration // added to the first request for a key since its grant
 	ColdTime    time.Duration // from the start until requests take their normal time
 	ColdFactor  uint32        // multiplies the time of a request at the start
 	HealthLag   time.Duration // age of the figures of the health and load endpoints
@@ -174,6 +175,7 @@
 		source.Flag("checks_fence", &set.ChecksFence),
 		source.Duration("service_time", &set.ServiceTime, 0, time.Minute),
 		source.Flag("grants", &set.Grants),
+		source.Duration("cold_key", &set.ColdKey, 0, time.Minute),
 		source.Duration("cold_time", &set.ColdTime, 0, time.Hour),
 		source.Whole("cold_factor", &set.ColdFactor, 1, 100),
 		source.Duration("health_lag", &set.HealthLag, 0, time.Minute),
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -98,6 +99,7 @@
 	prc.admin = adminhttp.New(adminhttp.Options{
 		Role: "agent", Name: opt.Settings.Name, Token: opt.Settings.Admin.Token,
 		Operator: prc.operator, Counters: prc.counters, Ready: prc.Ready,
+		Vars: []map[string]expvar.Var{prc.owner.Vars(), prc.backend.Vars(), prc.vars()},
 	})
 	return prc, nil
 }
@@ -144,6 +146,24 @@
 	})
 }
 
+// vars returns gauges of the session.
+func (prc *Process) vars() map[string]expvar.Var {
+	return map[string]expvar.Var{
+		"session":         expvar.Func(func() any { return prc.session.Session() }),
+		"session_version": expvar.Func(func() any { return prc.session.Version() }),
+		"session_fresh":   expvar.Func(func() any { return prc.session.Fresh() }),
+		"lease_left_ms":   expvar.Func(func() any { return prc.leaseLeft().Milliseconds() }),
+	}
+}
+
+func (prc *Process) leaseLeft() time.Duration {
+	end, valid := prc.session.Expires()
+	if !valid {
+		return 0
+	}
+	return time.Until(end)
+}
+
 // Ready returns an error while the agent has no lease or no backend server in service.
 func (prc *Process) Ready() error {
 	if _, valid := prc.session.Expires(); !valid {
--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"time"
 
@@ -65,6 +66,7 @@
 	prc.handler = adminhttp.New(adminhttp.Options{
 		Role: "control", Name: opt.Settings.Name, Token: opt.Settings.Admin.Token,
 		Operator: prc.operator, Counters: siskinrill.NewCounters(), Ready: prc.Ready,
+		Vars: []map[string]expvar.Var{vars(grp, reg)},
 	})
 	return prc, nil
 }
@@ -99,6 +101,20 @@
 	return out
 }
 
+// vars returns gauges of the log and the registry.
+func vars(grp *member.Group, reg *registry.Registry) map[string]expvar.Var {
+	leadership := func() siskinrill.Leadership {
+		ldr, _ := grp.Leadership()
+		return ldr
+	}
+	return map[string]expvar.Var{
+		"control_term":    expvar.Func(func() any { return leadership().Term() }),
+		"control_leading": expvar.Func(func() any { return leadership().Leading() }),
+		"control_leader":  expvar.Func(func() any { return leadership().Address() }),
+		"control_applied": expvar.Func(func() any { return reg.Index() }),
+	}
+}
+
 // Ready returns an error while no leader is known.
 func (prc *Process) Ready() error {
 	ldr, _ := prc.group.Leadership()
--- a/internal/process/dev/dev_test.go
+++ b/internal/process/dev/dev_test.go
@@ -152,12 +152,27 @@
 		must.NoError(t, err)
 		must.Len(t, 4, cfg.GetConfiguration().GetRoutes())
 	}
+	gauges(t, adms[0], `"control_leading": true`)
+	gauges(t, prc.Admin(), `"session_fresh": true`, `"backend_answered": `, `"no_route": 2`)
 	_, err := one.Owner(ctx, "nothing", "o-1")
 	var rfe *adminhttp.RefusedError
 	must.ErrorAs[*adminhttp.RefusedError](t, err, &rfe)
 	must.Eq(t, "not_found", rfe.Reason())
 }
 
+func gauges(t *testing.T, adr string, want ...string) {
+	t.Helper()
+	res, err := http.Get("http://" + adr + "/debug/vars")
+	must.NoError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	dat, err := io.ReadAll(res.Body)
+	must.NoError(t, err)
+	must.True(t, json.Valid(dat))
+	for _, wnt := range want {
+		must.StrContains(t, string(dat), wnt)
+	}
+}
+
 // TestRestart guards against a data directory that cannot be used again, and a configuration that is applied twice.
 func TestRestart(t *testing.T) {
 	dir, cfg := t.TempDir(), t.TempDir()
