--- a/internal/control/agent/stream.go
+++ b/internal/control/agent/stream.go
@@ -7,6 +7,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/siskinrill/siskinrill/internal/control/registry"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
@@ -119,6 +120,12 @@
 // open registers a new session or resumes one, and welcomes the agent.
 func (stm *stream) open(hel *controlpb.Hello) bool {
 	num := hel.GetSession()
+	if hel.GetVersion() > stm.term.sessions.registry.Index() {
+		// Only a later leader can have told that version, so this process no longer leads, and its tables would set the agent back.
+		msg := &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Redirect{Redirect: &controlpb.Redirect{Reason: "behind"}}}
+		_ = stm.server.Send(msg)
+		return false
+	}
 	if num == 0 {
 		num = stm.register(hel.GetNode())
 		if num == 0 {
@@ -155,8 +162,7 @@
 
 // register returns the number of a new session, 0 when it could not be committed in this term.
 func (stm *stream) register(nod *controlpb.Node) uint64 {
-	cpy := proto.Clone(nod).(*controlpb.Node)
-	cmd := &controlpb.Command{Kind: &controlpb.Command_RegisterNode{RegisterNode: &controlpb.RegisterNode{Node: cpy}}}
+	cmd := registry.RegisterNode(proto.Clone(nod).(*controlpb.Node))
 	idx := make(chan uint64, 1)
 	ok := stm.term.spawn(func() {
 		res, err := stm.term.sessions.log.Propose(stm.term.ctx, cmd)
