--- a/internal/agent/caller/handler_test.go
+++ b/internal/agent/caller/handler_test.go
@@ -10,9 +10,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -57,32 +57,25 @@
 		}},
 	}
 	for name, cse := range cases {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				fix := newFixture()
-				req := newRequest(cse.method, "r1", make([]byte, cse.body))
-				if cse.path != "" {
-					req.URL.Path = cse.path
-				}
-				if cse.change != nil {
-					cse.change(fix, req)
-				}
-				tld := fix.ask(req)
-				must.Eq(t, cse.status, tld.status)
-				must.Eq(t, "not_run", tld.outcome)
-				must.Eq(t, 0, fix.own.runs["r1"])
-				must.Eq(t, "1", fix.count("refusals", cse.reason))
-				must.Eq(t, "application/problem+json", tld.header.Get("Content-Type"))
-				must.Eq(t, cse.retry, tld.header.Get("Retry-After"))
-				var prb problem
-				must.NoError(t, json.Unmarshal([]byte(tld.body), &prb))
-				must.Eq(t, cse.reason, prb.Reason)
-				must.Eq(t, cse.status, prb.Status)
-				must.Eq(t, "urn:siskinrill:problem:"+cse.reason, prb.Type)
-				if cse.status == http.StatusMethodNotAllowed {
-					must.Eq(t, []string{"GET", "POST", "PUT"}, tld.header["Allow"])
-				}
-			})
+		bubble(t, name, func(t *testing.T, fix *fixture) {
+			req := newRequest(cse.method, "r1", make([]byte, cse.body))
+			if cse.path != "" {
+				req.URL.Path = cse.path
+			}
+			if cse.change != nil {
+				cse.change(fix, req)
+			}
+			tld := fix.ask(req)
+			must.Eq(t, cse.status, tld.status)
+			must.Eq(t, "not_run", tld.outcome)
+			must.Eq(t, 0, fix.own.runs["r1"])
+			must.Eq(t, "1", fix.count("refusals", cse.reason))
+			must.Eq(t, "application/problem+json", tld.header.Get("Content-Type"))
+			must.Eq(t, cse.retry, tld.header.Get("Retry-After"))
+			var prb problem
+			must.NoError(t, json.Unmarshal([]byte(tld.body), &prb))
+			must.Eq(t, problem{"urn:siskinrill:problem:" + cse.reason, http.StatusText(cse.status), cse.status, prb.Detail, cse.reason}, prb)
+			must.Eq(t, cse.status == 405, slices.Equal(tld.header["Allow"], []string{"GET", "POST", "PUT"}))
 		})
 	}
 }
@@ -113,33 +106,29 @@
 	must.Eq(t, http.Header{"Set-Cookie": {"a", "b"}, "Siskinrill-Upstream": {"u"}}, back)
 }
 
-// TestHedge guards against a hedge that waits for the slow attempt, exceeds the attempts or leaves one behind.
+// TestHedge guards against a hedge that waits for the slow attempt, exceeds the attempts or runs a request twice that must not be.
 func TestHedge(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		fix := newFixture()
-		fix.ses.service = &controlpb.Service{Name: "checkout", HedgeAfterMs: 50}
-		fix.own.script["r1"] = []fault{{busy: time.Second}}
-		tld := fix.ask(newRequest("GET", "r1", nil))
-		must.Eq(t, 200, tld.status)
-		must.Eq(t, 50*time.Millisecond, tld.took)
-		must.Eq(t, "1", fix.count("events", "hedge"))
-		fix.own.script["r2"] = []fault{{busy: time.Second}}
-		tld = fix.ask(newRequest("POST", "r2", nil))
-		must.Eq(t, time.Second, tld.took)
-	})
+	for method, took := range map[string]time.Duration{"GET": 50 * time.Millisecond, "POST": time.Second} {
+		bubble(t, method, func(t *testing.T, fix *fixture) {
+			fix.ses.service = &controlpb.Service{Name: "checkout", HedgeAfterMs: 50}
+			fix.own.script["r1"] = []fault{{busy: time.Second}}
+			tld := fix.ask(newRequest(method, "r1", nil))
+			must.Eq(t, 200, tld.status)
+			must.Eq(t, took, tld.took)
+			must.Eq(t, method == "GET", fix.count("events", "hedge") == "1")
+		})
+	}
 }
 
 // TestBudget guards against retries that multiply the load of a failing service.
 func TestBudget(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		fix := newFixture()
+	bubble(t, "lost", func(t *testing.T, fix *fixture) {
 		for range 1000 {
 			fix.own.script["r1"] = []fault{{lost: true}, {lost: true}, {lost: true}}
 			must.Eq(t, 502, fix.ask(newRequest("GET", "r1", nil)).status)
 		}
-		runs := fix.own.runs["r1"]
 		// 10% of 1,000 requests and the 10 of the first second.
-		must.Between(t, 1100, runs, 1111)
+		must.Between(t, 1100, fix.own.runs["r1"], 1111)
 		must.NotEq(t, "0", fix.count("events", "retry_budget"))
 		time.Sleep(time.Second)
 		fix.own.script["r1"] = []fault{{lost: true}, {lost: true}}
@@ -149,32 +138,21 @@
 
 // TestCallerGone guards against a non-idempotent request that is cut off while it runs, or runs though its caller left the queue.
 func TestCallerGone(t *testing.T) {
-	cases := map[string]struct {
-		flt  fault
-		runs int
-	}{
-		"running": {fault{busy: time.Second}, 1},
-		"queued":  {fault{queued: time.Second}, 0},
-	}
-	for name, cse := range cases {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				fix := newFixture()
-				fix.own.script["r1"] = []fault{cse.flt}
-				ctx, cancel := context.WithCancel(t.Context())
-				time.AfterFunc(500*time.Millisecond, cancel)
-				tld := fix.ask(newRequest("POST", "r1", nil).WithContext(ctx))
-				must.Eq(t, time.Second, tld.took)
-				must.Eq(t, cse.runs, fix.own.runs["r1"])
-				must.Eq(t, "1", fix.count("events", "caller_gone"))
-			})
+	for runs, flt := range []fault{{queued: time.Second}, {busy: time.Second}} {
+		bubble(t, fmt.Sprint(runs), func(t *testing.T, fix *fixture) {
+			fix.own.script["r1"] = []fault{flt}
+			ctx, cancel := context.WithCancel(t.Context())
+			time.AfterFunc(500*time.Millisecond, cancel)
+			must.Eq(t, time.Second, fix.ask(newRequest("POST", "r1", nil).WithContext(ctx)).took)
+			must.Eq(t, runs, fix.own.runs["r1"])
+			must.Eq(t, "1", fix.count("events", "caller_gone"))
 		})
 	}
 }
 
 // scripted is an owner that answers by a function.
 type scripted struct {
-	localOwner
+	*fakeOwners
 	handle func(att *siskinrill.Attempt) (*siskinrill.Answer, error)
 }
 
@@ -182,19 +160,25 @@
 	return own.handle(att)
 }
 
-// newStack returns the address of a handler for callers whose owner is behind gRPC.
-func newStack(t *testing.T, handle func(att *siskinrill.Attempt) (*siskinrill.Answer, error)) string {
+// newStack returns a handler for callers whose owner is behind gRPC on loopback.
+func newStack(t testing.TB, own siskinrill.Owner) (*Handler, *fakeSession) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	gsv := grpc.NewServer(peer.ServerOptions()...)
-	ses := newFakeSession()
-	peer.NewServer(scripted{localOwner{newFakeOwners(ses)}, handle}, nil).Register(gsv)
+	peer.NewServer(own, nil).Register(gsv)
 	go func() { _ = gsv.Serve(lis) }()
 	t.Cleanup(gsv.Stop)
 	poo := peer.NewPool(peer.Options{})
 	t.Cleanup(poo.Close)
+	ses := newFakeSession()
 	ses.nodes[1].PeerAddress = lis.Addr().String()
-	srv := httptest.NewServer(New(Options{}, ses, poo, nil, siskinrill.NewCounters()))
+	return New(Options{}, ses, poo, own, siskinrill.NewCounters()), ses
+}
+
+// newServer returns the URL of a stack whose owner answers by a function.
+func newServer(t *testing.T, handle func(att *siskinrill.Attempt) (*siskinrill.Answer, error)) string {
+	han, _ := newStack(t, scripted{newFakeOwners(newFakeSession()), handle})
+	srv := httptest.NewServer(han)
 	t.Cleanup(srv.Close)
 	return srv.URL
 }
@@ -202,7 +186,7 @@
 // TestStackBodies guards against bodies that change between a caller and an owner, and refused uploads that are not sent again.
 func TestStackBodies(t *testing.T) {
 	refused := map[string]bool{}
-	url := newStack(t, func(att *siskinrill.Attempt) (*siskinrill.Answer, error) {
+	url := newServer(t, func(att *siskinrill.Attempt) (*siskinrill.Answer, error) {
 		if !refused[att.Open().GetKey()] {
 			refused[att.Open().GetKey()] = true
 			return nil, siskinrill.NotRun(siskinrill.ReasonBackendUnreachable)
@@ -222,8 +206,8 @@
 			rsp, err := http.DefaultClient.Do(req)
 			must.NoError(t, err)
 			got, err := io.ReadAll(rsp.Body)
-			must.NoError(t, err, must.Sprint(name, length, len(got), rsp.StatusCode, rsp.Header))
-			must.Eq(t, 201, rsp.StatusCode, must.Sprint(string(got[:min(len(got), 200)])))
+			must.NoError(t, err)
+			must.Eq(t, 201, rsp.StatusCode)
 			must.Eq(t, "complete", rsp.Header.Get(siskinrill.HeaderOutcome))
 			must.True(t, bytes.Equal(sent, got))
 		}
@@ -234,7 +218,7 @@
 func TestStackCut(t *testing.T) {
 	for name, length := range map[string]int64{"known length": 3 << 20, "unknown length": -1} {
 		t.Run(name, func(t *testing.T) {
-			url := newStack(t, func(*siskinrill.Attempt) (*siskinrill.Answer, error) {
+			url := newServer(t, func(*siskinrill.Attempt) (*siskinrill.Answer, error) {
 				bdy := io.MultiReader(bytes.NewReader(make([]byte, 1<<20)), cutBody{})
 				return siskinrill.NewAnswer(&peerpb.Response{Status: 200, BodyLength: length}, io.NopCloser(bdy)), nil
 			})
@@ -250,7 +234,7 @@
 func TestStackStalledUpload(t *testing.T) {
 	for name, size := range map[string]int{"held part": 10 << 10, "streamed part": 100 << 10} {
 		t.Run(name, func(t *testing.T) {
-			url := newStack(t, func(att *siskinrill.Attempt) (*siskinrill.Answer, error) {
+			url := newServer(t, func(att *siskinrill.Attempt) (*siskinrill.Answer, error) {
 				_, err := io.Copy(io.Discard, att.Body())
 				return nil, siskinrill.Unknown(siskinrill.ReasonBackendLost, err)
 			})
@@ -271,3 +255,67 @@
 		})
 	}
 }
+
+// TestFaults guards against a wrong outcome, a second run and a missing counter for each fault of an owner or connection.
+func TestFaults(t *testing.T) {
+	cases := map[string]struct {
+		method  string
+		faults  []fault
+		status  int
+		outcome string
+		runs    int
+		kind    string // of the counter that rises
+		counter string
+		least   time.Duration // that the caller waits
+	}{
+		"served":                            {method: "POST", status: 200, outcome: "complete", runs: 1},
+		"refused connection is asked again": {method: "POST", faults: []fault{{undialled: true}}, status: 200, outcome: "complete", runs: 1, kind: "retries", counter: "unreachable"},
+		"lost before the owner, withdrawn":  {method: "POST", faults: []fault{{undone: true}}, status: 200, outcome: "complete", runs: 1, kind: "retries", counter: "withdrawn"},
+		"lost answer is recorded":           {method: "POST", faults: []fault{{lost: true}}, status: 200, outcome: "complete", runs: 1, kind: "events", counter: "withdraw"},
+		"late attempt finds a tombstone":    {method: "POST", faults: []fault{{late: time.Second}}, status: 200, outcome: "complete", runs: 1, kind: "retries", counter: "withdrawn"},
+		"lost answer of a frozen owner":     {method: "POST", faults: []fault{{lost: true, frozen: true}}, status: 502, outcome: "unknown", runs: 1, kind: "refusals", counter: "connection_lost", least: 5 * time.Second},
+		"idempotent is retried":             {method: "GET", faults: []fault{{lost: true}}, status: 200, outcome: "complete", runs: 2, kind: "retries", counter: "connection_lost"},
+		"idempotent gives up":               {method: "GET", faults: []fault{{lost: true}, {lost: true}, {lost: true}}, status: 502, outcome: "unknown", runs: 3, kind: "refusals", counter: "connection_lost"},
+		"earlier run is not denied":         {method: "GET", faults: []fault{{lost: true}, {refuse: siskinrill.ReasonQueueFull}}, status: 503, outcome: "unknown", runs: 1, kind: "refusals", counter: "queue_full"},
+		"shed":                              {method: "POST", faults: []fault{{refuse: siskinrill.ReasonQueueFull}}, status: 503, outcome: "not_run", kind: "refusals", counter: "queue_full"},
+		"moving owner":                      {method: "POST", faults: []fault{{refuse: siskinrill.ReasonMoving, moved: true}}, status: 200, outcome: "complete", runs: 1, kind: "retries", counter: "moving", least: 50 * time.Millisecond},
+		"wrong owner":                       {method: "POST", faults: []fault{{refuse: siskinrill.ReasonWrongOwner, moved: true}}, status: 200, outcome: "complete", runs: 1, kind: "retries", counter: "wrong_owner", least: 50 * time.Millisecond},
+		"backend server lost":               {method: "POST", faults: []fault{{wrong: siskinrill.ReasonBackendLost}}, status: 502, outcome: "unknown", runs: 1, kind: "refusals", counter: "backend_lost"},
+		"deadline in the queue":             {method: "POST", faults: []fault{{queued: time.Minute}}, status: 504, outcome: "not_run", kind: "refusals", counter: "deadline_in_queue", least: 5 * time.Second},
+		"deadline while running":            {method: "POST", faults: []fault{{busy: 6 * time.Second}}, status: 504, outcome: "unknown", runs: 1, kind: "refusals", counter: "deadline", least: 5 * time.Second},
+		"answer after a lost connection":    {method: "POST", faults: []fault{{lost: true, busy: 2 * time.Second}}, status: 200, outcome: "complete", runs: 1},
+		"upload lost before the owner":      {method: "PUT", faults: []fault{{undone: true}}, status: 200, outcome: "complete", runs: 1, kind: "retries", counter: "withdrawn"},
+	}
+	for name, cse := range cases {
+		bubble(t, name, func(t *testing.T, fix *fixture) {
+			fix.own.script["r1"] = cse.faults
+			tld := fix.ask(newRequest(cse.method, "r1", []byte("body")))
+			must.Eq(t, cse.status, tld.status)
+			must.Eq(t, cse.outcome, tld.outcome)
+			must.GreaterEq(t, cse.least, tld.took)
+			time.Sleep(2 * time.Second)
+			fix.own.mu.Lock()
+			defer fix.own.mu.Unlock()
+			must.Eq(t, cse.runs, fix.own.runs["r1"])
+			must.Eq(t, cse.counter != "", fix.count(cse.kind, cse.counter) != "0")
+			must.Eq(t, cse.status == 200, tld.body == "r1")
+		})
+	}
+}
+
+// TestHold guards against requests that fail while their shard has no owner for a moment, or wait for ever.
+func TestHold(t *testing.T) {
+	bubble(t, "moves", func(t *testing.T, fix *fixture) {
+		fix.ses.move(0, controlpb.Phase_PHASE_ORPHAN)
+		time.AfterFunc(time.Second, func() { fix.ses.move(2, controlpb.Phase_PHASE_OWNED) })
+		tld := fix.ask(newRequest("POST", "r1", nil))
+		must.Eq(t, http.StatusOK, tld.status)
+		must.Eq(t, time.Second, tld.took)
+		fix.ses.move(1, controlpb.Phase_PHASE_RELEASING)
+		tld = fix.ask(newRequest("POST", "r2", nil))
+		must.Eq(t, http.StatusServiceUnavailable, tld.status)
+		must.Eq(t, defaultHold, tld.took)
+		must.Eq(t, "1", tld.header.Get("Retry-After"))
+		must.Eq(t, "1", fix.count("refusals", "moving"))
+	})
+}
