--- a/internal/admin/http/handler.go
+++ b/internal/admin/http/handler.go
@@ -11,6 +11,7 @@
 	"sort"
 	"strings"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -26,12 +27,13 @@
 
 // Options configures a Handler.
 type Options struct {
-	Role     string               // control, agent or dev
-	Name     string               // of the process
-	Token    string               // bearer token, empty for none
-	Operator *Operator            // finds the leader
-	Counters *siskinrill.Counters // shown by /debug/vars, may be nil
-	Ready    func() error         // tells why the process is not ready, nil for always ready
+	Role     string                  // control, agent or dev
+	Name     string                  // of the process
+	Token    string                  // bearer token, empty for none
+	Operator *Operator               // finds the leader
+	Counters *siskinrill.Counters    // shown by /debug/vars, may be nil
+	Vars     []map[string]expvar.Var // further gauges shown there
+	Ready    func() error            // tells why the process is not ready, nil for always ready
 }
 
 // Handler serves the admin API of one process.
@@ -163,8 +165,12 @@
 func (hdl *Handler) vars(wri http.ResponseWriter, _ *http.Request) {
 	all := map[string]string{}
 	expvar.Do(func(kev expvar.KeyValue) { all[kev.Key] = kev.Value.String() })
+	sets := hdl.options.Vars
 	if hdl.options.Counters != nil {
-		for nam, vrb := range hdl.options.Counters.Vars() {
+		sets = append(sets[:len(sets):len(sets)], hdl.options.Counters.Vars())
+	}
+	for _, set := range sets {
+		for nam, vrb := range set {
 			all[nam] = vrb.String()
 		}
 	}
@@ -201,8 +207,13 @@
 		write(wri, http.StatusOK, msg)
 		return
 	}
-	cod, rsn := httpStatus(err)
 	logrus.WithError(err).Debug("admin: Request failed.")
+	var nle *NoLeaderError
+	if errors.As(err, &nle) {
+		problem(wri, http.StatusServiceUnavailable, "no_leader", nle.Error())
+		return
+	}
+	cod, rsn := httpStatus(err)
 	problem(wri, cod, rsn, status.Convert(err).Message())
 }
 
@@ -242,15 +253,10 @@
 		return http.StatusBadRequest, "bad_request"
 	case codes.NotFound:
 		return http.StatusNotFound, "not_found"
-	case codes.AlreadyExists, codes.Aborted:
-		return http.StatusConflict, "conflict"
-	case codes.FailedPrecondition:
-		if notLeader(err) {
-			return http.StatusServiceUnavailable, "no_leader"
-		}
+	case codes.AlreadyExists, codes.Aborted, codes.FailedPrecondition:
 		return http.StatusConflict, "conflict"
 	case codes.Unavailable, codes.DeadlineExceeded, codes.Canceled:
-		return http.StatusServiceUnavailable, "no_leader"
+		return http.StatusServiceUnavailable, "unavailable"
 	default:
 		return http.StatusInternalServerError, "internal"
 	}
