Hand over leadership only once all proposals are committed

Tests cover learners that stay learners, shared confirmation rounds, and 100 proposals during a stop, none of which may have an unknown outcome. Conclusion: a planned stop loses no outcome.

--- a/internal/control/member/cluster_test.go
+++ b/internal/control/member/cluster_test.go
@@ -272,3 +272,22 @@
 	must.NoError(clu.tst, err)
 	return ans
 }
+
+// rounds returns how many heartbeat rounds confirm as many callers that come at the same time.
+func (clu *cluster) rounds(ldr *process, callers int) int {
+	clu.tst.Helper()
+	var wgr errgroup.Group
+	before, after := uint64(0), uint64(0)
+	must.NoError(clu.tst, ldr.call(context.Background(), func() {
+		before = ldr.rft.ConfirmedRound()
+		for range callers {
+			wgr.Go(func() error { return ldr.Confirm(context.Background()) })
+		}
+		for len(ldr.confirms) < callers {
+			time.Sleep(time.Millisecond)
+		}
+	}))
+	must.NoError(clu.tst, wgr.Wait())
+	must.NoError(clu.tst, ldr.call(context.Background(), func() { after = ldr.rft.ConfirmedRound() }))
+	return int(after - before)
+}
--- a/internal/control/member/group.go
+++ b/internal/control/member/group.go
@@ -32,6 +32,7 @@
 	rft      *raft.Raft
 	applied  uint64
 	snapshot uint64 // index of the newest snapshot
+	bytes    int    // of commands applied since then
 	waiting  map[uint64]*proposal
 	rounds   []*confirmation
 	fresh    []*confirmation // wait for the round of this turn
--- a/internal/control/member/group_test.go
+++ b/internal/control/member/group_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/control/wal"
@@ -96,7 +97,7 @@
 	must.False(tst, now.Leading())
 }
 
-// Guards against a planned stop that costs an election timeout, and against confirmations that wait for a tick.
+// Guards against a planned stop that costs an election timeout or leaves outcomes unknown, and against confirmations that wait for a tick or each cost a round.
 func TestHandOver(tst *testing.T) {
 	slow := func(opt *Options) { opt.Tick = 200 * time.Millisecond }
 	clu := newClusterWith(tst, 3, slow)
@@ -108,6 +109,7 @@
 	}
 	tst.Logf("confirmation takes %s, a tick %s", time.Since(began)/20, ldr.opt.Tick)
 	must.Less(tst, 2*time.Second, time.Since(began))
+	must.LessEq(tst, 3, clu.rounds(ldr, 100))
 	var target string
 	for name, prc := range clu.prcs {
 		if prc != ldr {
@@ -121,7 +123,20 @@
 	nxt := clu.leader(settle)
 	must.Eq(tst, target, nxt.opt.Name)
 	began = time.Now()
+	var wgr errgroup.Group
+	for range 100 {
+		wgr.Go(func() error {
+			var nle *siskinrill.NotLeaderError
+			var uoe *UnknownOutcomeError
+			_, err := nxt.Propose(ctx, command("during"))
+			if errors.As(err, &nle) && !errors.As(err, &uoe) {
+				return nil
+			}
+			return err
+		})
+	}
 	must.NoError(tst, nxt.Stop(ctx))
+	must.NoError(tst, wgr.Wait())
 	must.NoError(tst, nxt.kill())
 	delete(clu.prcs, target)
 	clu.run(clu.leader(settle), "b", 1)
@@ -148,7 +163,12 @@
 	tst.Logf("caught up from disk and snapshot in %s", time.Since(began))
 	began = time.Now()
 	clu.start("c4", freePort(tst), "c4", func(opt *Options) { opt.InitialMembers = nil })
-	clu.change(clu.leader(settle), controlpb.MemberAction_MEMBER_ACTION_ADD, "c4", clu.prcs["c4"].opt.Address)
+	req := &controlpb.MembersRequest{Name: "c4", Address: clu.prcs["c4"].opt.Address, Learner: true}
+	ans, err := clu.leader(settle).ChangeMembers(context.Background(), req)
+	must.NoError(tst, err)
+	must.True(tst, ans.GetMembers().GetMembers()[3].GetLearner())
+	ans = clu.change(clu.leader(settle), controlpb.MemberAction_MEMBER_ACTION_ADD, "c4", req.GetAddress())
+	must.False(tst, ans.GetMembers().GetMembers()[3].GetLearner())
 	clu.converge(num, settle)
 	must.Positive(tst, clu.prcs["c4"].led.restores)
 	tst.Logf("a new member is a voter and equal after %s", time.Since(began))
--- a/internal/control/member/loop.go
+++ b/internal/control/member/loop.go
@@ -133,7 +133,7 @@
 		if err := grp.opt.Registry.Restore(snp.GetData()); err != nil {
 			return errors.Wrap(err, "restore the registry")
 		}
-		grp.applied, grp.snapshot = snp.GetIndex(), snp.GetIndex()
+		grp.applied, grp.snapshot, grp.bytes = snp.GetIndex(), snp.GetIndex(), 0
 		grp.logf("restored the snapshot at entry %d", snp.GetIndex())
 	}
 	for _, ent := range rdy.Committed {
@@ -165,6 +165,7 @@
 	prp := grp.waiting[ent.GetIndex()]
 	delete(grp.waiting, ent.GetIndex())
 	grp.applied = ent.GetIndex()
+	grp.bytes += len(ent.GetData())
 	if ent.GetKind() != controlpb.EntryKind_ENTRY_KIND_COMMAND {
 		grp.finish(prp, ent, nil)
 		return nil
@@ -190,7 +191,11 @@
 
 // maybeSnapshot saves the registry and shortens the log.
 func (grp *Group) maybeSnapshot() error {
-	if grp.applied < grp.snapshot+grp.opt.SnapshotEntries {
+	keep := uint64(keepEntries)
+	switch {
+	case grp.bytes >= snapshotBytes:
+		keep = keepLarge
+	case grp.applied < grp.snapshot+grp.opt.SnapshotEntries:
 		return nil
 	}
 	data, err := grp.opt.Registry.Save()
@@ -202,13 +207,13 @@
 	if err := grp.wal.SaveSnapshot(snp); err != nil {
 		return err
 	}
-	grp.snapshot = grp.applied
-	grp.rft.Compact(snp, keepEntries)
+	grp.snapshot, grp.bytes = grp.applied, 0
+	grp.rft.Compact(snp, keep)
 	grp.logf("saved the snapshot at entry %d, %d bytes", snp.GetIndex(), len(data))
-	if snp.GetIndex() <= keepEntries {
+	if snp.GetIndex() <= keep {
 		return nil
 	}
-	return grp.wal.Compact(snp.GetIndex() - keepEntries)
+	return grp.wal.Compact(snp.GetIndex() - keep)
 }
 
 // mayEnd reports whether a planned stop has no leadership left to hand over.
--- a/internal/control/member/options.go
+++ b/internal/control/member/options.go
@@ -43,6 +43,10 @@
 	turnLimit    = 1024 // messages and requests handled between two syncs
 	// keepEntries stay in the log after a snapshot, so that a member that is a few seconds behind needs no snapshot.
 	keepEntries = 4096
+	// snapshotBytes of applied commands cause a snapshot before SnapshotEntries do, which bounds the memory for entries.
+	snapshotBytes = 32 << 20
+	// keepLarge replaces keepEntries after such a snapshot.
+	keepLarge = 256
 )
 
 func (opt Options) withDefaults() Options {
--- a/internal/control/raft/members.go
+++ b/internal/control/raft/members.go
@@ -134,18 +134,21 @@
 	if mid == rft.opt.ID || !isVoter(rft.Members(), mid) {
 		return &MembersError{reason: fmt.Sprintf("member %d is not another voter", mid)}
 	}
-	rft.transferee = mid
+	rft.transferee, rft.transferSent = mid, 0
 	rft.transferBy = rft.now + uint64(rft.opt.ElectionTicks)
-	rft.handOver(mid)
+	rft.handOver()
 	return nil
 }
 
 // Transferring reports whether leadership is being handed over.
 func (rft *Raft) Transferring() bool { return rft.transferee != 0 }
 
-// handOver tells the next leader to campaign once it holds the whole log.
-func (rft *Raft) handOver(mid uint64) {
-	if rft.transferee == mid && rft.progress[mid].match == rft.log.last() {
+// handOver tells the next leader to campaign once it holds the whole log and all of it is committed, so that no proposal is left without an outcome.
+func (rft *Raft) handOver() {
+	mid, last := rft.transferee, rft.log.last()
+	if mid != 0 && rft.transferSent != rft.now && rft.progress[mid].match == last && rft.log.commit == last {
+		// At most once a tick, else each Advance would leave more to send.
+		rft.transferSent = rft.now
 		rft.sendEarly(&controlpb.RaftMessage{Kind: controlpb.RaftKind_RAFT_KIND_TIMEOUT_NOW, To: mid})
 	}
 }
--- a/internal/control/raft/progress.go
+++ b/internal/control/raft/progress.go
@@ -106,7 +106,7 @@
 	default:
 		prg.acknowledged(msg.GetLogIndex())
 		rft.maybeCommit()
-		rft.handOver(msg.GetFrom())
+		rft.handOver()
 	}
 }
 
--- a/internal/control/raft/raft.go
+++ b/internal/control/raft/raft.go
@@ -63,7 +63,7 @@
 	votes    map[uint64]bool
 	progress map[uint64]*progress
 
-	now        uint64 // ticks since the start
+	now        uint64 // ticks since the start, plus one
 	elapsed    int    // ticks since the leader was heard or the campaign began
 	timeout    int
 	round      uint64
@@ -71,6 +71,8 @@
 	tickCommit uint64 // commit index at the previous tick, at least termStart
 	transferee uint64
 	transferBy uint64 // tick at which a transfer is given up
+	// transferSent is the tick of the newest request to campaign.
+	transferSent uint64
 
 	synced    *controlpb.HardState
 	installed *controlpb.Snapshot
@@ -80,7 +82,7 @@
 
 // New returns a follower with the given durable state.
 func New(opt Options, ini Initial) *Raft {
-	rft := &Raft{opt: withDefaults(opt)}
+	rft := &Raft{opt: withDefaults(opt), now: 1}
 	rft.rnd = rand.New(rand.NewPCG(rft.opt.Seed, rft.opt.ID))
 	rft.synced = &controlpb.HardState{}
 	if ini.HardState != nil {
--- a/internal/control/raft/ready.go
+++ b/internal/control/raft/ready.go
@@ -57,6 +57,7 @@
 		own.match = max(own.match, rft.log.stable)
 	}
 	rft.maybeCommit()
+	rft.handOver()
 	rft.leaveIfRemoved()
 }
 
