member: Say exactly what shares a sync

Cause: the comment of the loop described a special case as the rule. Change: wording only. Result: make fmt lint vet passes. Conclusion: no change of behaviour.

--- a/internal/control/member/loop.go
+++ b/internal/control/member/loop.go
@@ -14,7 +14,7 @@
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
-// loop owns raft and wal; each turn ends in one append and one sync at most, unless a member lone in its group commits at once.
+// loop owns raft and wal; all that a turn takes in shares one append and one sync, and only a change of role takes more.
 func (grp *Group) loop(ctx context.Context, wgr *sync.WaitGroup) error {
 	tck := time.NewTicker(grp.opt.Tick)
 	defer tck.Stop()
