Probe a server with one long request four times a second at most

Cause: while a single request ran for more than 1 s, the server was probed on each tick of 100 ms, over a new connection each time. Change: after an answered probe the next one waits 250 ms. The frequency of the probes themselves was not measured. Conclusion: a server that freezes right after an answered probe is found up to 250 ms later than before.

--- a/internal/agent/backend/client.go
+++ b/internal/agent/backend/client.go
@@ -30,6 +30,7 @@
 	told      *controlpb.Upstream // last one given to OnUpstream
 
 	tellMu sync.Mutex // serializes OnUpstream
+	probed time.Time  // last answer to a probe of a silent server; only Run uses it
 }
 
 var _ siskinrill.Backend = (*Client)(nil)
--- a/internal/agent/backend/watch.go
+++ b/internal/agent/backend/watch.go
@@ -21,10 +21,15 @@
 		cli.fail(tgt, "requests_fail")
 		return
 	}
-	if cli.mtr.silent() && !cli.probeTwice(ctx, tgt) {
-		if cli.mtr.silent() {
-			cli.fail(tgt, "silent")
-		}
+	if !cli.mtr.silent() || time.Since(cli.probed) < probeGap {
+		return
+	}
+	if cli.probeTwice(ctx, tgt) {
+		cli.probed = time.Now()
+		return
+	}
+	if cli.mtr.silent() {
+		cli.fail(tgt, "silent")
 	}
 }
 
