Measure confirmations and the difference of a lost zone

Cause: the number of confirmation rounds and the bytes after the loss of a zone were not measured; the benchmark of a change waited for ever when it repeated the content of the previous run. Change: both are measured, and each change of that benchmark differs from the one before.

--- a/internal/control/agent/bench_test.go
+++ b/internal/control/agent/bench_test.go
@@ -188,12 +188,13 @@
 	b.Run("renewals", func(b *testing.B) {
 		for b.Loop() {
 			in, inBytes, out, outBytes := flt.counter.in.Load(), flt.counter.inBytes.Load(), flt.counter.out.Load(), flt.counter.outBytes.Load()
-			was := cpu()
+			was, rounds := cpu(), flt.log.cluster.confirms()
 			time.Sleep(2 * time.Second)
 			used := cpu() - was
 			in, inBytes = flt.counter.in.Load()-in, flt.counter.inBytes.Load()-inBytes
 			out, outBytes = flt.counter.out.Load()-out, flt.counter.outBytes.Load()-outBytes
 			b.ReportMetric(float64(in)/2, "renewals/s")
+			b.ReportMetric(float64(flt.log.cluster.confirms()-rounds)/2, "confirms/s")
 			b.ReportMetric(float64(inBytes)/float64(in), "bytes/renewal")
 			b.ReportMetric(float64(outBytes)/float64(out), "bytes/answer")
 			b.ReportMetric(float64(used.Microseconds())/float64(in), "cpu_us/renewal")
@@ -205,7 +206,7 @@
 		for b.Loop() {
 			heard := flt.heard.Load()
 			ups := serving("orders-000").GetNode().GetUpstream()
-			ups.Slots = uint32(20 + total%2)
+			ups.Slots = uint32(20 + flt.log.registry.Index()%1000) // differs each time
 			flt.log.commit(registry.SetUpstream(flt.log.registry.Tables().GetNodes()[0].GetSession(), ups))
 			for flt.heard.Load() < heard+targetNodes {
 				time.Sleep(100 * time.Microsecond)
@@ -218,16 +219,26 @@
 	flt.group.Wait()
 }
 
-// BenchmarkEncode measures the encoding of a difference with 16 rows, which is done once for all streams.
+func (clu *cluster) confirms() int {
+	clu.mut.Lock()
+	defer clu.mut.Unlock()
+	return clu.rounds
+}
+
+// BenchmarkEncode measures the encoding of a difference, which is done once for all streams: 20 rows of one upstream, and 2,048 rows of a lost zone.
 func BenchmarkEncode(b *testing.B) {
-	dif := &controlpb.Difference{From: 1_000_000, To: 1_000_001}
-	for prt := range uint32(16) {
-		row := &controlpb.Shard{Service: testService, Partition: prt * 900, Owner: 900_000, Token: 1_000_001, Phase: controlpb.Phase_PHASE_OWNED}
-		dif.Changes = append(dif.Changes, &controlpb.Change{Kind: &controlpb.Change_SetShard{SetShard: row}})
-	}
-	for b.Loop() {
-		raw, err := proto.Marshal(&controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Difference{Difference: dif}})
-		must.NoError(b, err)
-		b.ReportMetric(float64(len(raw)), "bytes")
+	for _, rows := range []uint32{20, 2048} {
+		b.Run(fmt.Sprint(rows), func(b *testing.B) {
+			dif := &controlpb.Difference{From: 1_000_000, To: 1_000_001}
+			for prt := range rows {
+				row := &controlpb.Shard{Service: "orders", Partition: prt * 8, Owner: 900_000, Token: 1_000_001, Phase: controlpb.Phase_PHASE_OWNED}
+				dif.Changes = append(dif.Changes, &controlpb.Change{Kind: &controlpb.Change_SetShard{SetShard: row}})
+			}
+			for b.Loop() {
+				raw, err := proto.Marshal(&controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Difference{Difference: dif}})
+				must.NoError(b, err)
+				b.ReportMetric(float64(len(raw)), "bytes")
+			}
+		})
 	}
 }
--- a/internal/control/agent/cluster_test.go
+++ b/internal/control/agent/cluster_test.go
@@ -21,6 +21,7 @@
 	leader  int
 	term    uint64
 	sends   int
+	rounds  int  // confirmations
 	instant bool // proposals and confirmations take no time
 	log     []*controlpb.Command
 }
@@ -133,6 +134,7 @@
 	time.Sleep(prc.cluster.between(time.Millisecond, 30*time.Millisecond))
 	prc.cluster.mut.Lock()
 	leads := prc.leads()
+	prc.cluster.rounds++
 	prc.cluster.mut.Unlock()
 	if !leads {
 		return prc.awaitLoss(ctx)
