Keep two runs of the script test off each other's ports

Cause: the two examples chose their ranges of ports at random side by side, so that one run in twelve had both on one range and failed with partitions of the other's service. Change: each range is held by a listener while it is used. Conclusion: the ranges are disjoint within a host.

--- a/examples/local_test.go
+++ b/examples/local_test.go
@@ -27,9 +27,16 @@
 	dir := t.TempDir()
 	for range 100 {
 		base := fmt.Sprintf("127.0.0.1:%d", 20+rand.IntN(12))
+		lis, err := net.Listen("tcp", base+"999")
+		if err != nil {
+			continue
+		}
 		if !free(base) {
+			_ = lis.Close()
 			continue
 		}
+		// Holding this port keeps other runs of this test off the range.
+		t.Cleanup(func() { _ = lis.Close() })
 		must.NoError(t, os.CopyFS(filepath.Join(dir, nam), os.DirFS(nam)))
 		must.NoError(t, filepath.WalkDir(dir, func(pth string, ent fs.DirEntry, err error) error {
 			if err != nil || ent.IsDir() {
