--- a/internal/bench/scale/fleet.go
+++ b/internal/bench/scale/fleet.go
@@ -98,6 +98,16 @@
 	return num
 }
 
+// LeastRemaining returns the shortest time that any session's lease still has, negative when one has ended.
+func (flt *Fleet) LeastRemaining() time.Duration {
+	least := time.Hour
+	for _, mem := range flt.members {
+		end, _ := mem.session.Expires()
+		least = min(least, time.Until(end))
+	}
+	return least
+}
+
 // Lose ends the sessions from index from up to to without a word to control, as a loss of their hosts does.
 func (flt *Fleet) Lose(from, upto int) {
 	lost := flt.members[from:upto]
--- a/internal/control/agent/cluster_test.go
+++ b/internal/control/agent/cluster_test.go
@@ -15,15 +15,16 @@
 
 // cluster is a replicated log that never loses an entry, with leaders that may not know that they were replaced.
 type cluster struct {
-	mut     sync.Mutex
-	rnd     *rand.Rand
-	procs   []*process
-	leader  int
-	term    uint64
-	sends   int
-	rounds  int  // confirmations
-	instant bool // proposals and confirmations take no time
-	log     []*controlpb.Command
+	lossless bool // no renewal or answer is lost or repeated
+	mut      sync.Mutex
+	rnd      *rand.Rand
+	procs    []*process
+	leader   int
+	term     uint64
+	sends    int
+	rounds   int  // confirmations
+	instant  bool // proposals and confirmations take no time
+	log      []*controlpb.Command
 }
 
 // process is one control process; it implements siskinrill.Log.
--- a/internal/control/agent/sessions_test.go
+++ b/internal/control/agent/sessions_test.go
@@ -177,6 +177,7 @@
 // Guards against an agent that reads nothing and holds up the others, and against one that keeps its dead stream for ever.
 func TestSlowAgent(t *testing.T) {
 	bubble(t, func(ctx context.Context, clu *cluster) {
+		clu.lossless = true // else chance decides how many answers come
 		deaf := clu.dial(ctx, 0, 0)
 		must.NoError(t, deaf.pass(deaf.up, parcel{up: &controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Hello{Hello: serving("deaf")}}}, 1))
 		two := clu.probe(ctx, 0, serving("two"))
--- a/internal/control/agent/wire_test.go
+++ b/internal/control/agent/wire_test.go
@@ -46,6 +46,7 @@
 // copies returns how often a message arrives.
 func (pip *pipe) copies(lossy, repeated bool) int {
 	switch {
+	case pip.cluster.lossless:
 	case lossy && pip.cluster.chance(0.1):
 		return 0
 	case repeated && pip.cluster.chance(0.1):
--- a/internal/control/member/propose.go
+++ b/internal/control/member/propose.go
@@ -60,13 +60,18 @@
 	}
 }
 
-// lateOutcome prefers an outcome that was reached before the loop ended.
+// lateOutcome prefers an outcome that was reached before the loop ended. A command that the loop never took up was not appended, and no loop is left to append it.
 func (grp *Group) lateOutcome(prp *proposal) (*siskinrill.Result, error) {
 	select {
 	case out := <-prp.done:
 		return out.res, out.err
 	default:
+	}
+	select {
+	case <-prp.given:
 		return nil, prp.unknown(&StoppedError{cause: grp.failure})
+	default:
+		return nil, siskinrill.NewNotLeaderError("")
 	}
 }
 
