load: judge missing answers on request, and add the measuring script

Cause: a cut answer of a stand-in is caught by the agents and reported as unknown, so the judge had nothing to name; the figures of the capacity page had no single command.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,14 @@
 	  PATH=$$PWD/.bin:$$PATH protoc -I internal/wire --go_out=. --go_opt=module=github.com/siskinrill/siskinrill \
 	    --go-grpc_out=. --go-grpc_opt=module=github.com/siskinrill/siskinrill internal/wire/$$d/*.proto || exit 1; \
 	done
+
+# Repeats the figures of docs/CAPACITY.md in about 8 minutes; nothing else should run on the machine.
+MEASURED = docs/measurements
+measure:
+	mkdir -p $(MEASURED)
+	$(GO) test -count=1 -timeout 12m ./internal/bench/scale -args -scale.counts=100,200,400,810 -scale.partitions=16384 -scale.seconds=10 -scale.output=$(CURDIR)/$(MEASURED)/sessions.json
+	$(GO) test -run xxx -bench 'Baselines|HotKeysChange|Plan' -benchtime 1x ./internal/control/assign > $(MEASURED)/assign.txt
+	$(GO) test -run xxx -bench 'Memory|Apply|Read' -benchtime 200ms ./internal/control/registry > $(MEASURED)/registry.txt
+	$(GO) test -run xxx -bench Propose -benchtime 2s ./internal/control/member > $(MEASURED)/log.txt
+	$(GO) test -run xxx -bench 'Handler|Handle|Lookup|RecordMemory' -benchtime 5000x ./internal/agent/... > $(MEASURED)/path.txt
+	examples/measure.sh $$(mktemp -d) $(MEASURED) > $(MEASURED)/load.txt
--- a/cmd/siskinrill/load.go
+++ b/cmd/siskinrill/load.go
@@ -56,6 +56,7 @@
 	set.IntVar(&opt.UploadBytes, "upload-bytes", load.DefaultUploadBytes, "length of an upload")
 	set.IntVar(&opt.AnswerBytes, "answer-bytes", load.DefaultAnswerBytes, "padding of an answer")
 	set.BoolVar(&opt.ResendUnknown, "resend", false, "resend a non-idempotent request of unknown outcome once with its Idempotency-Key")
+	set.BoolVar(&opt.NeedComplete, "need-complete", false, "a request without a whole answer counts as a broken promise")
 	set.Float64Var(&opt.DirectShare, "direct", 0, "share of idempotent requests sent to a stand-in directly, for comparison")
 	set.Uint64Var(&opt.Seed, "seed", 1, "seed of the workload")
 	set.StringVar(&flg.output, "output", "", "file for the JSON report")
--- a/internal/bench/deployment/failure_test.go
+++ b/internal/bench/deployment/failure_test.go
@@ -401,13 +401,15 @@
 
 // Guards against a judge that misses a doubled run or a cut answer of a real stand-in.
 func injectedFaults(t *testing.T, sut *suite) {
-	for name, body := range map[string]string{
-		"runs_at_most_once": `{"duplicate_runs":1}`,
+	for promise, body := range map[string]string{
+		"runs_at_most_once":      `{"duplicate_runs":1}`,
+		"every_request_complete": `{"cut_answers":1}`,
 	} {
 		inject(t, sut.URL("standin-checkout-1"), body)
-		out, err := sut.Run(t.Context(), "load", "--mix", sut.mix, "--only", "non_idempotent", "--rate", "100", "--duration", "1s",
+		out, err := sut.Run(t.Context(), "load", "--mix", sut.mix, "--only", "non_idempotent", "--rate", "100", "--duration", "1s", "--need-complete",
 			"--target", sut.URL("agent-checkout-2"), "--ledger-file", strings.Join(sut.Ledgers(), ","))
-		must.Error(t, err)
-		must.StrContains(t, out, name)
+		inject(t, sut.URL("standin-checkout-1"), "{}")
+		must.ErrorContains(t, err, "exit status 1")
+		must.StrContains(t, out, promise+": request ")
 	}
 }
--- a/internal/bench/load/judge.go
+++ b/internal/bench/load/judge.go
@@ -13,6 +13,7 @@
 	promiseUpload     = "acknowledged_upload_kept"
 	promiseOneOwner   = "one_owner"
 	promiseAcceptedOk = "complete_was_run"
+	promiseComplete   = "every_request_complete" // only if asked for
 )
 
 // Violation is one broken promise.
@@ -79,6 +80,17 @@
 	return txt
 }
 
+// judgeComplete names the requests whose callers did not get a whole answer.
+func judgeComplete(calls []*call) []Violation {
+	var out []Violation
+	for _, cal := range calls {
+		if !cal.plan.direct && !cal.served() {
+			out = append(out, Violation{promiseComplete, cal.plan.id, cal.plan.key, fmt.Sprintf("outcome %s, status %d, reason %s", cal.outcome, cal.status, cal.reason)})
+		}
+	}
+	return out
+}
+
 // judgeOwners finds keys served by two owners: a run that started under an older fencing token after a run under a newer one.
 func judgeOwners(rows []row) []Violation {
 	srt := make([]row, 0, len(rows))
--- a/internal/bench/load/report.go
+++ b/internal/bench/load/report.go
@@ -87,6 +87,9 @@
 	}
 	rep.summarise()
 	rep.Violations = judge(calls, rows)
+	if opt.NeedComplete {
+		rep.Violations = append(rep.Violations, judgeComplete(calls)...)
+	}
 	rep.PromiseKept = len(rep.Violations) == 0
 	rep.Balance = balances(start, calls)
 	rep.Unavailable = unavailable(calls)
