--- a/internal/agent/caller/options.go
+++ b/internal/agent/caller/options.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,8 +22,8 @@
 }
 
 func (opt Options) withDefaults() Options {
-	opt.Grace = orDefault(opt.Grace, 100*time.Millisecond)
-	opt.Poll = orDefault(opt.Poll, 25*time.Millisecond)
+	opt.Grace = cmp.Or(opt.Grace, 100*time.Millisecond)
+	opt.Poll = cmp.Or(opt.Poll, 25*time.Millisecond)
 	if opt.MaxWaiting <= 0 {
 		// At 3,600 requests/s this is about one second of all requests, and some 100 MB.
 		opt.MaxWaiting = 4096
@@ -33,13 +34,6 @@
 	return opt
 }
 
-func orDefault(dur, def time.Duration) time.Duration {
-	if dur > 0 {
-		return dur
-	}
-	return def
-}
-
 // Defaults for a service or route that leaves a limit at zero.
 const (
 	defaultTimeout     = 10 * time.Second
@@ -52,11 +46,11 @@
 )
 
 func timeout(rte *controlpb.Route) time.Duration {
-	return orDefault(time.Duration(rte.GetTimeoutMs())*time.Millisecond, defaultTimeout)
+	return cmp.Or(time.Duration(rte.GetTimeoutMs())*time.Millisecond, defaultTimeout)
 }
 
 func hold(svc *controlpb.Service) time.Duration {
-	return orDefault(time.Duration(svc.GetHoldMs())*time.Millisecond, defaultHold)
+	return cmp.Or(time.Duration(svc.GetHoldMs())*time.Millisecond, defaultHold)
 }
 
 func maxBody(rte *controlpb.Route) int64 {
--- a/internal/agent/control/options.go
+++ b/internal/agent/control/options.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -51,22 +52,15 @@
 	eventGap       = "session_table_gap"
 )
 
-func orDefault(dur, def time.Duration) time.Duration {
-	if dur > 0 {
-		return dur
-	}
-	return def
-}
-
 func (opt Options) withDefaults() Options {
-	opt.Lease = orDefault(opt.Lease, 1400*time.Millisecond)
-	opt.Renew = orDefault(opt.Renew, 250*time.Millisecond)
-	opt.AnswerTimeout = orDefault(opt.AnswerTimeout, 400*time.Millisecond)
-	opt.WelcomeTimeout = orDefault(opt.WelcomeTimeout, 600*time.Millisecond)
-	opt.Stagger = orDefault(opt.Stagger, 30*time.Millisecond)
-	opt.Retry = orDefault(opt.Retry, 50*time.Millisecond)
-	opt.Report = orDefault(opt.Report, time.Second)
-	opt.Freshness = orDefault(opt.Freshness, 10*time.Second)
+	opt.Lease = cmp.Or(opt.Lease, 1400*time.Millisecond)
+	opt.Renew = cmp.Or(opt.Renew, 250*time.Millisecond)
+	opt.AnswerTimeout = cmp.Or(opt.AnswerTimeout, 400*time.Millisecond)
+	opt.WelcomeTimeout = cmp.Or(opt.WelcomeTimeout, 600*time.Millisecond)
+	opt.Stagger = cmp.Or(opt.Stagger, 30*time.Millisecond)
+	opt.Retry = cmp.Or(opt.Retry, 50*time.Millisecond)
+	opt.Report = cmp.Or(opt.Report, time.Second)
+	opt.Freshness = cmp.Or(opt.Freshness, 10*time.Second)
 	if opt.Logger == nil {
 		opt.Logger = logrus.StandardLogger()
 	}
--- a/internal/agent/owner/admit.go
+++ b/internal/agent/owner/admit.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"container/heap"
 	"context"
 	"time"
@@ -34,7 +35,7 @@
 func (own *Owner) enqueue(tck *ticket) (queued bool, ref *siskinrill.Refusal) {
 	slots := own.slots()
 	svc := own.ses.Service(tck.shard.service)
-	limit := orDefault(int(svc.GetQueueLimit()), defaultQueue)
+	limit := cmp.Or(int(svc.GetQueueLimit()), defaultQueue)
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	own.lim.ramp = durationOr(svc.GetRampMs(), time.Millisecond, defaultRamp)
--- a/internal/agent/owner/options.go
+++ b/internal/agent/owner/options.go
@@ -1,6 +1,9 @@
 package owner
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Limits and times of the owner.
 const (
@@ -47,20 +50,13 @@
 }
 
 func (opt Options) withDefaults() Options {
-	opt.MaxRecords = orDefault(opt.MaxRecords, 1<<17)
-	opt.MaxPast = orDefault(opt.MaxPast, 1<<18)
-	opt.MaxIdempotency = orDefault(opt.MaxIdempotency, 1<<16)
-	opt.MaxKeptBytes = orDefault(opt.MaxKeptBytes, 32<<20)
+	opt.MaxRecords = cmp.Or(opt.MaxRecords, 1<<17)
+	opt.MaxPast = cmp.Or(opt.MaxPast, 1<<18)
+	opt.MaxIdempotency = cmp.Or(opt.MaxIdempotency, 1<<16)
+	opt.MaxKeptBytes = cmp.Or(opt.MaxKeptBytes, 32<<20)
 	return opt
 }
 
-func orDefault(val, def int) int {
-	if val == 0 {
-		return def
-	}
-	return val
-}
-
 func durationOr(val uint32, unit, def time.Duration) time.Duration {
 	if val == 0 {
 		return def
--- a/internal/agent/peer/pool.go
+++ b/internal/agent/peer/pool.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -32,20 +33,13 @@
 	IdleTimeout time.Duration
 }
 
-func orDefault(dur, def time.Duration) time.Duration {
-	if dur > 0 {
-		return dur
-	}
-	return def
-}
-
 func (opt Options) withDefaults() Options {
-	opt.ConnectTimeout = orDefault(opt.ConnectTimeout, 400*time.Millisecond)
-	opt.ProveAfter = orDefault(opt.ProveAfter, 200*time.Millisecond)
-	opt.ProveTimeout = orDefault(opt.ProveTimeout, 100*time.Millisecond)
-	opt.PingAfter = orDefault(opt.PingAfter, 250*time.Millisecond)
-	opt.PingTimeout = orDefault(opt.PingTimeout, 500*time.Millisecond)
-	opt.IdleTimeout = orDefault(opt.IdleTimeout, time.Minute)
+	opt.ConnectTimeout = cmp.Or(opt.ConnectTimeout, 400*time.Millisecond)
+	opt.ProveAfter = cmp.Or(opt.ProveAfter, 200*time.Millisecond)
+	opt.ProveTimeout = cmp.Or(opt.ProveTimeout, 100*time.Millisecond)
+	opt.PingAfter = cmp.Or(opt.PingAfter, 250*time.Millisecond)
+	opt.PingTimeout = cmp.Or(opt.PingTimeout, 500*time.Millisecond)
+	opt.IdleTimeout = cmp.Or(opt.IdleTimeout, time.Minute)
 	if opt.Logger == nil {
 		opt.Logger = logrus.StandardLogger()
 	}
--- a/internal/bench/load/options.go
+++ b/internal/bench/load/options.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"time"
@@ -57,33 +58,15 @@
 func (oer *OptionError) Error() string { return fmt.Sprintf("%s: %s", oer.option, oer.detail) }
 
 func (opt *Options) setDefaults() {
-	if opt.Rate == 0 {
-		opt.Rate = DefaultRate
-	}
-	if opt.Duration == 0 {
-		opt.Duration = DefaultDuration
-	}
-	if opt.Timeout == 0 {
-		opt.Timeout = DefaultTimeout
-	}
-	if opt.Keys == 0 {
-		opt.Keys = DefaultKeys
-	}
-	if opt.Zipf == 0 {
-		opt.Zipf = DefaultZipf
-	}
-	if opt.HotKeys == 0 {
-		opt.HotKeys = DefaultHotKeys
-	}
-	if opt.MaxOutstanding == 0 {
-		opt.MaxOutstanding = DefaultMaxOutstanding
-	}
-	if opt.AnswerBytes == 0 {
-		opt.AnswerBytes = DefaultAnswerBytes
-	}
-	if opt.UploadBytes == 0 {
-		opt.UploadBytes = DefaultUploadBytes
-	}
+	opt.Rate = cmp.Or(opt.Rate, DefaultRate)
+	opt.Duration = cmp.Or(opt.Duration, DefaultDuration)
+	opt.Timeout = cmp.Or(opt.Timeout, DefaultTimeout)
+	opt.Keys = cmp.Or(opt.Keys, DefaultKeys)
+	opt.Zipf = cmp.Or(opt.Zipf, DefaultZipf)
+	opt.HotKeys = cmp.Or(opt.HotKeys, DefaultHotKeys)
+	opt.MaxOutstanding = cmp.Or(opt.MaxOutstanding, DefaultMaxOutstanding)
+	opt.AnswerBytes = cmp.Or(opt.AnswerBytes, DefaultAnswerBytes)
+	opt.UploadBytes = cmp.Or(opt.UploadBytes, DefaultUploadBytes)
 }
 
 func (opt *Options) check() error {
--- a/internal/bench/standin/options.go
+++ b/internal/bench/standin/options.go
@@ -1,6 +1,9 @@
 package standin
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of the options.
 const (
@@ -56,11 +59,11 @@
 }
 
 func (opt Options) withDefaults() Options {
-	opt.Slots = orDefault(opt.Slots, defaultSlots)
-	opt.Connections = orDefault(opt.Connections, defaultConnections)
-	opt.Backlog = orDefault(opt.Backlog, opt.Slots)
-	opt.LedgerRows = orDefault(opt.LedgerRows, defaultRows)
-	opt.WarmKeys = orDefault(opt.WarmKeys, defaultWarmKeys)
+	opt.Slots = cmp.Or(opt.Slots, defaultSlots)
+	opt.Connections = cmp.Or(opt.Connections, defaultConnections)
+	opt.Backlog = cmp.Or(opt.Backlog, opt.Slots)
+	opt.LedgerRows = cmp.Or(opt.LedgerRows, defaultRows)
+	opt.WarmKeys = cmp.Or(opt.WarmKeys, defaultWarmKeys)
 	if opt.Listen == "" {
 		opt.Listen = defaultListen
 	}
@@ -69,10 +72,3 @@
 	}
 	return opt
 }
-
-func orDefault(val, def int) int {
-	if val == 0 {
-		return def
-	}
-	return val
-}
--- a/internal/control/agent/options.go
+++ b/internal/control/agent/options.go
@@ -1,6 +1,9 @@
 package agent
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Options are the times of the sessions; zero values mean the defaults.
 type Options struct {
@@ -21,19 +24,12 @@
 }
 
 func (opt Options) withDefaults() Options {
-	opt.Lease = defaultTime(opt.Lease, 1400*time.Millisecond)
-	opt.Wait = defaultTime(opt.Wait, 1490*time.Millisecond)
-	opt.RenewEvery = defaultTime(opt.RenewEvery, 250*time.Millisecond)
-	opt.Tick = defaultTime(opt.Tick, 100*time.Millisecond)
-	opt.ConfigLag = defaultTime(opt.ConfigLag, 10*time.Second)
-	opt.ConfirmGather = defaultTime(opt.ConfirmGather, 5*time.Millisecond)
-	opt.SendTimeout = defaultTime(opt.SendTimeout, 5*time.Second)
+	opt.Lease = cmp.Or(opt.Lease, 1400*time.Millisecond)
+	opt.Wait = cmp.Or(opt.Wait, 1490*time.Millisecond)
+	opt.RenewEvery = cmp.Or(opt.RenewEvery, 250*time.Millisecond)
+	opt.Tick = cmp.Or(opt.Tick, 100*time.Millisecond)
+	opt.ConfigLag = cmp.Or(opt.ConfigLag, 10*time.Second)
+	opt.ConfirmGather = cmp.Or(opt.ConfirmGather, 5*time.Millisecond)
+	opt.SendTimeout = cmp.Or(opt.SendTimeout, 5*time.Second)
 	return opt
 }
-
-func defaultTime(val, def time.Duration) time.Duration {
-	if val == 0 {
-		return def
-	}
-	return val
-}
--- a/internal/control/assign/policy.go
+++ b/internal/control/assign/policy.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/siskinrill/siskinrill"
@@ -24,42 +25,21 @@
 }
 
 func (lim Limits) withDefaults() Limits {
-	lim.InFlightDivisor = defaultInt(lim.InFlightDivisor, 8)
-	lim.BalancePerTick = defaultInt(lim.BalancePerTick, 8)
-	lim.RowsPerTick = defaultInt(lim.RowsPerTick, 4096)
-	lim.Pause = defaultTime(lim.Pause, 30*time.Second)
-	lim.HighFactor = defaultShare(lim.HighFactor, 1.10)
-	lim.HighFor = defaultTime(lim.HighFor, 3*time.Second)
-	lim.LowFactor = defaultShare(lim.LowFactor, 1.04)
-	lim.StaleAfter = defaultTime(lim.StaleAfter, 5*time.Second)
-	lim.HotShare = defaultShare(lim.HotShare, 0.25)
-	lim.ColdShare = defaultShare(lim.ColdShare, 0.10)
-	lim.ColdFor = defaultTime(lim.ColdFor, 30*time.Second)
-	lim.Window = defaultTime(lim.Window, 10*time.Second)
+	lim.InFlightDivisor = cmp.Or(lim.InFlightDivisor, 8)
+	lim.BalancePerTick = cmp.Or(lim.BalancePerTick, 8)
+	lim.RowsPerTick = cmp.Or(lim.RowsPerTick, 4096)
+	lim.Pause = cmp.Or(lim.Pause, 30*time.Second)
+	lim.HighFactor = cmp.Or(lim.HighFactor, 1.10)
+	lim.HighFor = cmp.Or(lim.HighFor, 3*time.Second)
+	lim.LowFactor = cmp.Or(lim.LowFactor, 1.04)
+	lim.StaleAfter = cmp.Or(lim.StaleAfter, 5*time.Second)
+	lim.HotShare = cmp.Or(lim.HotShare, 0.25)
+	lim.ColdShare = cmp.Or(lim.ColdShare, 0.10)
+	lim.ColdFor = cmp.Or(lim.ColdFor, 30*time.Second)
+	lim.Window = cmp.Or(lim.Window, 10*time.Second)
 	return lim
 }
 
-func defaultInt(val, def int) int {
-	if val == 0 {
-		return def
-	}
-	return val
-}
-
-func defaultTime(val, def time.Duration) time.Duration {
-	if val == 0 {
-		return def
-	}
-	return val
-}
-
-func defaultShare(val, def float64) float64 {
-	if val == 0 {
-		return def
-	}
-	return val
-}
-
 // Policy decides on ownership; it remembers recent moves and how long a state has lasted, and is used by one goroutine.
 type Policy struct {
 	limits Limits
