owner: copy idempotency records to two other agents

Cause: the records of Idempotency-Keys were only at the owner, so a resend after the loss of its host ran the request a second time.

Change: before the hand-over of a keyed request the owner stores a pending record on two other agents, chosen by rendezvous hashing with zones, and updates it after the run. A next owner fetches the copies of a partition once for each token before the first keyed request. New RPCs StoreCopies and FetchCopies, Routes.Nodes, reason record_not_copied. A record whose time to live is over no longer hides a transferred or fetched one.

Conclusion: the mechanism is in place; not yet shown by tests of its own.

--- a/internal/agent/caller/fakes_test.go
+++ b/internal/agent/caller/fakes_test.go
@@ -71,6 +71,7 @@
 func (ses *fakeSession) Fresh() bool                       { return !ses.stale }
 func (ses *fakeSession) Service(string) *controlpb.Service { return ses.service }
 func (ses *fakeSession) Node(num uint64) *controlpb.Node   { return ses.nodes[num] }
+func (ses *fakeSession) Nodes() []*controlpb.Node          { return nil }
 func (ses *fakeSession) Version() uint64                   { return ses.row.Load().version }
 
 func (ses *fakeSession) Shard(string, string) *controlpb.Shard {
@@ -126,6 +127,7 @@
 
 // fakeOwners stand for the owners and the connections to them; they record what ran by request id.
 type fakeOwners struct {
+	siskinrill.CopyHolder
 	ses      *fakeSession
 	mu       sync.Mutex
 	script   map[string][]fault
@@ -306,7 +308,10 @@
 }
 
 // remoteOwner gives the fake the method set of a forwarder.
-type remoteOwner struct{ *fakeOwners }
+type remoteOwner struct {
+	*fakeOwners
+	siskinrill.CopySender
+}
 
 func (own remoteOwner) Withdraw(ctx context.Context, _ string, req *peerpb.WithdrawRequest) (*peerpb.WithdrawAnswer, error) {
 	return own.fakeOwners.Withdraw(ctx, req)
@@ -327,7 +332,7 @@
 func newFixture() *fixture {
 	fix := &fixture{ses: newFakeSession(), cnt: siskinrill.NewCounters()}
 	fix.own = newFakeOwners(fix.ses)
-	fix.han = New(Options{}, fix.ses, remoteOwner{fix.own}, fix.own, fix.cnt)
+	fix.han = New(Options{}, fix.ses, remoteOwner{fakeOwners: fix.own}, fix.own, fix.cnt)
 	return fix
 }
 
--- a/internal/agent/control/session.go
+++ b/internal/agent/control/session.go
@@ -91,6 +91,9 @@
 // Node returns a registered agent by session, nil if it is gone; it must not be changed.
 func (ses *Session) Node(session uint64) *controlpb.Node { return ses.table.node(session) }
 
+// Nodes returns the registered agents in no particular order; they must not be changed.
+func (ses *Session) Nodes() []*controlpb.Node { return ses.table.registered() }
+
 // Version returns the newest applied log index.
 func (ses *Session) Version() uint64 {
 	ver, _ := ses.table.versions()
--- a/internal/agent/control/table.go
+++ b/internal/agent/control/table.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -72,6 +74,12 @@
 	return tbl.nodes[ses]
 }
 
+func (tbl *table) registered() []*controlpb.Node {
+	tbl.mu.RLock()
+	defer tbl.mu.RUnlock()
+	return slices.Collect(maps.Values(tbl.nodes))
+}
+
 func (tbl *table) versions() (uint64, uint64) {
 	tbl.mu.RLock()
 	defer tbl.mu.RUnlock()
--- a/internal/agent/owner/claim.go
+++ b/internal/agent/owner/claim.go
@@ -28,6 +28,7 @@
 	kept    *peerpb.Response
 	until   time.Time
 	over    chan struct{} // nil once it has ended
+	adopted bool          // taken over from a copy on another agent
 }
 
 // expire drops the record unless its request still runs.
@@ -156,7 +157,9 @@
 		return
 	}
 	tck.claim = nil
+	defer own.updateCopies(tck, clm)
 	if how.outcome == peerpb.Outcome_OUTCOME_NOT_RUN {
+		clm.outcome = how.outcome
 		delete(own.claims, clm.id)
 	} else {
 		clm.outcome = how.outcome
--- /dev/null
+++ b/internal/agent/owner/copies.go
@@ -0,0 +1,173 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+const (
+	// copyTimeout bounds the wait for the copies of a pending record, which delays the request.
+	copyTimeout = 100 * time.Millisecond
+	// updateTimeout bounds one try to update the copies after the run, which nobody waits for.
+	updateTimeout = 500 * time.Millisecond
+	// updateTries is how often an update is tried; a lost one leaves a pending copy, whose resend at a next owner gets outcome unknown.
+	updateTries = 2
+)
+
+// copies tells where the record of a running request was sent.
+type copies struct {
+	addrs     []string
+	partition uint32
+	token     uint64
+	sequence  uint64
+}
+
+// of returns the message for a record.
+func (cpy *copies) of(rec *peerpb.IdempotencyRecord) *peerpb.StoreCopiesRequest {
+	row := &peerpb.RecordCopy{Record: rec, Partition: cpy.partition, Token: cpy.token, Sequence: cpy.sequence}
+	return &peerpb.StoreCopiesRequest{Copies: []*peerpb.RecordCopy{row}}
+}
+
+// copyPending stores the record of a request on two other agents before its hand-over; the lease is checked after this, so a next owner finds the record.
+func (own *Owner) copyPending(ctx context.Context, tck *ticket, row *controlpb.Shard) *siskinrill.Refusal {
+	if !tck.repeatable() || own.flt.noCopy {
+		return nil
+	}
+	addrs := own.holderAddresses(row)
+	if len(addrs) == 0 {
+		return nil
+	}
+	tck.copies = &copies{addrs: addrs, partition: row.GetPartition(), token: row.GetToken(), sequence: own.seq.Add(1)}
+	req := tck.copies.of(own.pendingRecord(tck))
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	if err := own.sendCopies(ctx, addrs, req); err != nil {
+		return siskinrill.NewRefusal(siskinrill.ReasonRecordNotCopied, peerpb.Outcome_OUTCOME_NOT_RUN, err)
+	}
+	return nil
+}
+
+// pendingRecord is kept until the request must have ended and its record would expire; the fingerprint of a body still to come is not known.
+func (own *Owner) pendingRecord(tck *ticket) *peerpb.IdempotencyRecord {
+	opn := tck.att.Open()
+	return &peerpb.IdempotencyRecord{
+		Service: opn.GetService(), Key: opn.GetKey(), IdempotencyKey: opn.GetIdempotencyKey(), Fingerprint: tck.fingerprint(),
+		Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, TtlMs: uint32((time.Until(tck.deadline) + tck.ttl).Milliseconds()),
+	}
+}
+
+// holderCache spares the ranking of all agents for each request; it is valid for one version of the tables.
+type holderCache struct {
+	mu      sync.Mutex
+	version uint64
+	session uint64
+	addrs   map[partitionID][]string
+}
+
+// find returns the addresses of a partition, and false if they are not known for these versions.
+func (hdc *holderCache) find(ver, ses uint64, part partitionID) ([]string, bool) {
+	hdc.mu.Lock()
+	defer hdc.mu.Unlock()
+	if hdc.version != ver || hdc.session != ses {
+		return nil, false
+	}
+	addrs, ok := hdc.addrs[part]
+	return addrs, ok
+}
+
+func (hdc *holderCache) add(ver, ses uint64, part partitionID, addrs []string) {
+	hdc.mu.Lock()
+	defer hdc.mu.Unlock()
+	if hdc.addrs == nil || hdc.version != ver || hdc.session != ses {
+		hdc.version, hdc.session, hdc.addrs = ver, ses, map[partitionID][]string{}
+	}
+	hdc.addrs[part] = addrs
+}
+
+// holderAddresses returns the addresses of the agents that store copies of a row's records.
+func (own *Owner) holderAddresses(row *controlpb.Shard) []string {
+	ver, ses := own.ses.Version(), own.ses.Session()
+	part := partitionID{service: row.GetService(), partition: row.GetPartition()}
+	if addrs, ok := own.hdc.find(ver, ses, part); ok {
+		return addrs
+	}
+	var addrs []string
+	for _, nod := range pickHolders(rankNodes(own.ses.Nodes(), part.service, part.partition), own.self()) {
+		addrs = append(addrs, nod.GetPeerAddress())
+	}
+	own.hdc.add(ver, ses, part, addrs)
+	return addrs
+}
+
+// self returns the row of this agent.
+func (own *Owner) self() *controlpb.Node {
+	ses := own.ses.Session()
+	if nod := own.ses.Node(ses); nod != nil {
+		return nod
+	}
+	return &controlpb.Node{Session: ses}
+}
+
+// sendCopies sends copies to all addresses in parallel and fails if none has taken them.
+func (own *Owner) sendCopies(ctx context.Context, addrs []string, req *peerpb.StoreCopiesRequest) error {
+	out := make(chan error, len(addrs))
+	for _, addr := range addrs {
+		go func() { out <- own.fwd.SendCopies(ctx, addr, req) }()
+	}
+	stored := 0
+	var last error
+	for range addrs {
+		select {
+		case err := <-out:
+			if err == nil {
+				stored++
+				continue
+			}
+			last = err
+			own.cnt.Event("record_copy_failed")
+		case <-ctx.Done():
+			last = ctx.Err()
+		}
+	}
+	if stored > 0 {
+		return nil
+	}
+	return errors.Wrap(last, "store record copies")
+}
+
+// updateCopies sends the outcome of a request to the holders of its copies; the caller holds the mutex and does not wait.
+func (own *Owner) updateCopies(tck *ticket, clm *claim) {
+	if tck.copies == nil {
+		return
+	}
+	rec := &peerpb.IdempotencyRecord{
+		Service: clm.id.service, Key: clm.id.key, IdempotencyKey: clm.id.idem, Fingerprint: clm.print,
+		Outcome: clm.outcome, Response: clm.kept, TtlMs: uint32(tck.ttl.Milliseconds()),
+	}
+	req := tck.copies.of(rec)
+	for _, addr := range tck.copies.addrs {
+		go own.updateCopy(addr, req)
+	}
+}
+
+func (own *Owner) updateCopy(addr string, req *peerpb.StoreCopiesRequest) {
+	var err error
+	for range updateTries {
+		ctx, cancel := context.WithTimeout(context.Background(), updateTimeout)
+		err = own.fwd.SendCopies(ctx, addr, req)
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+	own.cnt.Event("record_copy_update_failed")
+	logrus.Debugf("owner: a record copy at %s was not updated: %v", addr, err)
+}
--- a/internal/agent/owner/fake_test.go
+++ b/internal/agent/owner/fake_test.go
@@ -38,6 +38,7 @@
 	drain    bool
 	svc      *controlpb.Service
 	released []*controlpb.ShardRef
+	nodes    []*controlpb.Node // registered agents, nil for none but this one
 	onRel    func(refs []*controlpb.ShardRef)
 }
 
@@ -107,6 +108,11 @@
 	return &controlpb.Node{Session: ses, PeerAddress: "127.0.0.1:1"}
 }
 
+func (fse *fakeSession) Nodes() (list []*controlpb.Node) {
+	fse.read(func() { list = fse.nodes })
+	return list
+}
+
 func (fse *fakeSession) Version() (ver uint64) {
 	fse.read(func() { ver = fse.version })
 	return ver
--- /dev/null
+++ b/internal/agent/owner/fetch.go
@@ -0,0 +1,157 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// fetchTimeout bounds the wait for the copies of a partition; the first request with an Idempotency-Key waits for it.
+const fetchTimeout = 300 * time.Millisecond
+
+// fetch is one request for the copies of a shard; ok is valid once over is closed.
+type fetch struct {
+	token uint64
+	over  chan struct{}
+	ok    bool
+}
+
+// fetcher remembers for which grants the copies were fetched.
+type fetcher struct {
+	mu   sync.Mutex
+	done map[shardID]*fetch
+}
+
+// begin returns the fetch of a grant and whether the caller must carry it out.
+func (fcr *fetcher) begin(row *controlpb.Shard) (*fetch, bool) {
+	fcr.mu.Lock()
+	defer fcr.mu.Unlock()
+	fch := fcr.done[shardOf(row)]
+	if fch != nil && fch.token == row.GetToken() {
+		return fch, false
+	}
+	fch = &fetch{token: row.GetToken(), over: make(chan struct{})}
+	fcr.done[shardOf(row)] = fch
+	return fch, true
+}
+
+// end ends a fetch; a failed one is forgotten, so that the next request tries again.
+func (fcr *fetcher) end(row *controlpb.Shard, fch *fetch, ok bool) {
+	fcr.mu.Lock()
+	defer fcr.mu.Unlock()
+	fch.ok = ok
+	if !ok && fcr.done[shardOf(row)] == fch {
+		delete(fcr.done, shardOf(row))
+	}
+	close(fch.over)
+}
+
+// forget drops what is known of shards that are not among the rows.
+func (fcr *fetcher) forget(rows []*controlpb.Shard) {
+	owned := make(map[shardID]bool, len(rows))
+	for _, row := range rows {
+		owned[shardOf(row)] = true
+	}
+	fcr.mu.Lock()
+	defer fcr.mu.Unlock()
+	for shd := range fcr.done {
+		if !owned[shd] {
+			delete(fcr.done, shd)
+		}
+	}
+}
+
+// fetchCopies returns once the copies of an earlier owner's records are known here, which is done once for each granted token.
+func (own *Owner) fetchCopies(ctx context.Context, row *controlpb.Shard) *siskinrill.Refusal {
+	if own.flt.noFetch {
+		return nil
+	}
+	fch, first := own.fch.begin(row)
+	if first {
+		go own.fetch(context.WithoutCancel(ctx), row, fch)
+	}
+	select {
+	case <-fch.over:
+	case <-ctx.Done():
+		return siskinrill.NotRun(waitReason(ctx))
+	}
+	if !fch.ok {
+		return siskinrill.NotRun(siskinrill.ReasonRecordNotCopied)
+	}
+	return nil
+}
+
+// fetch asks the agents that may hold copies. It waits for all of them up to the timeout, since two quick answers may both be of agents that hold none.
+func (own *Owner) fetch(ctx context.Context, row *controlpb.Shard, fch *fetch) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	part := partitionID{service: row.GetService(), partition: row.GetPartition()}
+	asked, answers := own.ask(ctx, part)
+	full := own.adopt(own.cps.find(part))
+	got := 0
+	for range asked {
+		select {
+		case res := <-answers:
+			if res.err == nil {
+				got++
+				full = own.adopt(res.copies) || full
+			}
+		case <-ctx.Done():
+		}
+	}
+	ok := !full && (got > 0 || asked == 0)
+	if !ok {
+		own.cnt.Event("record_copies_not_fetched")
+		logrus.Warnf("owner: no copies of idempotency records for %s/%d: %d of %d agents answered", part.service, part.partition, got, asked)
+	}
+	own.fch.end(row, fch, ok)
+}
+
+// fetched is what one agent answered.
+type fetched struct {
+	copies []*peerpb.RecordCopy
+	err    error
+}
+
+// ask sends the request to the candidates other than this agent and returns their number.
+func (own *Owner) ask(ctx context.Context, part partitionID) (int, <-chan fetched) {
+	req := &peerpb.FetchCopiesRequest{Service: part.service, Partition: part.partition}
+	out := make(chan fetched, copyCandidates)
+	slf, asked := own.self(), 0
+	for _, nod := range pickCandidates(rankNodes(own.ses.Nodes(), part.service, part.partition)) {
+		if same(nod, slf) {
+			continue
+		}
+		asked++
+		go func() {
+			cps, err := own.fwd.FetchCopies(ctx, nod.GetPeerAddress(), req)
+			out <- fetched{copies: cps, err: err}
+		}()
+	}
+	return asked, out
+}
+
+// adopt takes over fetched copies and reports whether there was no room for all; a completed record replaces a pending one of another holder.
+func (own *Owner) adopt(cps []*peerpb.RecordCopy) (full bool) {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	for _, cpy := range cps {
+		rec := cpy.GetRecord()
+		idt := claimKey{service: rec.GetService(), key: rec.GetKey(), idem: rec.GetIdempotencyKey()}
+		old := own.claims[idt]
+		if old != nil && old.adopted && old.outcome != peerpb.Outcome_OUTCOME_COMPLETE && rec.GetOutcome() == peerpb.Outcome_OUTCOME_COMPLETE {
+			own.dropClaim(old)
+		}
+		full = !own.store(rec) || full
+		if clm := own.claims[idt]; clm != nil && clm != old {
+			clm.adopted = true
+		}
+	}
+	return full
+}
--- a/internal/agent/owner/handle.go
+++ b/internal/agent/owner/handle.go
@@ -53,6 +53,9 @@
 	tck.shard = shardOf(row)
 	tck.ttl = durationOr(own.ses.Service(tck.shard.service).GetIdempotencyTtlS(), time.Second, defaultTTL)
 	if tck.repeatable() {
+		if ref := own.fetchCopies(ctx, row); ref != nil {
+			return nil, ref
+		}
 		ans, ref := own.repeat(ctx, tck)
 		if ans != nil || ref != nil {
 			return ans, ref
@@ -64,7 +67,7 @@
 	if !own.tell(ctx, []*controlpb.Shard{row}) {
 		return nil, siskinrill.NotRun(waitReason(ctx))
 	}
-	return nil, nil
+	return nil, own.copyPending(ctx, tck, row)
 }
 
 // dispatch checks row and lease as the last step and hands the attempt over.
--- /dev/null
+++ b/internal/agent/owner/keeper.go
@@ -0,0 +1,171 @@
+package owner
+
+import (
+	"container/list"
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// copySweep is how often all copies are searched for expired ones; 65,536 copies are walked each time.
+const copySweep = 10 * time.Second
+
+// partitionID names a partition of a service.
+type partitionID struct {
+	service   string
+	partition uint32
+}
+
+// copyRow is a copy of another agent's record.
+type copyRow struct {
+	part  partitionID
+	id    claimKey
+	copy  *peerpb.RecordCopy
+	size  int
+	until time.Time
+}
+
+// copyStore keeps copies of other agents' records in memory; the oldest are dropped when there are too many.
+type copyStore struct {
+	limit int // copies
+	room  int // bytes
+	cnt   *siskinrill.Counters
+
+	mu    sync.Mutex
+	order *list.List // of *copyRow, the oldest first
+	parts map[partitionID]map[claimKey]*list.Element
+	bytes int
+	swept time.Time
+}
+
+func newCopyStore(limit, room int, cnt *siskinrill.Counters) *copyStore {
+	return &copyStore{limit: limit, room: room, cnt: cnt, order: list.New(), parts: map[partitionID]map[claimKey]*list.Element{}, swept: time.Now()}
+}
+
+// StoreCopies stores, replaces or drops copies of another owner's records.
+func (own *Owner) StoreCopies(_ context.Context, req *peerpb.StoreCopiesRequest) (*peerpb.StoreCopiesAnswer, error) {
+	for _, cpy := range req.GetCopies() {
+		own.cps.store(cpy)
+	}
+	return &peerpb.StoreCopiesAnswer{}, nil
+}
+
+// FindCopies returns the copies of a partition that have not expired.
+func (own *Owner) FindCopies(_ context.Context, req *peerpb.FetchCopiesRequest) ([]*peerpb.RecordCopy, error) {
+	return own.cps.find(partitionID{service: req.GetService(), partition: req.GetPartition()}), nil
+}
+
+// store takes over a copy unless it is older than the one at hand; a copy with outcome not_run drops that one.
+func (cps *copyStore) store(cpy *peerpb.RecordCopy) {
+	rec := cpy.GetRecord()
+	row := &copyRow{
+		part: partitionID{service: rec.GetService(), partition: cpy.GetPartition()},
+		id:   claimKey{service: rec.GetService(), key: rec.GetKey(), idem: rec.GetIdempotencyKey()},
+		copy: cpy, size: proto.Size(cpy), until: time.Now().Add(time.Duration(rec.GetTtlMs()) * time.Millisecond),
+	}
+	cps.mu.Lock()
+	defer cps.mu.Unlock()
+	if elm := cps.parts[row.part][row.id]; elm != nil {
+		old := elm.Value.(*copyRow).copy
+		if !replaces(cpy, old) {
+			return
+		}
+		cps.remove(elm)
+	}
+	if rec.GetOutcome() != peerpb.Outcome_OUTCOME_NOT_RUN {
+		cps.add(row)
+	}
+}
+
+// replaces reports whether a copy is newer than another, or of the same run and does not undo its completion.
+func replaces(cpy, old *peerpb.RecordCopy) bool {
+	if cpy.GetToken() != old.GetToken() {
+		return cpy.GetToken() > old.GetToken()
+	}
+	if cpy.GetSequence() != old.GetSequence() {
+		return cpy.GetSequence() > old.GetSequence()
+	}
+	return old.GetRecord().GetOutcome() != peerpb.Outcome_OUTCOME_COMPLETE
+}
+
+func (cps *copyStore) add(row *copyRow) {
+	part := cps.parts[row.part]
+	if part == nil {
+		part = map[claimKey]*list.Element{}
+		cps.parts[row.part] = part
+	}
+	part[row.id] = cps.order.PushBack(row)
+	cps.bytes += row.size
+	for cps.order.Len() > cps.limit || cps.bytes > cps.room && cps.order.Len() > 1 {
+		old := cps.order.Front()
+		if old.Value.(*copyRow).until.After(time.Now()) {
+			cps.cnt.Event("record_copies_dropped")
+		}
+		cps.remove(old)
+	}
+}
+
+func (cps *copyStore) remove(elm *list.Element) {
+	row := cps.order.Remove(elm).(*copyRow)
+	cps.bytes -= row.size
+	delete(cps.parts[row.part], row.id)
+	if len(cps.parts[row.part]) == 0 {
+		delete(cps.parts, row.part)
+	}
+}
+
+// find returns the copies of a partition with the rest of their time to live.
+func (cps *copyStore) find(part partitionID) []*peerpb.RecordCopy {
+	now := time.Now()
+	cps.mu.Lock()
+	defer cps.mu.Unlock()
+	var out []*peerpb.RecordCopy
+	for _, elm := range cps.parts[part] {
+		row := elm.Value.(*copyRow)
+		if now.Before(row.until) {
+			out = append(out, withTTL(row.copy, row.until.Sub(now)))
+		}
+	}
+	return out
+}
+
+// withTTL returns a copy with another time to live; the stored answer is shared.
+func withTTL(cpy *peerpb.RecordCopy, ttl time.Duration) *peerpb.RecordCopy {
+	rec := cpy.GetRecord()
+	return &peerpb.RecordCopy{
+		Partition: cpy.GetPartition(), Token: cpy.GetToken(), Sequence: cpy.GetSequence(),
+		Record: &peerpb.IdempotencyRecord{
+			Service: rec.GetService(), Key: rec.GetKey(), IdempotencyKey: rec.GetIdempotencyKey(), Fingerprint: rec.GetFingerprint(),
+			Outcome: rec.GetOutcome(), Response: rec.GetResponse(), TtlMs: uint32(ttl.Milliseconds()),
+		},
+	}
+}
+
+// sweep drops the expired copies.
+func (cps *copyStore) sweep(now time.Time) {
+	cps.mu.Lock()
+	defer cps.mu.Unlock()
+	if now.Sub(cps.swept) < copySweep {
+		return
+	}
+	cps.swept = now
+	for elm := cps.order.Front(); elm != nil; {
+		next := elm.Next()
+		if !now.Before(elm.Value.(*copyRow).until) {
+			cps.remove(elm)
+		}
+		elm = next
+	}
+}
+
+// size returns the number of copies and their bytes.
+func (cps *copyStore) size() (num, bytes int) {
+	cps.mu.Lock()
+	defer cps.mu.Unlock()
+	return cps.order.Len(), cps.bytes
+}
--- a/internal/agent/owner/loop.go
+++ b/internal/agent/owner/loop.go
@@ -70,6 +70,7 @@
 			rows := own.ses.Owned()
 			own.tell(ctx, rows)
 			own.untell(ctx, rows)
+			own.fch.forget(rows)
 		}
 	}
 }
@@ -91,6 +92,7 @@
 }
 
 func (own *Owner) sweep(now time.Time) {
+	own.cps.sweep(now)
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	own.past.sweep(now)
--- a/internal/agent/owner/options.go
+++ b/internal/agent/owner/options.go
@@ -44,6 +44,10 @@
 	MaxIdempotency int
 	// MaxKeptBytes bounds the answers kept for repetition; default 32 MiB.
 	MaxKeptBytes int
+	// MaxCopies bounds the copies of other agents' idempotency records; default 65,536.
+	MaxCopies int
+	// MaxCopyBytes bounds the bytes of these copies; default 16 MiB.
+	MaxCopyBytes int
 }
 
 func (opt Options) withDefaults() Options {
@@ -51,6 +55,8 @@
 	opt.MaxPast = orDefault(opt.MaxPast, 1<<18)
 	opt.MaxIdempotency = orDefault(opt.MaxIdempotency, 1<<16)
 	opt.MaxKeptBytes = orDefault(opt.MaxKeptBytes, 32<<20)
+	opt.MaxCopies = orDefault(opt.MaxCopies, 1<<16)
+	opt.MaxCopyBytes = orDefault(opt.MaxCopyBytes, 16<<20)
 	return opt
 }
 
@@ -74,4 +80,6 @@
 	noTombstone  bool
 	releaseEarly bool
 	extraSlots   int
+	noCopy       bool // no record is stored on other agents before the hand-over
+	noFetch      bool // a new owner does not ask for copies
 }
--- a/internal/agent/owner/owner.go
+++ b/internal/agent/owner/owner.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/siskinrill/siskinrill"
@@ -23,6 +24,10 @@
 
 	kick chan struct{} // wakes Run after a request has ended
 	tld  teller
+	cps  *copyStore
+	fch  fetcher
+	hdc  holderCache
+	seq  atomic.Uint64 // of the copies that this owner sends
 
 	mu        sync.Mutex
 	sessions  []uint64 // of this process, the newest last
@@ -55,6 +60,8 @@
 	}
 	own.lim.ramp = defaultRamp
 	own.tld.told = map[shardID]uint64{}
+	own.cps = newCopyStore(opt.MaxCopies, opt.MaxCopyBytes, cnt)
+	own.fch.done = map[shardID]*fetch{}
 	own.tld.busy = make(chan struct{}, 1)
 	return own
 }
--- a/internal/agent/owner/queue.go
+++ b/internal/agent/owner/queue.go
@@ -35,6 +35,7 @@
 	started  time.Time
 	holds    bool          // has a slot
 	claim    *claim        // of its Idempotency-Key
+	copies   *copies       // of its idempotency record on other agents, nil while none was sent
 	bdy      *requestBody  // nil when the first message holds the whole body
 	ttl      time.Duration // of its idempotency record
 	cancel   context.CancelFunc
--- a/internal/agent/owner/transfer.go
+++ b/internal/agent/owner/transfer.go
@@ -44,8 +44,11 @@
 // store takes over a record unless there is one already; the caller holds the mutex.
 func (own *Owner) store(rec *peerpb.IdempotencyRecord) bool {
 	idt := claimKey{service: rec.GetService(), key: rec.GetKey(), idem: rec.GetIdempotencyKey()}
-	if own.claims[idt] != nil {
-		return true
+	if old := own.claims[idt]; old != nil {
+		if old.running || time.Now().Before(old.until) {
+			return true
+		}
+		own.dropClaim(old)
 	}
 	if len(own.claims) >= own.opt.MaxIdempotency {
 		own.cnt.Event("transfer_records_full")
--- a/internal/agent/owner/vars.go
+++ b/internal/agent/owner/vars.go
@@ -14,6 +14,8 @@
 		"owner_past_attempts":       own.gauge(func() int { return len(own.past.newer) + len(own.past.older) }),
 		"owner_idempotency_records": own.gauge(func() int { return len(own.claims) }),
 		"owner_kept_bytes":          own.gauge(func() int { return own.keptBytes }),
+		"owner_record_copies":       expvar.Func(func() any { num, _ := own.cps.size(); return num }),
+		"owner_record_copy_bytes":   expvar.Func(func() any { _, num := own.cps.size(); return num }),
 		"owner_moving":              own.gauge(func() int { return len(own.moves) }),
 	}
 }
--- a/path.go
+++ b/path.go
@@ -54,8 +54,25 @@
 	return ans.body.Close()
 }
 
+// CopyHolder keeps copies of other agents' idempotency records.
+type CopyHolder interface {
+	// StoreCopies stores, replaces or drops copies.
+	StoreCopies(ctx context.Context, req *peerpb.StoreCopiesRequest) (*peerpb.StoreCopiesAnswer, error)
+	// FindCopies returns the copies of a partition that have not expired.
+	FindCopies(ctx context.Context, req *peerpb.FetchCopiesRequest) ([]*peerpb.RecordCopy, error)
+}
+
+// CopySender reaches the CopyHolder of the agent at an IP:port.
+type CopySender interface {
+	// SendCopies stores, replaces or drops copies there.
+	SendCopies(ctx context.Context, addr string, req *peerpb.StoreCopiesRequest) error
+	// FetchCopies returns the copies of a partition there, all of them or an error.
+	FetchCopies(ctx context.Context, addr string, req *peerpb.FetchCopiesRequest) ([]*peerpb.RecordCopy, error)
+}
+
 // Owner serves attempts for the keys that this agent owns.
 type Owner interface {
+	CopyHolder
 	// Handle runs an attempt; an error is a *Refusal, found by errors.As.
 	Handle(ctx context.Context, att *Attempt) (*Answer, error)
 	// Withdraw stops an attempt that has not started, or tells what became of it.
@@ -66,6 +83,7 @@
 
 // Forwarder carries attempts to the agent of the owner at an IP:port.
 type Forwarder interface {
+	CopySender
 	// Forward sends an attempt; an error is a *Refusal, found by errors.As.
 	Forward(ctx context.Context, addr string, att *Attempt) (*Answer, error)
 	// Withdraw asks the owner over a connection that is proved alive.
@@ -117,6 +135,8 @@
 	Shard(svc, key string) *controlpb.Shard
 	// Node returns a registered agent by session, nil if it is gone.
 	Node(session uint64) *controlpb.Node
+	// Nodes returns the registered agents in no particular order; they must not be changed.
+	Nodes() []*controlpb.Node
 	// Version returns the newest applied log index.
 	Version() uint64
 	// Await returns once the version is over ver, or with the context's error.
--- a/reason.go
+++ b/reason.go
@@ -61,6 +61,8 @@
 	ReasonDuplicateAttempt Reason = "duplicate_attempt"
 	// ReasonAnswerNotKept means that the request with this Idempotency-Key ran, but its answer was too long to keep.
 	ReasonAnswerNotKept Reason = "answer_not_kept"
+	// ReasonRecordNotCopied means that no other agent stored or returned copies of idempotency records in time.
+	ReasonRecordNotCopied Reason = "record_not_copied"
 	// ReasonInternal means a fault of the router itself.
 	ReasonInternal Reason = "internal"
 )
