--- /dev/null
+++ b/internal/agent/owner/copies_test.go
@@ -0,0 +1,300 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+// TestCopies guards against a second run of a keyed request after the loss of its owner, and shows after which losses one is possible.
+func TestCopies(t *testing.T) {
+	const (
+		lostRsn = siskinrill.ReasonBackendLost
+		refused = siskinrill.ReasonRecordNotCopied
+	)
+	tests := map[string]struct {
+		nodes  int
+		before func(flt *fleet)                            // before the request
+		during func(flt *fleet)                            // 10 ms after its arrival
+		after  func(flt *fleet)                            // after it has ended
+		edit   func(opn *peerpb.Open)                      // of the resend
+		move   func(t *testing.T, flt *fleet, from *bench) // before the next owner's grant
+		first  siskinrill.Reason
+		resend siskinrill.Reason
+		runs   int
+	}{
+		"owner lost before the run": {
+			nodes: 9, before: func(flt *fleet) { flt.delays = []time.Duration{20 * time.Millisecond} },
+			during: func(flt *fleet) { flt.expire(0) },
+			after:  func(flt *fleet) { flt.lose(0) }, first: siskinrill.ReasonNoLease, resend: lostRsn,
+		},
+		"owner lost during the run":   {nodes: 9, during: func(flt *fleet) { flt.lose(0) }, resend: lostRsn, runs: 1},
+		"owner lost after the run":    {nodes: 9, after: func(flt *fleet) { flt.lose(0) }, runs: 1},
+		"first holder lost as well":   {nodes: 9, after: func(flt *fleet) { flt.lose(0); flt.lose(flt.holders()[0]) }, runs: 1},
+		"second holder lost as well":  {nodes: 9, after: func(flt *fleet) { flt.lose(0); flt.lose(flt.holders()[1]) }, runs: 1},
+		"holder lost before the run":  {nodes: 9, before: func(flt *fleet) { flt.lose(flt.holders()[0]) }, after: func(flt *fleet) { flt.lose(0) }, runs: 1},
+		"both holders lost before":    {nodes: 9, before: func(flt *fleet) { flt.lose(flt.holders()[0]); flt.lose(flt.holders()[1]) }, first: refused, runs: 1},
+		"both holders and owner lost": {nodes: 9, after: func(flt *fleet) { flt.lose(0); flt.lose(flt.holders()[0]); flt.lose(flt.holders()[1]) }, runs: 2},
+		"no other agent":              {nodes: 1, runs: 1},
+		"two agents":                  {nodes: 2, after: func(flt *fleet) { flt.lose(0) }, runs: 1},
+		"record expired":              {nodes: 9, after: func(flt *fleet) { flt.lose(0); time.Sleep(62 * time.Second) }, runs: 2},
+		"other request": {
+			nodes: 9, after: func(flt *fleet) { flt.lose(0) },
+			edit: func(opn *peerpb.Open) { opn.Target = "/orders/ab/refund" }, resend: siskinrill.ReasonIdempotencyKeyReused, runs: 1,
+		},
+		"planned move": {nodes: 9, move: planned, runs: 1},
+	}
+	for name, tcs := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				flt := newFleet(t.Context(), tcs.nodes, []time.Duration{time.Millisecond}, faults{})
+				flt.run = 30 * time.Millisecond
+				call(tcs.before, flt)
+				out := flt.nodes[0].start(t.Context(), flt.open("pay"))
+				time.Sleep(10 * time.Millisecond)
+				call(tcs.during, flt)
+				must.Eq(t, tcs.first, reasonOf(<-out))
+				time.Sleep(10 * time.Millisecond)
+				call(tcs.after, flt)
+				from, upto := flt.nodes[flt.owner], flt.next()
+				if tcs.move != nil {
+					tcs.move(t, flt, from)
+				}
+				flt.grant(upto)
+				opn := flt.open("pay")
+				if tcs.edit != nil {
+					tcs.edit(opn)
+				}
+				must.Eq(t, tcs.resend, reasonOf(<-flt.nodes[upto].start(t.Context(), opn)))
+				must.Eq(t, tcs.runs, flt.ran("pay"))
+				time.Sleep(updateTries * updateTimeout)
+			})
+		})
+	}
+}
+
+func call(fnc func(flt *fleet), flt *fleet) {
+	if fnc != nil {
+		fnc(flt)
+	}
+}
+
+// planned releases the partition and hands its records to the next owner.
+func planned(t *testing.T, flt *fleet, from *bench) {
+	t.Helper()
+	from.ses.change(func() {
+		for _, row := range from.ses.rows {
+			row.Phase, row.Target = controlpb.Phase_PHASE_RELEASING, flt.rows[flt.next()].GetSession()
+		}
+	})
+	synctest.Wait()
+	req := &peerpb.TransferRequest{ToSession: flt.rows[flt.next()].GetSession(), Records: from.fwd.transferred()}
+	ans, err := flt.nodes[flt.next()].own.Transfer(t.Context(), req)
+	must.NoError(t, err)
+	must.Eq(t, uint32(1), ans.GetKept())
+}
+
+// TestFetchAgain guards against keyed requests that run, or stay refused, after a fetch that nobody answered.
+func TestFetchAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		flt := newFleet(t.Context(), 4, []time.Duration{time.Millisecond}, faults{})
+		must.NoError(t, <-flt.nodes[0].start(t.Context(), flt.open("pay")))
+		time.Sleep(10 * time.Millisecond)
+		flt.lose(0)
+		flt.grant(flt.next())
+		flt.delays[0] = time.Second
+		began := time.Now()
+		must.Eq(t, siskinrill.ReasonRecordNotCopied, reasonOf(<-flt.nodes[flt.owner].start(t.Context(), flt.open("pay"))))
+		must.Eq(t, fetchTimeout, time.Since(began))
+		flt.delays[0] = time.Millisecond
+		must.NoError(t, <-flt.nodes[flt.owner].start(t.Context(), flt.open("pay")))
+		must.Eq(t, 1, flt.ran("pay"))
+		time.Sleep(updateTries * updateTimeout)
+	})
+}
+
+// TestCopyOrder guards against a late message that drops or replaces a newer copy.
+func TestCopyOrder(t *testing.T) {
+	const unknown, complete, notRan = peerpb.Outcome_OUTCOME_UNKNOWN, peerpb.Outcome_OUTCOME_COMPLETE, peerpb.Outcome_OUTCOME_NOT_RUN
+	cpy := func(tok, seq uint64, out peerpb.Outcome) *peerpb.RecordCopy {
+		return &peerpb.RecordCopy{Token: tok, Sequence: seq, Record: &peerpb.IdempotencyRecord{Service: svcName, Outcome: out, TtlMs: 1000}}
+	}
+	tests := map[string]struct {
+		sent []*peerpb.RecordCopy
+		left []peerpb.Outcome
+	}{
+		"completed":               {sent: []*peerpb.RecordCopy{cpy(1, 1, unknown), cpy(1, 1, complete)}, left: []peerpb.Outcome{complete}},
+		"late pending":            {sent: []*peerpb.RecordCopy{cpy(1, 1, complete), cpy(1, 1, unknown)}, left: []peerpb.Outcome{complete}},
+		"dropped":                 {sent: []*peerpb.RecordCopy{cpy(1, 1, unknown), cpy(1, 1, notRan)}},
+		"late drop":               {sent: []*peerpb.RecordCopy{cpy(1, 2, unknown), cpy(1, 1, notRan)}, left: []peerpb.Outcome{unknown}},
+		"late drop of old owner":  {sent: []*peerpb.RecordCopy{cpy(2, 1, unknown), cpy(1, 9, notRan)}, left: []peerpb.Outcome{unknown}},
+		"later run of next owner": {sent: []*peerpb.RecordCopy{cpy(1, 9, complete), cpy(2, 1, unknown)}, left: []peerpb.Outcome{unknown}},
+	}
+	for name, tcs := range tests {
+		t.Run(name, func(t *testing.T) {
+			cps := newCopyStore(4, 1<<10, siskinrill.NewCounters())
+			var left []peerpb.Outcome
+			for _, cpy := range tcs.sent {
+				cps.store(cpy)
+			}
+			for _, cpy := range cps.find(partitionID{service: svcName}) {
+				left = append(left, cpy.GetRecord().GetOutcome())
+			}
+			must.Eq(t, tcs.left, left)
+		})
+	}
+}
+
+// TestCopyBounds guards against copies that grow without bound, drops that are not counted, and expired copies that stay.
+func TestCopyBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cnt := siskinrill.NewCounters()
+		cps := newCopyStore(4, 1<<10, cnt)
+		for num := range 6 {
+			cps.store(&peerpb.RecordCopy{Record: &peerpb.IdempotencyRecord{Service: svcName, Key: fmt.Sprint(num), Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, TtlMs: 1000}})
+		}
+		num, _ := cps.size()
+		must.Eq(t, 4, num)
+		must.Eq(t, "2", counter(cnt, "events", "record_copies_dropped"))
+		long := &peerpb.Response{Body: make([]byte, 900)}
+		cps.store(&peerpb.RecordCopy{Record: &peerpb.IdempotencyRecord{Service: svcName, Key: "a", Response: long, TtlMs: 1000}})
+		cps.store(&peerpb.RecordCopy{Record: &peerpb.IdempotencyRecord{Service: svcName, Key: "b", Response: long, TtlMs: 1000}})
+		num, size := cps.size()
+		must.Eq(t, 1, num)
+		must.Less(t, 1<<10, size)
+		time.Sleep(copySweep)
+		must.SliceEmpty(t, cps.find(partitionID{service: svcName}))
+		cps.sweep(time.Now())
+		num, size = cps.size()
+		must.Eq(t, 0, num+size)
+	})
+}
+
+// TestCandidatesCoverHolders guards against a next owner that asks none of the agents with copies, for any zone of the lost owner and the loss of one holder.
+func TestCandidatesCoverHolders(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var nodes []*controlpb.Node
+		for pos, zone := range rapid.SliceOfN(rapid.IntRange(0, 4), 4, 24).Draw(rt, "zones") {
+			nodes = append(nodes, &controlpb.Node{Session: uint64(pos + 1), Name: fmt.Sprintf("n%d", pos), Zone: fmt.Sprintf("z%d", zone)})
+		}
+		own := rapid.SampledFrom(nodes).Draw(rt, "owner")
+		hol := pickHolders(rankNodes(nodes, svcName, 1), own)
+		gone := rapid.SampledFrom(hol).Draw(rt, "lost")
+		var live []*controlpb.Node
+		for _, nod := range nodes {
+			if nod != own && nod != gone {
+				live = append(live, nod)
+			}
+		}
+		found := 0
+		for _, nod := range pickCandidates(rankNodes(live, svcName, 1)) {
+			if nod == hol[0] || nod == hol[1] {
+				found++
+			}
+		}
+		if len(hol) != copyHolders || found != 1 {
+			rt.Fatalf("%d holders, %d of them asked", len(hol), found)
+		}
+	})
+}
+
+// copyPlan is one owner's loss and at most one holder's, among requests and resends.
+type copyPlan struct {
+	nodes, owner, holder, back, next, calls int // positions in the sequence of calls, or of agents
+	delays                                  []int
+	run, wait                               int // ms
+}
+
+var copyPlanGen = rapid.Custom(func(rt *rapid.T) copyPlan {
+	num := func(low, high int, txt string) int { return rapid.IntRange(low, high).Draw(rt, txt) }
+	return copyPlan{
+		nodes: num(4, 12, "nodes"), calls: num(4, 10, "calls"), owner: num(0, 8, "owner"), holder: num(0, 20, "holder"),
+		back: num(0, 12, "back"), next: num(0, 11, "next"), run: num(0, 60, "run"), wait: num(0, 40, "wait"),
+		delays: rapid.SliceOfN(rapid.IntRange(0, 90), 1, 5).Draw(rt, "delays"),
+	}
+})
+
+// runCopyPlan returns the requests that ran more than once.
+func runCopyPlan(t *testing.T, pln copyPlan, flts faults) []string {
+	t.Helper()
+	var found []string
+	synctest.Test(t, func(*testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		var delays []time.Duration
+		for _, num := range pln.delays {
+			delays = append(delays, time.Duration(num)*time.Millisecond)
+		}
+		flt := newFleet(ctx, pln.nodes, delays, flts)
+		flt.run = time.Duration(pln.run) * time.Millisecond
+		hol := flt.holders()[pln.holder%copyHolders]
+		for num := range pln.calls {
+			if num == pln.holder/copyHolders {
+				flt.lose(hol)
+			}
+			if num == pln.back && flt.isLost(hol) {
+				flt.restart(ctx, hol)
+				flt.grant(flt.owner)
+			}
+			if num == pln.owner {
+				flt.lose(0)
+				flt.grant(flt.successor(pln.next))
+			}
+			for idem := range 3 {
+				flt.nodes[flt.owner].start(ctx, flt.open(fmt.Sprint("pay-", idem)))
+			}
+			time.Sleep(time.Duration(pln.wait) * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		for idem := range 3 {
+			if num := flt.ran(fmt.Sprint("pay-", idem)); num > 1 {
+				found = append(found, fmt.Sprintf("request %d ran %d times", idem, num))
+			}
+		}
+		stop()
+		synctest.Wait()
+	})
+	return found
+}
+
+// successor returns a live agent, holders included.
+func (flt *fleet) successor(from int) int {
+	for pos := from % len(flt.rows); ; pos = (pos + 1) % len(flt.rows) {
+		if !flt.isLost(pos) {
+			return pos
+		}
+	}
+}
+
+// TestCopiesProperty guards against a second run after the loss of an owner and at most one holder, at any time and with any delays.
+func TestCopiesProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		if found := runCopyPlan(t, copyPlanGen.Draw(rt, "plan"), faults{}); len(found) > 0 {
+			rt.Fatalf("violations: %s", strings.Join(found, "; "))
+		}
+	})
+}
+
+// TestCopyFaultsAreFound guards against a property that would not notice a missing copy or fetch.
+func TestCopyFaultsAreFound(t *testing.T) {
+	tests := map[string]faults{"not stored before the hand-over": {noCopy: true}, "not fetched": {noFetch: true}}
+	for name, flts := range tests {
+		t.Run(name, func(t *testing.T) {
+			for num := range 200 {
+				if len(runCopyPlan(t, copyPlanGen.Example(num), flts)) > 0 {
+					return
+				}
+			}
+			t.Fatal("not noticed in 200 plans")
+		})
+	}
+}
--- a/internal/agent/owner/fake_test.go
+++ b/internal/agent/owner/fake_test.go
@@ -105,6 +105,11 @@
 }
 
 func (fse *fakeSession) Node(ses uint64) *controlpb.Node {
+	for _, nod := range fse.Nodes() {
+		if nod.GetSession() == ses {
+			return nod
+		}
+	}
 	return &controlpb.Node{Session: ses, PeerAddress: "127.0.0.1:1"}
 }
 
--- a/internal/agent/peer/fault_test.go
+++ b/internal/agent/peer/fault_test.go
@@ -337,6 +337,27 @@
 	must.Eq(t, 500, ans.GetKept())
 }
 
+// TestCopies guards against copies that are lost or cut on the way, and against an answer over the largest message.
+func TestCopies(t *testing.T) {
+	fix := newFixture(t)
+	cps, err := fix.poo.FetchCopies(t.Context(), fix.rel.address(), &peerpb.FetchCopiesRequest{})
+	must.NoError(t, err)
+	must.SliceEmpty(t, cps)
+	for num := range uint64(500) {
+		rec := &peerpb.IdempotencyRecord{Response: &peerpb.Response{Body: make([]byte, 16<<10)}}
+		req := &peerpb.StoreCopiesRequest{Copies: []*peerpb.RecordCopy{{Sequence: num, Record: rec}}}
+		must.NoError(t, fix.poo.SendCopies(t.Context(), fix.rel.address(), req))
+	}
+	cps, err = fix.poo.FetchCopies(t.Context(), fix.rel.address(), &peerpb.FetchCopiesRequest{})
+	must.NoError(t, err)
+	must.Len(t, 500, cps)
+	must.Eq(t, 499, cps[499].GetSequence())
+	fix.rel.shut()
+	must.Error(t, fix.poo.SendCopies(t.Context(), fix.rel.address(), &peerpb.StoreCopiesRequest{}))
+	_, err = fix.poo.FetchCopies(t.Context(), fix.rel.address(), &peerpb.FetchCopiesRequest{})
+	must.Error(t, err)
+}
+
 // TestProof guards against a proof of not_run for an attempt of which a byte may have been written.
 func TestProof(t *testing.T) {
 	for written, notRun := range map[uint64]bool{0: true, 1: false} {
--- a/internal/agent/peer/relay_test.go
+++ b/internal/agent/peer/relay_test.go
@@ -121,6 +121,7 @@
 	siskinrill.Owner
 	handle  func(ctx context.Context, att *siskinrill.Attempt) (*siskinrill.Answer, error)
 	arrived atomic.Int32
+	copies  []*peerpb.RecordCopy
 }
 
 func (own *fakeOwner) Handle(ctx context.Context, att *siskinrill.Attempt) (*siskinrill.Answer, error) {
@@ -136,6 +137,15 @@
 	return &peerpb.TransferAnswer{Kept: uint32(len(req.GetRecords()))}, nil
 }
 
+func (own *fakeOwner) StoreCopies(_ context.Context, req *peerpb.StoreCopiesRequest) (*peerpb.StoreCopiesAnswer, error) {
+	own.copies = append(own.copies, req.GetCopies()...)
+	return &peerpb.StoreCopiesAnswer{}, nil
+}
+
+func (own *fakeOwner) FindCopies(context.Context, *peerpb.FetchCopiesRequest) ([]*peerpb.RecordCopy, error) {
+	return own.copies, nil
+}
+
 // echo answers with the body of the request.
 func echo(_ context.Context, att *siskinrill.Attempt) (*siskinrill.Answer, error) {
 	bdy := att.Open().GetBody()
