bench: resend payments after the loss of their host

Cause: no test with separate processes resent a payment whose owner was lost, so a second run across agents would have gone unnoticed.

Change: a scenario kills the host of a checkout agent while slow payments run there, and the load generator resends what is unknown with its Idempotency-Key.

--- a/internal/bench/deployment/failure_test.go
+++ b/internal/bench/deployment/failure_test.go
@@ -43,6 +43,7 @@
 	sut := start(t, "rangsudhar", bin)
 	scenarios := map[string]scenario{
 		"host killed":                      hostKilled,
+		"payment host killed":              paymentHostKilled,
 		"backend server killed":            backendKilled,
 		"backend server frozen":            backendFrozen,
 		"agent frozen":                     agentFrozen,
@@ -154,6 +155,17 @@
 	servedWithin(t, rep, servedAgain)
 }
 
+// Guards against a payment that runs again when its caller resends it after the loss of the owner's host. Slow runs make sure that some are cut off.
+func paymentHostKilled(t *testing.T, sut *suite) {
+	inject(t, sut.URL("standin-checkout-2"), `{"slow_factor":60}`)
+	rep := sut.under(t, load.Options{Rate: 500, Duration: 6 * time.Second, ResendUnknown: true, Targets: sut.Targets("agent-checkout-2")}, func() {
+		time.Sleep(2 * time.Second)
+		sut.Kill("agent-checkout-2", "standin-checkout-2")
+	})
+	sut.relaunch(t, "agent-checkout-2", "standin-checkout-2")
+	must.Positive(t, rep.Outcomes["non_idempotent"]["unknown"])
+}
+
 // Guards against keys left with an agent whose backend server is gone.
 func backendKilled(t *testing.T, sut *suite) {
 	rep := sut.under(t, load.Options{Duration: 6 * time.Second}, func() {
