--- a/internal/agent/owner/fake_test.go
+++ b/internal/agent/owner/fake_test.go
@@ -38,6 +38,7 @@
 	drain    bool
 	svc      *controlpb.Service
 	released []*controlpb.ShardRef
+	nodes    []*controlpb.Node // registered agents, nil for none but this one
 	onRel    func(refs []*controlpb.ShardRef)
 }
 
@@ -104,9 +105,19 @@
 }
 
 func (fse *fakeSession) Node(ses uint64) *controlpb.Node {
+	for _, nod := range fse.Nodes() {
+		if nod.GetSession() == ses {
+			return nod
+		}
+	}
 	return &controlpb.Node{Session: ses, PeerAddress: "127.0.0.1:1"}
 }
 
+func (fse *fakeSession) Nodes() (list []*controlpb.Node) {
+	fse.read(func() { list = fse.nodes })
+	return list
+}
+
 func (fse *fakeSession) Version() (ver uint64) {
 	fse.read(func() { ver = fse.version })
 	return ver
--- a/internal/agent/owner/options.go
+++ b/internal/agent/owner/options.go
@@ -47,6 +47,10 @@
 	MaxIdempotency int
 	// MaxKeptBytes bounds the answers kept for repetition; default 32 MiB.
 	MaxKeptBytes int
+	// MaxCopies bounds the copies of other agents' idempotency records; default 65,536.
+	MaxCopies int
+	// MaxCopyBytes bounds the bytes of these copies; default 16 MiB.
+	MaxCopyBytes int
 }
 
 func (opt Options) withDefaults() Options {
@@ -54,6 +58,8 @@
 	opt.MaxPast = cmp.Or(opt.MaxPast, 1<<18)
 	opt.MaxIdempotency = cmp.Or(opt.MaxIdempotency, 1<<16)
 	opt.MaxKeptBytes = cmp.Or(opt.MaxKeptBytes, 32<<20)
+	opt.MaxCopies = cmp.Or(opt.MaxCopies, 1<<16)
+	opt.MaxCopyBytes = cmp.Or(opt.MaxCopyBytes, 16<<20)
 	return opt
 }
 
@@ -70,4 +76,6 @@
 	noTombstone  bool
 	releaseEarly bool
 	extraSlots   int
+	noCopy       bool // no record is stored on other agents before the hand-over
+	noFetch      bool // a new owner does not ask for copies
 }
