--- a/Makefile
+++ b/Makefile
@@ -45,5 +45,6 @@
 	$(GO) test -run xxx -bench 'Baselines|HotKeysChange|Plan' -benchtime 1x ./internal/control/assign > $(MEASURED)/assign.txt
 	$(GO) test -run xxx -bench 'Memory|Apply|Read' -benchtime 200ms ./internal/control/registry > $(MEASURED)/registry.txt
 	$(GO) test -run xxx -bench Propose -benchtime 2s ./internal/control/member > $(MEASURED)/log.txt
-	$(GO) test -run xxx -bench 'Handler|Handle|Lookup|RecordMemory' -benchtime 5000x ./internal/agent/... > $(MEASURED)/path.txt
+	$(GO) test -run xxx -bench 'Handler|Handle|Lookup' -benchtime 5000x ./internal/agent/... > $(MEASURED)/path.txt
+	$(GO) test -run xxx -bench RecordMemory -benchtime 1x ./internal/agent/owner >> $(MEASURED)/path.txt
 	examples/measure.sh $$(mktemp -d) $(MEASURED) > $(MEASURED)/load.txt
--- a/internal/bench/load/report.go
+++ b/internal/bench/load/report.go
@@ -40,12 +40,13 @@
 	DurationMs  int64                     `json:"duration_ms"`
 	Requests    int                       `json:"requests"`
 	Achieved    float64                   `json:"achieved_per_second"`
-	Outcomes    map[string]map[string]int `json:"outcomes"` // by kind
-	Reasons     map[string]int            `json:"reasons"`  // of answers that are not complete
-	Statuses    map[string]int            `json:"statuses"` // of complete answers
-	Latency     map[string]Latency        `json:"latency"`  // by kind
-	Added       map[string]float64        `json:"added"`    // idempotent against direct, in ms and as ratios
-	Balance     []Balance                 `json:"balance"`  // by service and window
+	Outcomes    map[string]map[string]int `json:"outcomes"`  // by kind
+	Reasons     map[string]int            `json:"reasons"`   // of answers that are not complete
+	Statuses    map[string]int            `json:"statuses"`  // of complete answers
+	Latency     map[string]Latency        `json:"latency"`   // by kind
+	Upstreams   map[string]Latency        `json:"upstreams"` // of idempotent requests, by the upstream that answered
+	Added       map[string]float64        `json:"added"`     // idempotent against direct, in ms and as ratios
+	Balance     []Balance                 `json:"balance"`   // by service and window
 	Unavailable Unavailable               `json:"unavailable"`
 	LedgerRows  int                       `json:"ledger_rows"`
 	Resends     int                       `json:"resends"`
@@ -55,6 +56,7 @@
 	Seconds     []Second                  `json:"per_second"`
 	start       time.Time
 	hists       map[string]*hdrhistogram.Histogram
+	byUpstream  map[string]*hdrhistogram.Histogram
 }
 
 // Bar is a bar of a latency histogram.
@@ -79,8 +81,8 @@
 		Mix: opt.Mix, Seed: opt.Seed, Rate: opt.Rate, DurationMs: opt.Duration.Milliseconds(),
 		Requests: len(calls), LedgerRows: len(rows), start: start,
 		Outcomes: map[string]map[string]int{}, Reasons: map[string]int{}, Statuses: map[string]int{},
-		Latency: map[string]Latency{}, Added: map[string]float64{}, Histograms: map[string][]Bar{},
-		hists: map[string]*hdrhistogram.Histogram{},
+		Latency: map[string]Latency{}, Upstreams: map[string]Latency{}, Added: map[string]float64{}, Histograms: map[string][]Bar{},
+		hists: map[string]*hdrhistogram.Histogram{}, byUpstream: map[string]*hdrhistogram.Histogram{},
 	}
 	for _, cal := range calls {
 		rep.add(cal)
@@ -117,6 +119,18 @@
 	}
 	rep.Statuses[fmt.Sprint(cal.status)]++
 	_ = rep.hists[kind].RecordValue(min(cal.latency(), highestLatency).Microseconds())
+	if kind == kindIdempotent && cal.upstream != "" {
+		rep.addUpstream(cal)
+	}
+}
+
+func (rep *Report) addUpstream(cal *call) {
+	hst := rep.byUpstream[cal.upstream]
+	if hst == nil {
+		hst = newHistogram()
+		rep.byUpstream[cal.upstream] = hst
+	}
+	_ = hst.RecordValue(min(cal.latency(), highestLatency).Microseconds())
 }
 
 func (rep *Report) notSent() int {
@@ -136,6 +150,9 @@
 		rep.Latency[kind] = summary(hst)
 		rep.Histograms[kind] = bars(hst)
 	}
+	for nam, hst := range rep.byUpstream {
+		rep.Upstreams[nam] = summary(hst)
+	}
 	dir, ok := rep.Latency[directKind]
 	own, has := rep.Latency[kindIdempotent]
 	if !ok || !has || dir.P50 == 0 || dir.P99 == 0 {
@@ -212,6 +229,7 @@
 			out[outcomeComplete], out[outcomeNotRun], out[outcomeUnknown], out[outcomeNoAnswer], out[outcomeNotSent],
 			lat.P50, lat.P99, lat.P999, lat.Max)
 	}
+	rep.writeUpstreams(tab)
 	rep.writeBalance(tab)
 	fmt.Fprintf(tab, "\nunavailable: %d keys, worst %d ms, 99th percentile %d ms\n", rep.Unavailable.Keys, rep.Unavailable.WorstMs, rep.Unavailable.P99Ms)
 	if len(rep.Added) > 0 {
@@ -226,6 +244,17 @@
 	return nil
 }
 
+func (rep *Report) writeUpstreams(tab io.Writer) {
+	if len(rep.Upstreams) == 0 {
+		return
+	}
+	fmt.Fprintln(tab, "\nUPSTREAM\tIDEMPOTENT\tP50 MS\tP99 MS\tMAX MS")
+	for _, nam := range sortedKeys(rep.Upstreams) {
+		lat := rep.Upstreams[nam]
+		fmt.Fprintf(tab, "%s\t%d\t%.2f\t%.2f\t%.2f\n", nam, lat.Count, lat.P50, lat.P99, lat.Max)
+	}
+}
+
 func (rep *Report) writeBalance(tab io.Writer) {
 	if len(rep.Balance) == 0 {
 		return
