owner: let the long-term latency follow a slower server sooner

Cause: with one server 20 times slower its limit stayed at the floor of 5 of 18 slots for over 15 s, because the long-term latency rose by 1% of a window's difference only; 5 slots at 90 ms serve 55 requests/s and 80 came. Change: weight 0.03. A weight of 0.05 was tried and given up: TestLimit then saw a limit of 11 where it demands under 10 after 2 s.

--- a/internal/agent/owner/limit.go
+++ b/internal/agent/owner/limit.go
@@ -18,8 +18,8 @@
 	minGradient = 0.5
 	// smoothing is the weight of a window's result in the limit.
 	smoothing = 0.2
-	// riseWeight and fallWeight move the long-term latency; it follows a fall faster, since the lower figure shows what the server can do.
-	riseWeight = 0.01
+	// riseWeight and fallWeight move the long-term latency; it follows a fall faster, since the lower figure shows what the server can do. At a weight of 0.01 a server that had become 20 times slower was held at the floor for over 15 s, though it could serve all requests.
+	riseWeight = 0.03
 	fallWeight = 0.2
 	// shedFactor lowers the limit each time that the backend server sheds.
 	shedFactor = 0.9
