deployment: add mixed faults, which find a server that runs a request after its key moved

Cause: each fault was tested alone; effects that overlap were not. The request's expiry is the end of the agent's lease, so it can still be ahead when the server returns; an expiry of a few hundred ms for each request is to be tried first.

--- a/internal/bench/deployment/failure_test.go
+++ b/internal/bench/deployment/failure_test.go
@@ -55,6 +55,7 @@
 		"planned stops":                    plannedStops,
 		"drain by an operator":             operatorDrain,
 		"injected faults reach the report": injectedFaults,
+		"mixed faults":                     mixedFaults,
 	}
 	names := make([]string, 0, len(scenarios))
 	for name := range scenarios {
