Remove a header that nothing sets and a field that nothing reads

The benchmark of the entry keeps the header as a literal. Measured: go vet, formatter and linter are clean; the tests of the root package, load, cmd/siskinrill, caller and peer pass.

--- a/header.go
+++ b/header.go
@@ -14,8 +14,6 @@
 	HeaderFencePartition = "Siskinrill-Fence-Partition"
 	// HeaderFenceExpires carries the end of the lease to the backend server, in Unix milliseconds of the host's clock.
 	HeaderFenceExpires = "Siskinrill-Fence-Expires"
-	// HeaderUpstream names the upstream that answered.
-	HeaderUpstream = "Siskinrill-Upstream"
 	// HeaderNotRun with the value true in a backend server's refusal (409, 412, 429 or 503) is its proof that nothing ran.
 	HeaderNotRun = "Siskinrill-Not-Run"
 	// HeaderAttempt carries the attempt id ENTRY_SESSION-COUNTER to the backend server.
--- a/internal/agent/caller/bench_test.go
+++ b/internal/agent/caller/bench_test.go
@@ -21,7 +21,7 @@
 
 var quickHeaders = []*peerpb.HeaderField{
 	{Name: "Content-Type", Values: []string{"application/json"}},
-	{Name: siskinrill.HeaderUpstream, Values: []string{"checkout-1"}},
+	{Name: "Siskinrill-Upstream", Values: []string{"checkout-1"}},
 }
 
 func (quickOwner) Handle(context.Context, *siskinrill.Attempt) (*siskinrill.Answer, error) {
--- a/internal/bench/load/call.go
+++ b/internal/bench/load/call.go
@@ -122,7 +122,6 @@
 	defer rsp.Body.Close()
 	cal.status = rsp.StatusCode
 	cal.outcome = rsp.Header.Get(siskinrill.HeaderOutcome)
-	cal.upstream = rsp.Header.Get(siskinrill.HeaderUpstream)
 	bdy, err := io.ReadAll(rsp.Body)
 	if err != nil {
 		cal.outcome = outcomeNoAnswer
--- a/internal/bench/load/report.go
+++ b/internal/bench/load/report.go
@@ -54,7 +54,6 @@
 	PromiseKept bool                      `json:"promises_kept"`
 	Histograms  map[string][]Bar          `json:"histograms"` // by kind
 	Seconds     []Second                  `json:"per_second"`
-	start       time.Time
 	hists       map[string]*hdrhistogram.Histogram
 	byUpstream  map[string]*hdrhistogram.Histogram
 }
@@ -79,7 +78,7 @@
 func newReport(opt *Options, start time.Time, calls []*call, rows []row) *Report {
 	rep := &Report{
 		Mix: opt.Mix, Seed: opt.Seed, Rate: opt.Rate, DurationMs: opt.Duration.Milliseconds(),
-		Requests: len(calls), LedgerRows: len(rows), start: start,
+		Requests: len(calls), LedgerRows: len(rows),
 		Outcomes: map[string]map[string]int{}, Reasons: map[string]int{}, Statuses: map[string]int{},
 		Latency: map[string]Latency{}, Upstreams: map[string]Latency{}, Added: map[string]float64{}, Histograms: map[string][]Bar{},
 		hists: map[string]*hdrhistogram.Histogram{}, byUpstream: map[string]*hdrhistogram.Histogram{},
