--- a/errors.go
+++ b/errors.go
@@ -13,6 +13,7 @@
 	outcome    peerpb.Outcome
 	retryAfter time.Duration
 	version    uint64
+	load       *peerpb.OwnerLoad
 	cause      error
 }
 
@@ -45,6 +46,16 @@
 	return &cpy
 }
 
+// WithLoad returns a copy that carries what the refusing agent has in hand.
+func (ref *Refusal) WithLoad(lod *peerpb.OwnerLoad) *Refusal {
+	cpy := *ref
+	cpy.load = lod
+	return &cpy
+}
+
+// Load returns what the refusing agent has in hand, nil if it did not tell.
+func (ref *Refusal) Load() *peerpb.OwnerLoad { return ref.load }
+
 // Reason returns the reason, which is also the name of its counter.
 func (ref *Refusal) Reason() Reason { return ref.reason }
 
--- a/header.go
+++ b/header.go
@@ -18,6 +18,10 @@
 	HeaderNotRun = "Siskinrill-Not-Run"
 	// HeaderAttempt carries the attempt id ENTRY_SESSION-COUNTER to the backend server.
 	HeaderAttempt = "Siskinrill-Attempt"
-	// HeaderKey carries the key to the backend server.
+	// HeaderKey carries the key to the backend server, and from callers where the route does not take it from the path.
 	HeaderKey = "Siskinrill-Key"
+	// HeaderRetryAfter carries the advised wait to callers as a Go duration, which Retry-After rounds up to whole seconds.
+	HeaderRetryAfter = "Siskinrill-Retry-After"
+	// HeaderUpstream carries the id of the backend server that a request is meant for; another one at the same address must refuse it with 421.
+	HeaderUpstream = "Siskinrill-Upstream"
 )
--- a/internal/agent/backend/announce.go
+++ b/internal/agent/backend/announce.go
@@ -1,26 +1,24 @@
 package backend
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
-// maxAnnouncement is the longest body of an announcement.
-const maxAnnouncement = 64 << 10
-
-// announceAnswer is the answer to an announcement.
-type announceAnswer struct {
-	Accepted bool   `json:"accepted"`
-	Draining bool   `json:"draining"`
-	MayStop  bool   `json:"may_stop"`
-	Reason   string `json:"reason,omitempty"`
-}
+const (
+	// maxAnnouncement is the longest body of an announcement.
+	maxAnnouncement = 64 << 10
+	// connectionsPerSlot is used for a server that does not tell how many connections it takes.
+	connectionsPerSlot = 4
+)
 
 // Handler returns the handler of the address to which the backend server announces itself.
 func (cli *Client) Handler() http.Handler {
@@ -30,56 +28,99 @@
 }
 
 func (cli *Client) announce(wri http.ResponseWriter, req *http.Request) {
-	ann := &announcement{}
-	err := json.NewDecoder(http.MaxBytesReader(wri, req.Body, maxAnnouncement)).Decode(ann)
-	if err == nil {
-		err = ann.check()
-	}
-	if err != nil {
-		answerAnnouncement(wri, http.StatusBadRequest, announceAnswer{Reason: err.Error()})
+	ann := &Announcement{}
+	if err := json.NewDecoder(http.MaxBytesReader(wri, req.Body, maxAnnouncement)).Decode(ann); err != nil {
+		answerAnnouncement(wri, http.StatusBadRequest, Standing{Reason: err.Error()})
 		return
 	}
+	std, err := cli.Announce(req.Context(), ann)
+	ane := &AnnouncementError{}
+	switch {
+	case err == nil:
+		answerAnnouncement(wri, http.StatusOK, std)
+	case errors.As(err, &ane) && ane.Conflict():
+		answerAnnouncement(wri, http.StatusConflict, Standing{Reason: ane.Error()})
+	default:
+		answerAnnouncement(wri, http.StatusBadRequest, Standing{Reason: err.Error()})
+	}
+}
+
+// Announce takes an announcement over and returns the answer to it; an error is an *AnnouncementError.
+func (cli *Client) Announce(ctx context.Context, ann *Announcement) (Standing, error) {
+	if ann.Connections == 0 && cli.opt.Service != nil {
+		ann.Connections = cmp.Or(cli.opt.Service(ann.Service).GetConnections(), ann.Slots*connectionsPerSlot)
+	}
+	if err := ann.check(); err != nil {
+		return Standing{}, &AnnouncementError{reason: err.Error()}
+	}
 	if other := cli.otherAlive(ann); other != "" {
 		cli.cnt.Event("announce_other_id")
-		answerAnnouncement(wri, http.StatusConflict, announceAnswer{Reason: "this agent guards " + other})
-		return
+		return Standing{}, &AnnouncementError{reason: "this agent guards " + other, conflict: true}
+	}
+	if cli.late(ann) {
+		cli.cnt.Event("announce_late")
+		return Standing{Accepted: true}, nil
 	}
-	left := cli.accept(req.Context(), ann)
+	left := cli.accept(ctx, ann)
 	cli.report()
 	if left && cli.opt.OnDrain != nil {
 		logrus.Infof("backend: server %s is leaving", ann.ID)
 		cli.opt.OnDrain()
 	}
-	answerAnnouncement(wri, http.StatusOK, cli.standing(ann))
+	return cli.standing(ann), nil
+}
+
+// Leave takes over that a server is gone or about to be, without an announcement of its own before; it is served no longer than one that announced that it leaves.
+func (cli *Client) Leave(id string) {
+	cli.mu.Lock()
+	known := cli.ann != nil && cli.ann.ID == id && cli.usable()
+	if known {
+		cli.state = controlpb.UpstreamState_UPSTREAM_STATE_DRAINING
+		cli.left = true
+	}
+	cli.mu.Unlock()
+	if known {
+		logrus.Infof("backend: server %s has left", id)
+		cli.report()
+	}
+}
+
+func (cli *Client) late(ann *Announcement) bool {
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	return ann.older(cli.ann)
 }
 
-func answerAnnouncement(wri http.ResponseWriter, status int, ans announceAnswer) {
+func answerAnnouncement(wri http.ResponseWriter, status int, ans Standing) {
 	wri.Header().Set("Content-Type", "application/json")
 	wri.WriteHeader(status)
 	_ = json.NewEncoder(wri).Encode(ans)
 }
 
-func (cli *Client) standing(ann *announcement) announceAnswer {
-	ans := announceAnswer{Accepted: true, Draining: ann.Leaving}
+func (cli *Client) standing(ann *Announcement) Standing {
+	std := Standing{Accepted: true, Draining: ann.Leaving}
 	if cli.opt.Draining != nil {
-		ans.Draining = ans.Draining || cli.opt.Draining()
+		std.Draining = std.Draining || cli.opt.Draining()
 	}
-	ans.MayStop = ann.Leaving && cli.opt.MayStop != nil && cli.opt.MayStop()
-	return ans
+	std.MayStop = ann.Leaving && cli.opt.MayStop != nil && cli.opt.MayStop()
+	if ann.HoldsKeys {
+		cli.grantHolds(ann, &std)
+	}
+	return std
 }
 
 // otherAlive returns the id of another backend server that is announced and has not failed.
-func (cli *Client) otherAlive(ann *announcement) string {
+func (cli *Client) otherAlive(ann *Announcement) string {
 	cli.mu.Lock()
 	defer cli.mu.Unlock()
-	if cli.ann == nil || cli.ann.ID == ann.ID || !cli.usable() || time.Since(cli.heard) >= announceExpiry {
+	if cli.ann == nil || cli.ann.ID == ann.ID || ann.successor(cli.ann) || ann.older(cli.ann) || !cli.usable() || time.Since(cli.heard) >= announceExpiry {
 		return ""
 	}
 	return cli.ann.ID
 }
 
 // accept takes over an announcement and reports whether the server has just begun to leave; one that had failed is probed before it is used again.
-func (cli *Client) accept(ctx context.Context, ann *announcement) bool {
+func (cli *Client) accept(ctx context.Context, ann *Announcement) bool {
 	tgt, fresh, failed := cli.adopt(ann)
 	if failed && !cli.returned(ctx, tgt) {
 		return false
@@ -102,25 +143,39 @@
 }
 
 // adopt makes an announcement the current one; fresh means another address than before.
-func (cli *Client) adopt(ann *announcement) (tgt *target, fresh, failed bool) {
+func (cli *Client) adopt(ann *Announcement) (tgt *target, fresh, failed bool) {
 	cli.mu.Lock()
 	defer cli.mu.Unlock()
 	old := cli.ann
 	cli.ann = ann
 	cli.heard = time.Now()
-	fresh = old == nil || old.URL != ann.URL || old.Connections != ann.Connections
+	restarted := old != nil && (old.ID != ann.ID || old.Incarnation != ann.Incarnation)
+	if restarted {
+		cli.restart()
+	}
+	fresh = old == nil || restarted || old.URL != ann.URL || old.Connections != ann.Connections
 	if fresh {
 		if cli.tgt != nil {
 			cli.tgt.close()
 		}
-		cli.tgt = newTarget(ann)
-	}
-	if old != nil && old.ID != ann.ID {
-		cli.holdUntil = time.Time{}
+		cli.tgt = newTarget(ann, cli.opt)
 	}
 	return cli.tgt, fresh, cli.state == controlpb.UpstreamState_UPSTREAM_STATE_FAILED
 }
 
+// restart ends what belongs to the earlier start of the server; the caller holds the mutex.
+func (cli *Client) restart() {
+	cli.holdUntil = time.Time{}
+	cli.left = false
+	cli.keys.clear()
+	if cli.state == controlpb.UpstreamState_UPSTREAM_STATE_FAILED {
+		cli.state = controlpb.UpstreamState_UPSTREAM_STATE_SERVING
+	}
+	for rnn := range cli.runs {
+		rnn.serverFailed()
+	}
+}
+
 // returned reports whether a failed server may be used again.
 func (cli *Client) returned(ctx context.Context, tgt *target) bool {
 	if cli.held() || !cli.probe(ctx, tgt) {
--- a/internal/agent/backend/answer.go
+++ b/internal/agent/backend/answer.go
@@ -14,7 +14,7 @@
 
 // answer takes over the head of an answer and, if it is short, all of its body.
 func (rnn *run) answer(res *http.Response) (*siskinrill.Answer, *siskinrill.Refusal) {
-	if endless(res) {
+	if endless(res) && !rnn.cli.opt.Unframed {
 		res.Body.Close()
 		rnn.cli.mtr.fail()
 		return nil, siskinrill.Unknown(siskinrill.ReasonBackendBadAnswer, errors.New("the answer has neither a length nor chunks"))
--- a/internal/agent/backend/client.go
+++ b/internal/agent/backend/client.go
@@ -18,17 +18,20 @@
 	mtr meter
 
 	mu        sync.Mutex
-	ann       *announcement // nil before the first one
+	ann       *Announcement // nil before the first one
 	tgt       *target
 	state     controlpb.UpstreamState
 	heard     time.Time // last announcement
 	failures  uint      // failures in a row, for the hold
 	holdUntil time.Time
+	failedBy  string              // cause of the last failure
 	left      bool                // the server has announced that it is leaving
 	granted   map[string]uint64   // by fence partition
 	runs      map[*run]struct{}   // requests that have not ended
 	told      *controlpb.Upstream // last one given to OnUpstream
 
+	keys keys // that the server holds by its heartbeats
+
 	tellMu sync.Mutex // serializes OnUpstream
 	probed time.Time  // last answer to a probe of a silent server; only Run uses it
 }
@@ -37,7 +40,7 @@
 
 // New returns a client that waits for the first announcement.
 func New(opt Options, cnt *siskinrill.Counters) *Client {
-	return &Client{opt: opt, cnt: cnt, granted: map[string]uint64{}, runs: map[*run]struct{}{}}
+	return &Client{opt: opt.withDefaults(), cnt: cnt, granted: map[string]uint64{}, runs: map[*run]struct{}{}, keys: newKeys()}
 }
 
 // Figures returns the agent's own counts of what the backend server did.
@@ -93,9 +96,10 @@
 func (cli *Client) begin(rnn *run) *target {
 	cli.mu.Lock()
 	defer cli.mu.Unlock()
-	if !cli.usable() {
+	if !cli.usable() || cli.ann.Service != rnn.att.Open().GetService() {
 		return nil
 	}
+	rnn.upstream = cli.ann.ID
 	cli.runs[rnn] = struct{}{}
 	return cli.tgt
 }
@@ -113,7 +117,7 @@
 		cli.mu.Unlock()
 		return
 	}
-	cli.state = controlpb.UpstreamState_UPSTREAM_STATE_FAILED
+	cli.state, cli.failedBy = controlpb.UpstreamState_UPSTREAM_STATE_FAILED, cause
 	if time.Since(cli.holdUntil) > failedHoldMax {
 		cli.failures = 0
 	}
@@ -128,6 +132,11 @@
 	cli.cnt.Event("backend_failed_" + cause)
 	logrus.Warnf("backend: server %s counts as failed: %s", idt, cause)
 	tgt.close()
+	if wait := cli.keys.left(); wait > 0 && cause != causeRefused {
+		// The server may hold its keys unseen until then; another owner before that would be a second one.
+		time.AfterFunc(wait, cli.report)
+		return
+	}
 	cli.report()
 }
 
@@ -147,9 +156,13 @@
 	if cli.ann == nil {
 		return nil, false
 	}
+	if cli.state == controlpb.UpstreamState_UPSTREAM_STATE_FAILED && cli.failedBy != causeRefused && cli.keys.left() > 0 {
+		return nil, false
+	}
 	ups := &controlpb.Upstream{
 		Id: cli.ann.ID, Service: cli.ann.Service, Slots: cli.ann.Slots,
 		Connections: cli.ann.Connections, ChecksFence: cli.ann.ChecksFence, State: cli.state,
+		Incarnation: cli.ann.Incarnation,
 	}
 	if cli.told != nil && sameUpstream(cli.told, ups) {
 		return nil, false
@@ -160,5 +173,5 @@
 
 func sameUpstream(one, two *controlpb.Upstream) bool {
 	return one.Id == two.Id && one.Service == two.Service && one.Slots == two.Slots &&
-		one.Connections == two.Connections && one.ChecksFence == two.ChecksFence && one.State == two.State
+		one.Connections == two.Connections && one.ChecksFence == two.ChecksFence && one.State == two.State && one.Incarnation == two.Incarnation
 }
--- a/internal/agent/backend/conn.go
+++ b/internal/agent/backend/conn.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill/internal/host/boottime"
 )
 
 // errGateShut stops the write of a request that has ended or whose lease is over.
@@ -15,7 +17,7 @@
 type gate struct {
 	mu      sync.Mutex
 	expires time.Time
-	wall    int64 // expires in Unix nanoseconds, for a host that was suspended
+	boot    time.Duration // expires by the host's boot time, for a host that was suspended
 	started bool
 	checked bool // on the connection in use
 	shut    bool
@@ -24,7 +26,7 @@
 }
 
 func newGate(exp time.Time) *gate {
-	return &gate{expires: exp, wall: exp.UnixNano()}
+	return &gate{expires: exp, boot: boottime.Now() + time.Until(exp)}
 }
 
 // renew makes the next write check the lease again, because the request goes over a new connection.
@@ -42,7 +44,7 @@
 		return false, nil
 	}
 	now := time.Now()
-	if !now.Before(gat.expires) || now.UnixNano() >= gat.wall {
+	if !now.Before(gat.expires) || boottime.Now() >= gat.boot {
 		gat.late = true
 	}
 	if gat.shut || gat.late {
--- /dev/null
+++ b/internal/agent/backend/hold.go
@@ -0,0 +1,353 @@
+package backend
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	// clockRate is how much slower than true time a backend server's clock may run that measures its hold.
+	clockRate = 1.02
+	// holdReserve is the part of the lease that is not passed on, for the time between the computation and the sending of an answer.
+	holdReserve = 20 * time.Millisecond
+	// maxHold is the longest hold that backend servers accept.
+	maxHold = 10 * time.Second
+	// leastHold is the shortest hold worth granting: the next heartbeat could not come in time.
+	leastHold = 100 * time.Millisecond
+	// answerTime is how long the server may take to read the answer to its heartbeat; a request before that would find keys that it does not hold yet.
+	answerTime = 3 * time.Millisecond
+	// causeRefused is the cause of a failure that proves that the server has ended.
+	causeRefused = "refused"
+)
+
+// heldKeys is a partition that the server holds by an answer to a heartbeat.
+type heldKeys struct {
+	token uint64
+	from  time.Time // when the server has surely read the answer
+	until time.Time // by the slowest clock that the server may have
+}
+
+// grantKey names a partition under one token.
+type grantKey struct {
+	partition uint32
+	token     uint64
+}
+
+// revocation is a partition that the server is to give back.
+type revocation struct {
+	handover string
+	released bool
+}
+
+// keys are the partitions that the server holds by its heartbeats, and those that it is to give back.
+type keys struct {
+	mu      sync.Mutex
+	active  bool // the server has announced that it takes its keys by heartbeats
+	held    map[uint32]heldKeys
+	revoked map[grantKey]*revocation
+	changed chan struct{}
+}
+
+func newKeys() keys {
+	return keys{held: map[uint32]heldKeys{}, revoked: map[grantKey]*revocation{}, changed: make(chan struct{})}
+}
+
+// wake lets those look again that wait for a change; the caller holds the mutex.
+func (kys *keys) wake() {
+	close(kys.changed)
+	kys.changed = make(chan struct{})
+}
+
+// clear forgets what an earlier start of the server held.
+func (kys *keys) clear() {
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	clear(kys.held)
+	kys.wake()
+}
+
+// left returns how long the server may still hold any key.
+func (kys *keys) left() time.Duration {
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	rest := time.Duration(0)
+	for _, hld := range kys.held {
+		rest = max(rest, time.Until(hld.until))
+	}
+	return rest
+}
+
+// covered returns the partitions that lie whole in a range of keys.
+func covered(first, last, partitions uint32) []uint32 {
+	if partitions == 0 || first > last || last >= siskinrill.NumberKeys {
+		return nil
+	}
+	var out []uint32
+	for par := uint32(uint64(first) * uint64(partitions) / siskinrill.NumberKeys); par < partitions; par++ {
+		fst, lst := siskinrill.KeyRange(par, partitions)
+		if lst > last {
+			break
+		}
+		if fst >= first {
+			out = append(out, par)
+		}
+	}
+	return out
+}
+
+// reported returns the tokens of the partitions that the server says it holds.
+func reported(ann *Announcement, partitions uint32) map[uint32]uint64 {
+	out := map[uint32]uint64{}
+	for _, rng := range ann.Holds {
+		for _, par := range covered(rng.First, rng.Last, partitions) {
+			out[par] = rng.Token
+		}
+	}
+	return out
+}
+
+// take brings the view up to what a heartbeat tells. Heartbeats follow each other, so whatever an earlier answer granted and this one does not name was not received or has been given back.
+func (kys *keys) take(ann *Announcement, partitions uint32) map[uint32]uint64 {
+	rep := reported(ann, partitions)
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	kys.active = true
+	for _, rng := range ann.Released {
+		for _, par := range covered(rng.First, rng.Last, partitions) {
+			kys.noteReleased(par, rng.Handover)
+		}
+	}
+	for par, hld := range kys.held {
+		if tok, ok := rep[par]; !ok || tok != hld.token {
+			delete(kys.held, par)
+		}
+	}
+	for key, rev := range kys.revoked {
+		rev.released = rev.released || rep[key.partition] != key.token
+	}
+	kys.wake()
+	return rep
+}
+
+func (kys *keys) noteReleased(par uint32, handover string) {
+	for key, rev := range kys.revoked {
+		if key.partition == par {
+			rev.handover = handover
+		}
+	}
+}
+
+// offer returns the rows to grant with an answer, in the order of their keys.
+func (kys *keys) offer(rows []*controlpb.Shard, svc string) []*controlpb.Shard {
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	kys.prune(rows)
+	var out []*controlpb.Shard
+	for _, row := range rows {
+		if row.GetService() != svc || row.GetKey() != "" || kys.revoked[grantKey{row.GetPartition(), row.GetToken()}] != nil {
+			continue
+		}
+		out = append(out, row)
+	}
+	slices.SortFunc(out, func(one, two *controlpb.Shard) int { return cmp.Compare(one.GetPartition(), two.GetPartition()) })
+	return out
+}
+
+// prune ends the revocations of rows that this agent owns no longer; until then they stay out of the answers.
+func (kys *keys) prune(rows []*controlpb.Shard) {
+	owned := make(map[grantKey]bool, len(rows))
+	for _, row := range rows {
+		owned[grantKey{row.GetPartition(), row.GetToken()}] = true
+	}
+	for key := range kys.revoked {
+		if !owned[key] {
+			delete(kys.revoked, key)
+		}
+	}
+}
+
+// granted notes what an answer grants.
+func (kys *keys) granted(rows []*controlpb.Shard, hold time.Duration) {
+	now := time.Now()
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	for _, row := range rows {
+		old, ok := kys.held[row.GetPartition()]
+		hld := heldKeys{token: row.GetToken(), from: now.Add(answerTime), until: now.Add(time.Duration(float64(hold) * clockRate))}
+		if ok && old.token == hld.token && old.until.After(now) {
+			hld.from, hld.until = old.from, later(old.until, hld.until)
+		}
+		kys.held[row.GetPartition()] = hld
+	}
+	kys.wake()
+}
+
+func later(one, two time.Time) time.Time {
+	if one.After(two) {
+		return one
+	}
+	return two
+}
+
+// ranges joins neighbouring partitions under one token; what an earlier owner left is told only for keys that the server does not hold yet.
+func ranges(rows []*controlpb.Shard, partitions uint32, rep map[uint32]uint64) []GrantedRange {
+	var out []GrantedRange
+	for _, row := range rows {
+		fst, lst := siskinrill.KeyRange(row.GetPartition(), partitions)
+		rng := GrantedRange{First: fst, Last: lst, Token: row.GetToken(), Handover: row.GetHandover()}
+		if rep[row.GetPartition()] == row.GetToken() {
+			rng.Handover = ""
+		}
+		if num := len(out) - 1; num >= 0 && out[num].Last+1 == fst && out[num].Token == rng.Token && out[num].Handover == rng.Handover {
+			out[num].Last = lst
+			continue
+		}
+		out = append(out, rng)
+	}
+	return out
+}
+
+// grantHolds fills in the keys that the server is to hold, as long as the agent's lease and the server's clock allow.
+func (cli *Client) grantHolds(ann *Announcement, std *Standing) {
+	if cli.opt.Service == nil || cli.opt.Lease == nil || cli.opt.Owned == nil {
+		return
+	}
+	svc := cli.opt.Service(ann.Service)
+	rep := cli.keys.take(ann, svc.GetPartitions())
+	if svc.GetKeyMode() != controlpb.KeyMode_KEY_MODE_NUMBER || cli.current() == nil {
+		return
+	}
+	// The rows are read before the lease: rows of a session that ends in between are covered by its lease.
+	rows := cli.keys.offer(cli.opt.Owned(), ann.Service)
+	exp, valid := cli.opt.Lease()
+	hold := min(time.Duration(float64(time.Until(exp))/clockRate)-holdReserve, maxHold)
+	if !valid || hold < leastHold {
+		return
+	}
+	std.Holds = ranges(rows, svc.GetPartitions(), rep)
+	std.HoldMs = uint32(hold.Milliseconds())
+	cli.keys.granted(rows, std.hold())
+}
+
+// Held reports whether the server holds a row now; one that does not take its keys by heartbeats always does.
+func (cli *Client) Held(row *controlpb.Shard) bool {
+	held, _, _ := cli.keys.look(row)
+	return held
+}
+
+// look returns whether a row is held, otherwise from when it will be, zero if that is not known, and a channel that is closed at the next change.
+func (kys *keys) look(row *controlpb.Shard) (bool, time.Time, <-chan struct{}) {
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	if !kys.active {
+		return true, time.Time{}, nil
+	}
+	hld, ok := kys.held[row.GetPartition()]
+	now := time.Now()
+	if !ok || hld.token != row.GetToken() || !now.Before(hld.until) {
+		return false, time.Time{}, kys.changed
+	}
+	return !now.Before(hld.from), hld.from, kys.changed
+}
+
+// AwaitHold returns once the server holds a row, false if the context ended first.
+func (cli *Client) AwaitHold(ctx context.Context, row *controlpb.Shard) bool {
+	for {
+		held, from, changed := cli.keys.look(row)
+		if held {
+			return true
+		}
+		if !await(ctx, changed, from) {
+			return false
+		}
+	}
+}
+
+// await returns at a change or at a time, if that is not zero; false if the context ended first.
+func await(ctx context.Context, changed <-chan struct{}, at time.Time) bool {
+	var due <-chan time.Time
+	if !at.IsZero() {
+		tmr := time.NewTimer(time.Until(at))
+		defer tmr.Stop()
+		due = tmr.C
+	}
+	select {
+	case <-changed:
+	case <-due:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// Revoke leaves rows out of the answers to heartbeats, and returns them with what the server left for their next owner once it has given them back or cannot hold them any more; false if the context ended first.
+func (cli *Client) Revoke(ctx context.Context, refs []*controlpb.ShardRef) ([]*controlpb.ShardRef, bool) {
+	kys := &cli.keys
+	if !kys.revoke(refs) {
+		return refs, true
+	}
+	for {
+		at, changed := kys.pending(refs)
+		if changed == nil {
+			return kys.handedOver(refs), true
+		}
+		if !await(ctx, changed, at) {
+			return nil, false
+		}
+	}
+}
+
+// revoke begins a revocation, false for a server that does not take its keys by heartbeats.
+func (kys *keys) revoke(refs []*controlpb.ShardRef) bool {
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	if !kys.active {
+		return false
+	}
+	for _, ref := range refs {
+		key := grantKey{ref.GetPartition(), ref.GetToken()}
+		if kys.revoked[key] == nil {
+			kys.revoked[key] = &revocation{}
+		}
+	}
+	return true
+}
+
+// pending returns when the last row that is not given back ends by itself, and a channel for changes; that is nil once none is left.
+func (kys *keys) pending(refs []*controlpb.ShardRef) (time.Time, <-chan struct{}) {
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	var last time.Time
+	for _, ref := range refs {
+		hld, ok := kys.held[ref.GetPartition()]
+		rev := kys.revoked[grantKey{ref.GetPartition(), ref.GetToken()}]
+		if !ok || hld.token != ref.GetToken() || rev == nil || rev.released || !time.Now().Before(hld.until) {
+			continue
+		}
+		last = later(last, hld.until)
+	}
+	if last.IsZero() {
+		return last, nil
+	}
+	return last, kys.changed
+}
+
+func (kys *keys) handedOver(refs []*controlpb.ShardRef) []*controlpb.ShardRef {
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	out := make([]*controlpb.ShardRef, 0, len(refs))
+	for _, ref := range refs {
+		cpy := &controlpb.ShardRef{Service: ref.GetService(), Partition: ref.GetPartition(), Key: ref.GetKey(), Token: ref.GetToken()}
+		if rev := kys.revoked[grantKey{ref.GetPartition(), ref.GetToken()}]; rev != nil {
+			cpy.Handover = rev.handover
+		}
+		out = append(out, cpy)
+	}
+	return out
+}
--- a/internal/agent/backend/options.go
+++ b/internal/agent/backend/options.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"cmp"
+	"net/http"
 	"time"
 
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
@@ -8,12 +10,14 @@
 
 // Limits and times of the connection to the backend server.
 const (
-	// maxIdle is the longest idle time of a connection that is used again; older ones may have gone silent.
+	// maxIdle is the default of Options.MaxIdle.
 	maxIdle = 200 * time.Millisecond
 	// dialTimeout is under the lease reserve of 200 ms, so that a slow connect cannot use up the reserve.
 	dialTimeout = 100 * time.Millisecond
 	// announceExpiry is how long an announcement stands; it is repeated every second.
 	announceExpiry = 5 * time.Second
+	// beatGrace is the age of a heartbeat over which a server that answers nothing is probed, where it sends one every second or so.
+	beatGrace = 1300 * time.Millisecond
 	// silence is the time without an answer, with requests running, after which the server is probed.
 	silence = time.Second
 	// probeGap is the time between the two probes that must both fail.
@@ -46,4 +50,26 @@
 	Draining func() bool
 	// MayStop reports whether the agent owns nothing and has no request in flight, for the answer to announcements; default: never.
 	MayStop func() bool
+	// Owned returns the rows of this agent, for servers that take their keys by heartbeats; default: none.
+	Owned func() []*controlpb.Shard
+	// Lease returns the end of the agent's lease and whether it lies ahead; default: none.
+	Lease func() (time.Time, bool)
+	// Service returns a service of the configuration, nil if there is none; default: none.
+	Service func(name string) *controlpb.Service
+	// Transport wraps the connections for requests, to translate headers; default: none.
+	Transport func(pool http.RoundTripper) http.RoundTripper
+	// MaxIdle is the longest idle time of a connection that is used again, 200 ms by default; older ones may have gone silent.
+	MaxIdle time.Duration
+	// SocketBuffer is the size in bytes of the buffers of a connection, 4 KiB by default.
+	SocketBuffer int
+	// Unframed accepts answers that end with their connection; default: they are refused, since a proxy in between may cut them.
+	Unframed bool
+}
+
+func (opt Options) withDefaults() Options {
+	opt.MaxIdle = cmp.Or(opt.MaxIdle, maxIdle)
+	if opt.Transport == nil {
+		opt.Transport = func(pool http.RoundTripper) http.RoundTripper { return pool }
+	}
+	return opt
 }
--- a/internal/agent/backend/request.go
+++ b/internal/agent/backend/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -71,9 +70,9 @@
 }
 
 // newRequest returns the request towards the backend server.
-func newRequest(ctx context.Context, tgt *target, att *siskinrill.Attempt, bdy io.ReadCloser, grt siskinrill.Grant) (*http.Request, error) {
-	opn := att.Open()
-	req, err := http.NewRequestWithContext(ctx, opn.GetMethod(), tgt.base.String()+opn.GetTarget(), bdy)
+func newRequest(rnn *run, grt siskinrill.Grant) (*http.Request, error) {
+	opn := rnn.att.Open()
+	req, err := http.NewRequestWithContext(rnn.ctx, opn.GetMethod(), rnn.tgt.base.String()+opn.GetTarget(), rnn.bdy)
 	if err != nil {
 		return nil, err
 	}
@@ -90,7 +89,8 @@
 		req.Header.Set(siskinrill.HeaderIdempotencyKey, opn.GetIdempotencyKey())
 	}
 	setFence(req.Header, opn, grt)
-	if dln, ok := ctx.Deadline(); ok {
+	req.Header.Set(siskinrill.HeaderUpstream, rnn.upstream)
+	if dln, ok := rnn.ctx.Deadline(); ok {
 		req.Header.Set(siskinrill.HeaderTimeout, max(time.Until(dln), time.Millisecond).Round(time.Millisecond).String())
 	}
 	return req, nil
--- a/internal/agent/backend/watch.go
+++ b/internal/agent/backend/watch.go
@@ -21,7 +21,7 @@
 		cli.fail(tgt, "requests_fail")
 		return
 	}
-	if !cli.mtr.silent() || time.Since(cli.probed) < probeGap {
+	if !cli.mtr.silent() || cli.beats() || time.Since(cli.probed) < probeGap {
 		return
 	}
 	if cli.probeTwice(ctx, tgt) {
@@ -33,6 +33,13 @@
 	}
 }
 
+// beats reports whether a server that takes its keys by heartbeats has sent one of late, which shows that it lives although its requests take long.
+func (cli *Client) beats() bool {
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	return cli.ann.Incarnation != 0 && time.Since(cli.heard) < beatGrace
+}
+
 func (cli *Client) expired() bool {
 	cli.mu.Lock()
 	defer cli.mu.Unlock()
@@ -75,5 +82,10 @@
 func (cli *Client) healthPath() string {
 	cli.mu.Lock()
 	defer cli.mu.Unlock()
+	if cli.opt.Service != nil {
+		if path := cli.opt.Service(cli.ann.Service).GetHealthPath(); path != "" {
+			return path
+		}
+	}
 	return cli.ann.HealthPath
 }
--- a/internal/agent/caller/answer.go
+++ b/internal/agent/caller/answer.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -26,7 +27,7 @@
 
 const (
 	problemPrefix = "urn:siskinrill:problem:"
-	// Callers that are told to come back get at least one second, the unit of Retry-After.
+	// leastRetryAfter is advised where nothing is known about when a retry would help.
 	leastRetryAfter = time.Second
 	copyBuffer      = 32 << 10
 )
@@ -35,6 +36,7 @@
 	siskinrill.ReasonNoRoute:              http.StatusNotFound,
 	siskinrill.ReasonMethodNotAllowed:     http.StatusMethodNotAllowed,
 	siskinrill.ReasonBadRequest:           http.StatusBadRequest,
+	siskinrill.ReasonBadKey:               http.StatusBadRequest,
 	siskinrill.ReasonCallerGone:           http.StatusBadRequest,
 	siskinrill.ReasonBodyTooLarge:         http.StatusRequestEntityTooLarge,
 	siskinrill.ReasonIdempotencyKeyReused: http.StatusUnprocessableEntity,
@@ -48,12 +50,16 @@
 	siskinrill.ReasonInternal:             http.StatusInternalServerError,
 }
 
-// statusOf returns the HTTP status of a refusal; what a later request may get past is 503.
-func statusOf(rsn siskinrill.Reason) int {
-	if sts, ok := statuses[rsn]; ok {
-		return sts
+// statusOf returns the HTTP status of a refusal. What a later request may get past is 503; since callers take 503 and 429 for leave to send a request again, one that may have run gets 502 instead.
+func statusOf(ref *siskinrill.Refusal) int {
+	sts, ok := statuses[ref.Reason()]
+	if !ok {
+		sts = http.StatusServiceUnavailable
 	}
-	return http.StatusServiceUnavailable
+	if !ref.NotRun() && (sts == http.StatusServiceUnavailable || sts == http.StatusTooManyRequests) {
+		return http.StatusBadGateway
+	}
+	return sts
 }
 
 // retryAfter returns the advised wait, zero where a retry does not help or may run the request twice.
@@ -61,11 +67,11 @@
 	if !ref.NotRun() {
 		return 0
 	}
-	sts := statusOf(ref.Reason())
+	sts := statusOf(ref)
 	if sts != http.StatusServiceUnavailable && sts != http.StatusTooManyRequests {
 		return 0
 	}
-	return max(ref.RetryAfter(), leastRetryAfter)
+	return cmp.Or(ref.RetryAfter(), leastRetryAfter)
 }
 
 func (han *Handler) refuse(wri http.ResponseWriter, req *http.Request, ref *siskinrill.Refusal) {
@@ -74,11 +80,12 @@
 	if cause := ref.Unwrap(); cause != nil && han.opt.Logger.IsLevelEnabled(logrus.DebugLevel) {
 		han.opt.Logger.Debugf("caller: %s %s refused: %v", req.Method, req.URL.Path, ref)
 	}
-	sts := statusOf(rsn)
+	sts := statusOf(ref)
 	hdr := wri.Header()
 	hdr.Set("Content-Type", "application/problem+json")
 	hdr.Set(siskinrill.HeaderOutcome, siskinrill.OutcomeText(ref.Outcome()))
 	if dur := retryAfter(ref); dur > 0 {
+		hdr.Set(siskinrill.HeaderRetryAfter, dur.String())
 		hdr.Set("Retry-After", strconv.FormatInt(int64((dur+time.Second-1)/time.Second), 10))
 	}
 	if rsn == siskinrill.ReasonMethodNotAllowed {
@@ -108,7 +115,7 @@
 func (han *Handler) allowed(req *http.Request) []string {
 	var mets []string
 	for _, met := range []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"} {
-		if rte, _, _ := han.session.Match(met, req.URL.EscapedPath()); rte != nil {
+		if rte, _, _ := han.session.Match(req.Host, met, req.URL.EscapedPath()); rte != nil {
 			mets = append(mets, met)
 		}
 	}
--- a/internal/agent/caller/budget.go
+++ b/internal/agent/caller/budget.go
@@ -19,21 +19,43 @@
 	buckets map[string]*bucket
 }
 
-// fill adds the share of one request and what the time since the last call brings.
-func (bud *budgets) fill(svc *controlpb.Service) {
+// sharedBurst is how many retries of a budget that all agents share one agent may save up.
+const sharedBurst = 2
+
+// allowance is what a service's budget grants to one of several agents.
+type allowance struct {
+	perSecond float64
+	percent   float64 // of the requests
+	burst     float64
+}
+
+func allowanceOf(svc *controlpb.Service, agents int) allowance {
+	alw := allowance{
+		perSecond: float64(orCount(svc.GetRetryMinPerSecond(), defaultPerSecond)),
+		percent:   float64(orCount(svc.GetRetryBudgetPercent(), defaultPercent)),
+	}
+	// One second of saved retries bounds the burst after a quiet time.
+	alw.burst = alw.perSecond + alw.percent
+	if shared := svc.GetRetrySharedPerMinute(); shared > 0 {
+		alw.perSecond = float64(shared) / time.Minute.Seconds() / float64(max(agents, 1))
+		alw.burst = sharedBurst
+	}
+	return alw
+}
+
+// fill adds the share of one request and what the time since the last call brings; agents is the number of those that share the budget.
+func (bud *budgets) fill(svc *controlpb.Service, agents int) {
 	now := time.Now()
-	perSecond := float64(orCount(svc.GetRetryMinPerSecond(), defaultPerSecond))
-	percent := float64(orCount(svc.GetRetryBudgetPercent(), defaultPercent))
+	alw := allowanceOf(svc, agents)
 	bud.mu.Lock()
 	defer bud.mu.Unlock()
 	bck := bud.buckets[svc.GetName()]
 	if bck == nil {
-		bck = &bucket{tokens: perSecond, filled: now}
+		bck = &bucket{tokens: min(alw.perSecond, alw.burst), filled: now}
 		bud.buckets[svc.GetName()] = bck
 	}
-	bck.tokens += percent/100 + perSecond*now.Sub(bck.filled).Seconds()
-	// One second of saved retries bounds the burst after a quiet time.
-	bck.tokens = min(bck.tokens, perSecond+percent)
+	bck.tokens += alw.percent/100 + alw.perSecond*now.Sub(bck.filled).Seconds()
+	bck.tokens = min(bck.tokens, alw.burst)
 	bck.filled = now
 }
 
@@ -65,6 +87,12 @@
 	return true
 }
 
+func (out *outstanding) count(ses uint64) int {
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	return out.counts[ses]
+}
+
 func (out *outstanding) leave(ses uint64) {
 	out.mu.Lock()
 	defer out.mu.Unlock()
--- a/internal/agent/caller/call.go
+++ b/internal/agent/caller/call.go
@@ -59,7 +59,11 @@
 	ses := cal.han.session
 	// The version is read first, so that a change between the two reads ends the wait at once.
 	tgt := target{version: ses.Version()}
-	tgt.shard = ses.Shard(cal.service.GetName(), cal.key)
+	if cal.keyless() {
+		tgt.shard = cal.pickUpstream()
+	} else {
+		tgt.shard = ses.Shard(cal.service.GetName(), cal.key)
+	}
 	if tgt.shard == nil {
 		return tgt, siskinrill.ReasonNoOwner
 	}
@@ -160,6 +164,7 @@
 	} else {
 		ans, err = cal.han.forwarder.Forward(ctx, tgt.address, att)
 	}
+	cal.noteLoad(tgt, ans, err)
 	if err == nil {
 		return ans, nil
 	}
@@ -170,6 +175,22 @@
 	return nil, ref
 }
 
+// noteLoad keeps what the owner told of its load with its answer or refusal.
+func (cal *call) noteLoad(tgt target, ans *siskinrill.Answer, err error) {
+	ses := tgt.shard.GetOwner()
+	var told *peerpb.OwnerLoad
+	ref := &siskinrill.Refusal{}
+	switch {
+	case tgt.address == "":
+		told = cal.han.owner.InHand()
+	case err == nil:
+		told = ans.Head().GetLoad()
+	case errors.As(err, &ref):
+		told = ref.Load()
+	}
+	cal.han.loads.note(ses, told, cal.han.outstanding.count(ses))
+}
+
 // open returns the first message of a new attempt.
 func (cal *call) open(tgt target) *peerpb.Open {
 	han := cal.han
--- a/internal/agent/caller/handler.go
+++ b/internal/agent/caller/handler.go
@@ -28,6 +28,8 @@
 	outstanding outstanding
 	attempts    atomic.Uint64
 	waiting     atomic.Int64
+	weights     weights
+	loads       loads
 	// The newest session, kept because attempt ids must stay unique while a new one is being registered.
 	entry atomic.Uint64
 }
@@ -47,6 +49,8 @@
 		counters:    cnt,
 		budgets:     budgets{buckets: map[string]*bucket{}},
 		outstanding: outstanding{counts: map[uint64]int{}},
+		weights:     weights{routes: map[string]*shares{}},
+		loads:       loads{seen: map[uint64]seenLoad{}},
 	}
 }
 
@@ -101,6 +105,12 @@
 	began    time.Time // of the newest attempt
 	ran      bool      // an earlier attempt may have run
 	counted  uint64    // owner at which this call counts as outstanding, 0: none
+	avoid    []uint64  // sessions that have refused this call, for a service without keys
+}
+
+// keyless reports whether any upstream of the service may serve the request.
+func (cal *call) keyless() bool {
+	return cal.service.GetKeyMode() == controlpb.KeyMode_KEY_MODE_NONE
 }
 
 // accept checks a request; a refusal proves that nothing ran.
@@ -111,23 +121,29 @@
 	if !han.session.Fresh() || han.entry.Load() == 0 {
 		return nil, siskinrill.NotRun(siskinrill.ReasonNoLease).WithRetryAfter(time.Second)
 	}
-	rte, key, rsn := han.session.Match(req.Method, req.URL.EscapedPath())
+	rte, key, rsn := han.session.Match(req.Host, req.Method, req.URL.EscapedPath())
 	if rte == nil {
 		return nil, siskinrill.NotRun(rsn)
 	}
 	cal := &call{han: han, req: req, route: rte, key: key, pause: han.opt.Poll}
+	cal.service = han.session.Service(han.weights.choose(rte))
+	if cal.service == nil {
+		return nil, siskinrill.NotRun(siskinrill.ReasonNoRoute)
+	}
+	if rte.GetPrefix() != "" {
+		cal.key = req.Header.Get(siskinrill.HeaderKey)
+	}
 	if err := cal.readHeader(); err != nil {
 		return nil, siskinrill.NewRefusal(siskinrill.ReasonBadRequest, peerpb.Outcome_OUTCOME_NOT_RUN, err)
 	}
-	cal.service = han.session.Service(rte.GetService())
-	if cal.service == nil {
-		return nil, siskinrill.NotRun(siskinrill.ReasonNoRoute)
+	if _, ok := siskinrill.PartitionOf(cal.service, cal.key); !ok && cal.service.GetKeyMode() == controlpb.KeyMode_KEY_MODE_NUMBER {
+		return nil, siskinrill.NotRun(siskinrill.ReasonBadKey)
 	}
 	if ref := cal.readBody(wri); ref != nil {
 		return nil, ref
 	}
 	cal.headers = outward(req.Header)
-	han.budgets.fill(cal.service)
+	han.budgets.fill(cal.service, len(han.session.Nodes()))
 	return cal, nil
 }
 
@@ -136,7 +152,7 @@
 		// The end of an answer of unknown length is the end of the connection there, so that a cut one looks complete.
 		return errors.New("HTTP/1.1 or newer is required")
 	}
-	if cal.key == "" || len(cal.key) > siskinrill.MaxKeyBytes {
+	if !cal.keyless() && (cal.key == "" || len(cal.key) > siskinrill.MaxKeyBytes) {
 		return errors.Errorf("the key has %d bytes, allowed are 1 to %d", len(cal.key), siskinrill.MaxKeyBytes)
 	}
 	cal.idemKey = cal.req.Header.Get(siskinrill.HeaderIdempotencyKey)
@@ -160,7 +176,7 @@
 		// A caller that sends no more must not hold the request past its deadline.
 		_ = http.NewResponseController(wri).SetReadDeadline(cal.deadline.Add(cal.han.opt.Grace))
 	}
-	bdy, err := readBody(wri, cal.req, maxBody(cal.route))
+	bdy, err := readBody(wri, cal.req, cal.maxBody())
 	if err == nil {
 		cal.body = bdy
 		if bdy.rest != nil {
--- a/internal/agent/caller/hedge.go
+++ b/internal/agent/caller/hedge.go
@@ -32,7 +32,7 @@
 	for {
 		select {
 		case <-tmr.C:
-			if cal.tries < orCount(cal.service.GetMaxAttempts(), defaultAttempts) && cal.han.budgets.take(cal.service.GetName()) {
+			if cal.tries < cal.maxAttempts() && cal.han.budgets.take(cal.service.GetName()) {
 				cal.tries++
 				cal.han.counters.Event("hedge")
 				rac.start()
--- a/internal/agent/caller/options.go
+++ b/internal/agent/caller/options.go
@@ -53,11 +53,18 @@
 	return cmp.Or(time.Duration(svc.GetHoldMs())*time.Millisecond, defaultHold)
 }
 
-func maxBody(rte *controlpb.Route) int64 {
-	if num := int64(rte.GetMaxBodyBytes()); num > 0 {
-		return num
+// maxBody returns the most bytes that a body may have: the least of the route's limit and that of all callers.
+func (cal *call) maxBody() int64 {
+	own, all := int64(cal.route.GetMaxBodyBytes()), int64(cal.han.session.Limits().GetMaxBodyBytes())
+	if own > 0 && all > 0 {
+		return min(own, all)
 	}
-	return defaultMaxBody
+	return cmp.Or(own, all, defaultMaxBody)
+}
+
+// maxAttempts returns how many upstreams the request may reach.
+func (cal *call) maxAttempts() int {
+	return orCount(cmp.Or(cal.route.GetMaxAttempts(), cal.service.GetMaxAttempts()), defaultAttempts)
 }
 
 func orCount(num uint32, def int) int {
--- a/internal/agent/caller/retry.go
+++ b/internal/agent/caller/retry.go
@@ -29,6 +29,7 @@
 	final   treatment = iota
 	waiting           // ask again once the table is newer or after a pause
 	failed            // ask again within the budget
+	arrived           // both, because the backend server itself has received and refused the request
 )
 
 // treatments of the reasons; those left out are final. Waiting ones prove that the owner could not take the request, and cost it nothing, so that they are bounded by time and not by the budget.
@@ -40,7 +41,8 @@
 	siskinrill.ReasonNoOwner:            waiting,
 	siskinrill.ReasonUnreachable:        waiting,
 	siskinrill.ReasonBackendUnreachable: waiting,
-	siskinrill.ReasonBackendFenced:      waiting,
+	siskinrill.ReasonNotHeld:            waiting,
+	siskinrill.ReasonBackendFenced:      arrived,
 	siskinrill.ReasonWithdrawn:          failed,
 	siskinrill.ReasonConnectionLost:     failed,
 	siskinrill.ReasonBackendLost:        failed,
@@ -61,12 +63,23 @@
 	if cal.req.Context().Err() != nil || !cal.body.repeatable() {
 		return ref
 	}
+	if cal.elsewhere(tgt, ref) {
+		cal.han.counters.Retried(ref.Reason())
+		return nil
+	}
 	switch treatments[ref.Reason()] {
 	case waiting:
 		cal.tries--
 		if over := cal.wait(tgt, ref); over != nil {
 			return over
 		}
+	case arrived:
+		if over := cal.spend(ref); over != nil {
+			return over
+		}
+		if over := cal.wait(tgt, ref); over != nil {
+			return over
+		}
 	case failed:
 		if over := cal.spend(ref); over != nil {
 			return over
@@ -78,6 +91,23 @@
 	return nil
 }
 
+// elsewhere reports whether another upstream of a service without keys can be asked at once: this one has refused before its backend server received the request, so that a further attempt costs no retry.
+func (cal *call) elsewhere(tgt target, ref *siskinrill.Refusal) bool {
+	if !cal.keyless() || !ref.NotRun() {
+		return false
+	}
+	if treatments[ref.Reason()] != waiting && ref.Reason() != siskinrill.ReasonQueueFull {
+		return false
+	}
+	cal.avoid = append(cal.avoid, tgt.shard.GetOwner())
+	if len(cal.candidates()) == 0 {
+		cal.avoid = nil
+		return false
+	}
+	cal.tries--
+	return true
+}
+
 // wait waits for the version that the owner told of, or for any newer one with a bounded pause.
 func (cal *call) wait(tgt target, ref *siskinrill.Refusal) *siskinrill.Refusal {
 	if ref.Version() > tgt.version {
@@ -94,7 +124,7 @@
 
 // spend takes a retry from the budget.
 func (cal *call) spend(ref *siskinrill.Refusal) *siskinrill.Refusal {
-	if cal.tries >= orCount(cal.service.GetMaxAttempts(), defaultAttempts) {
+	if cal.tries >= cal.maxAttempts() {
 		return ref
 	}
 	if !cal.han.budgets.take(cal.service.GetName()) {
--- a/internal/agent/control/apply.go
+++ b/internal/agent/control/apply.go
@@ -48,7 +48,7 @@
 		return &gapError{have: tbl.version, from: snp.GetVersion()}
 	}
 	tbl.gap = false
-	tbl.number = cfg.GetNumber()
+	tbl.number, tbl.limits, tbl.serving = cfg.GetNumber(), cfg.GetLimits(), nil
 	tbl.services, tbl.routes, tbl.index = services, routes, idx
 	tbl.nodes, tbl.rows, tbl.members = nodes, rws, mem
 	tbl.advance(snp.GetVersion())
@@ -58,6 +58,7 @@
 func (row *rows) fill(svt *controlpb.ServiceTable) {
 	copy(row.owners, svt.GetOwners())
 	copy(row.tokens, svt.GetTokens())
+	maps.Copy(row.handovers, svt.GetHandovers())
 	for _, shd := range svt.GetMoving() {
 		row.set(shd)
 	}
@@ -78,6 +79,10 @@
 	}
 	row.owners[par] = shd.GetOwner()
 	row.tokens[par] = shd.GetToken()
+	delete(row.handovers, par)
+	if shd.GetHandover() != "" {
+		row.handovers[par] = shd.GetHandover()
+	}
 	if shd.GetPhase() == controlpb.Phase_PHASE_RELEASING {
 		row.moving[par] = shd
 		return
@@ -94,6 +99,7 @@
 		}
 		row.owners[par], row.tokens[par] = owners[pos], tokens[pos]
 		delete(row.moving, par)
+		delete(row.handovers, par)
 	}
 }
 
@@ -120,8 +126,10 @@
 	switch knd := chg.GetKind().(type) {
 	case *controlpb.Change_SetNode:
 		tbl.nodes[knd.SetNode.GetSession()] = knd.SetNode
+		tbl.serving = nil
 	case *controlpb.Change_RemoveNode:
 		delete(tbl.nodes, knd.RemoveNode)
+		tbl.serving = nil
 	case *controlpb.Change_SetShard:
 		if row := tbl.rows[knd.SetShard.GetService()]; row != nil {
 			row.set(knd.SetShard)
@@ -157,6 +165,9 @@
 		routes[rte.GetName()] = rte
 	}
 	tbl.number = chg.GetNumber()
+	if chg.GetSetLimits() != nil {
+		tbl.limits = chg.GetSetLimits()
+	}
 	tbl.services, tbl.routes = services, routes
 	tbl.index = newRouteIndex(routes)
 }
--- a/internal/agent/control/lease.go
+++ b/internal/agent/control/lease.go
@@ -3,32 +3,18 @@
 import (
 	"sync"
 	"time"
-)
-
-// instant is one moment by the monotonic and by the wall clock, because the monotonic clock of a suspended machine may stop.
-type instant struct {
-	mono time.Time
-	wall time.Time
-}
 
-func instantNow() instant {
-	now := time.Now()
-	return instant{mono: now, wall: now.Round(0)}
-}
-
-// since returns the longer of the times elapsed by the two clocks.
-func (ins instant) since(now instant) time.Duration {
-	return max(now.mono.Sub(ins.mono), now.wall.Sub(ins.wall))
-}
+	"github.com/siskinrill/siskinrill/internal/host/boottime"
+)
 
 // lease is the state of the session's lease; its methods may be called from any goroutine.
 type lease struct {
 	mu      sync.RWMutex
 	session uint64
 	ttl     time.Duration
-	sent    instant // when the newest granted renewal was sent
+	sent    boottime.Instant // when the newest granted renewal was sent
 	granted bool
-	heard   instant // when a leader was last heard
+	heard   boottime.Instant // when a leader was last heard
 	known   bool
 }
 
@@ -46,7 +32,7 @@
 func (lea *lease) end() { lea.begin(0) }
 
 // grant extends the lease of a session by a renewal that was sent at an instant.
-func (lea *lease) grant(ses uint64, sent instant, ttl time.Duration) {
+func (lea *lease) grant(ses uint64, sent boottime.Instant, ttl time.Duration) {
 	lea.mu.Lock()
 	defer lea.mu.Unlock()
 	if ses == 0 || lea.session != ses {
@@ -59,7 +45,7 @@
 
 // hear records a message of a leader.
 func (lea *lease) hear() {
-	now := instantNow()
+	now := boottime.Mark()
 	lea.mu.Lock()
 	defer lea.mu.Unlock()
 	lea.heard = now
@@ -74,19 +60,19 @@
 
 // expires returns the end by the clock that reaches it first, and whether it lies ahead.
 func (lea *lease) expires() (time.Time, bool) {
-	now := instantNow()
+	now := boottime.Mark()
 	lea.mu.RLock()
 	defer lea.mu.RUnlock()
 	if !lea.granted {
 		return time.Time{}, false
 	}
-	rest := lea.ttl - lea.sent.since(now)
-	return now.mono.Add(rest), rest > 0
+	rest := lea.ttl - now.Since(lea.sent)
+	return now.Mono().Add(rest), rest > 0
 }
 
 func (lea *lease) fresh(limit time.Duration) bool {
-	now := instantNow()
+	now := boottime.Mark()
 	lea.mu.RLock()
 	defer lea.mu.RUnlock()
-	return lea.known && lea.heard.since(now) <= limit
+	return lea.known && now.Since(lea.heard) <= limit
 }
--- a/internal/agent/control/match.go
+++ b/internal/agent/control/match.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"net"
 	"net/url"
+	"slices"
 	"sort"
 	"strings"
 
@@ -19,12 +21,13 @@
 // routeIndex finds routes by the first segment of the path; it is immutable.
 type routeIndex struct {
 	literal map[string][]pattern
-	leading []pattern // those whose first segment is the key
+	leading []pattern                     // those whose first segment is the key
+	hosts   map[string][]*controlpb.Route // routes by prefix, by host, the longest prefix first
 }
 
 // newRouteIndex sorts the routes by name, so that every agent prefers the same one of two that match.
 func newRouteIndex(routes map[string]*controlpb.Route) *routeIndex {
-	idx := &routeIndex{literal: map[string][]pattern{}}
+	idx := &routeIndex{literal: map[string][]pattern{}, hosts: map[string][]*controlpb.Route{}}
 	names := make([]string, 0, len(routes))
 	for name := range routes {
 		names = append(names, name)
@@ -33,10 +36,18 @@
 	for _, name := range names {
 		idx.add(routes[name])
 	}
+	for _, rts := range idx.hosts {
+		slices.SortStableFunc(rts, func(one, two *controlpb.Route) int { return len(two.GetPrefix()) - len(one.GetPrefix()) })
+	}
 	return idx
 }
 
 func (idx *routeIndex) add(rte *controlpb.Route) {
+	if rte.GetPrefix() != "" {
+		host := strings.ToLower(rte.GetHost())
+		idx.hosts[host] = append(idx.hosts[host], rte)
+		return
+	}
 	pat := pattern{route: rte, segments: strings.Split(strings.TrimPrefix(rte.GetPath(), "/"), "/"), keyed: -1}
 	for num, seg := range pat.segments {
 		if strings.HasPrefix(seg, "{") && strings.HasSuffix(seg, "}") {
@@ -51,7 +62,11 @@
 	idx.literal[fst] = append(idx.literal[fst], pat)
 }
 
-func (idx *routeIndex) match(method, path string) (*controlpb.Route, string, siskinrill.Reason) {
+// match returns a route and the key of the path; that of a route by prefix comes with the request and is empty here.
+func (idx *routeIndex) match(host, method, path string) (*controlpb.Route, string, siskinrill.Reason) {
+	if rte := idx.byPrefix(host, path); rte != nil {
+		return rte, "", ""
+	}
 	rsn := siskinrill.ReasonNoRoute
 	rest, ok := strings.CutPrefix(path, "/")
 	if !ok {
@@ -78,6 +93,27 @@
 	return nil, "", rsn
 }
 
+// byPrefix returns the route with the longest prefix of a path among those of a host, nil if there is none.
+func (idx *routeIndex) byPrefix(host, path string) *controlpb.Route {
+	if len(idx.hosts) == 0 {
+		return nil
+	}
+	for _, rte := range idx.hosts[hostName(host)] {
+		if strings.HasPrefix(path, rte.GetPrefix()) {
+			return rte
+		}
+	}
+	return nil
+}
+
+// hostName returns a Host header without its port, in lower case.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
 // key returns the escaped key segment of a path without its leading slash, and whether the path matches.
 func (pat *pattern) key(rest string) (string, bool) {
 	key, last := "", len(pat.segments)-1
--- a/internal/agent/control/serve.go
+++ b/internal/agent/control/serve.go
@@ -8,13 +8,14 @@
 	"github.com/go-faster/errors"
 
 	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/host/boottime"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
 // renewal is a renewal that was sent and not yet answered.
 type renewal struct {
 	sequence uint64
-	sent     instant
+	sent     boottime.Instant
 }
 
 // exchange is the use of one connection; sequences of renewals are its own.
@@ -110,7 +111,7 @@
 	exc.mu.Lock()
 	exc.sequence++
 	rnw := &controlpb.Renew{Sequence: exc.sequence, Version: ver, ConfigurationNumber: num}
-	exc.pending = append(exc.pending, renewal{sequence: exc.sequence, sent: instantNow()})
+	exc.pending = append(exc.pending, renewal{sequence: exc.sequence, sent: boottime.Mark()})
 	if len(exc.pending) == 1 {
 		exc.watchdog.Reset(exc.ses.opt.AnswerTimeout)
 	}
@@ -135,7 +136,7 @@
 		exc.watchdog.Stop()
 		return
 	}
-	exc.watchdog.Reset(exc.ses.opt.AnswerTimeout - exc.pending[0].sent.since(instantNow()))
+	exc.watchdog.Reset(exc.ses.opt.AnswerTimeout - boottime.Mark().Since(exc.pending[0].sent))
 }
 
 func (exc *exchange) sendLoad(interval time.Duration) error {
--- a/internal/agent/control/session.go
+++ b/internal/agent/control/session.go
@@ -71,17 +71,23 @@
 // Session returns the current session, 0 for none.
 func (ses *Session) Session() uint64 { return ses.lease.number() }
 
-// Expires returns the earlier end of the lease by the monotonic and the wall clock, and whether it lies ahead.
+// Expires returns the earlier end of the lease by the monotonic clock and the boot time, and whether it lies ahead.
 func (ses *Session) Expires() (time.Time, bool) { return ses.lease.expires() }
 
 // Fresh reports whether a leader was heard within Options.Freshness.
 func (ses *Session) Fresh() bool { return ses.lease.fresh(ses.opt.Freshness) }
 
-// Match returns the route and key of a method and escaped path, or the reason why there is none.
-func (ses *Session) Match(method, path string) (*controlpb.Route, string, siskinrill.Reason) {
-	return ses.table.match(method, path)
+// Match returns the route and key of a host, method and escaped path, or the reason why there is none.
+func (ses *Session) Match(host, method, path string) (*controlpb.Route, string, siskinrill.Reason) {
+	return ses.table.match(host, method, path)
 }
 
+// Limits returns the limits of callers' requests, nil if there are none; they must not be changed.
+func (ses *Session) Limits() *controlpb.RequestLimits { return ses.table.requestLimits() }
+
+// Upstreams returns the agents whose backend servers serve a service, in the order of their sessions; the slice must not be changed.
+func (ses *Session) Upstreams(svc string) []*controlpb.Node { return ses.table.upstreams(svc) }
+
 // Service returns a service of the configuration, nil if there is none; it must not be changed.
 func (ses *Session) Service(name string) *controlpb.Service { return ses.table.service(name) }
 
--- a/internal/agent/control/table.go
+++ b/internal/agent/control/table.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -18,6 +19,7 @@
 	tokens    []uint64
 	moving    map[uint32]*controlpb.Shard // partitions that are not plainly owned or orphaned
 	overrides map[string]*controlpb.Shard
+	handovers map[uint32]string // by partition
 }
 
 func newRows(partitions uint32) *rows {
@@ -26,6 +28,7 @@
 		tokens:    make([]uint64, partitions),
 		moving:    map[uint32]*controlpb.Shard{},
 		overrides: map[string]*controlpb.Shard{},
+		handovers: map[uint32]string{},
 	}
 }
 
@@ -42,6 +45,8 @@
 	members  []string // addresses of the control processes
 	changed  chan struct{}
 	gap      bool // a difference was missed
+	limits   *controlpb.RequestLimits
+	serving  map[string][]*controlpb.Node // by service, nil until asked for after a change of the nodes
 }
 
 func newTable() *table {
@@ -55,11 +60,11 @@
 	}
 }
 
-func (tbl *table) match(method, path string) (*controlpb.Route, string, siskinrill.Reason) {
+func (tbl *table) match(host, method, path string) (*controlpb.Route, string, siskinrill.Reason) {
 	tbl.mu.RLock()
 	idx := tbl.index
 	tbl.mu.RUnlock()
-	return idx.match(method, path)
+	return idx.match(host, method, path)
 }
 
 func (tbl *table) service(name string) *controlpb.Service {
@@ -80,6 +85,42 @@
 	return slices.Collect(maps.Values(tbl.nodes))
 }
 
+// upstreams returns the agents whose backend servers serve a service, in the order of their sessions; the slice must not be changed.
+func (tbl *table) upstreams(svc string) []*controlpb.Node {
+	tbl.mu.RLock()
+	byService := tbl.serving
+	tbl.mu.RUnlock()
+	if byService == nil {
+		byService = tbl.indexNodes()
+	}
+	return byService[svc]
+}
+
+func (tbl *table) indexNodes() map[string][]*controlpb.Node {
+	tbl.mu.Lock()
+	defer tbl.mu.Unlock()
+	if tbl.serving != nil {
+		return tbl.serving
+	}
+	byService := map[string][]*controlpb.Node{}
+	for _, nod := range tbl.nodes {
+		if nod.GetUpstream().GetState() == controlpb.UpstreamState_UPSTREAM_STATE_SERVING {
+			byService[nod.GetUpstream().GetService()] = append(byService[nod.GetUpstream().GetService()], nod)
+		}
+	}
+	for _, nods := range byService {
+		slices.SortFunc(nods, func(one, two *controlpb.Node) int { return cmp.Compare(one.GetSession(), two.GetSession()) })
+	}
+	tbl.serving = byService
+	return byService
+}
+
+func (tbl *table) requestLimits() *controlpb.RequestLimits {
+	tbl.mu.RLock()
+	defer tbl.mu.RUnlock()
+	return tbl.limits
+}
+
 func (tbl *table) versions() (uint64, uint64) {
 	tbl.mu.RLock()
 	defer tbl.mu.RUnlock()
@@ -114,7 +155,11 @@
 			return copyShard(shd)
 		}
 	}
-	return row.shard(svc, siskinrill.Partition(svc, key, uint32(len(row.owners))))
+	par, ok := siskinrill.PartitionOf(tbl.services[svc], key)
+	if !ok || int(par) >= len(row.owners) {
+		return nil
+	}
+	return row.shard(svc, par)
 }
 
 // shard returns a copy of the row of a partition.
@@ -124,7 +169,7 @@
 	}
 	shd := &controlpb.Shard{Service: svc, Partition: par, Owner: row.owners[par], Token: row.tokens[par]}
 	if shd.Owner != 0 {
-		shd.Phase = controlpb.Phase_PHASE_OWNED
+		shd.Phase, shd.Handover = controlpb.Phase_PHASE_OWNED, row.handovers[par]
 	}
 	return shd
 }
@@ -132,7 +177,7 @@
 func copyShard(shd *controlpb.Shard) *controlpb.Shard {
 	return &controlpb.Shard{
 		Service: shd.Service, Partition: shd.Partition, Key: shd.Key, Owner: shd.Owner,
-		Token: shd.Token, Phase: shd.Phase, Target: shd.Target, Retiring: shd.Retiring,
+		Token: shd.Token, Phase: shd.Phase, Target: shd.Target, Retiring: shd.Retiring, Handover: shd.Handover,
 	}
 }
 
--- a/internal/agent/owner/check.go
+++ b/internal/agent/owner/check.go
@@ -15,6 +15,9 @@
 	if ses == 0 {
 		return nil, time.Time{}, own.versioned(siskinrill.ReasonNoLease)
 	}
+	if own.keyless(opn.GetService()) {
+		return own.checkKeyless(opn, ses)
+	}
 	row := own.ses.Shard(opn.GetService(), opn.GetKey())
 	rsn := rowReason(row, opn, ses)
 	if rsn == "" && own.drainOver() {
@@ -30,6 +33,23 @@
 	return row, exp, nil
 }
 
+// keyless reports whether any upstream serves the requests of a service.
+func (own *Owner) keyless(svc string) bool {
+	return own.ses.Service(svc).GetKeyMode() == controlpb.KeyMode_KEY_MODE_NONE
+}
+
+// checkKeyless returns a row for an attempt that needs no ownership: it may run here as long as the backend server takes work, with or without a lease.
+func (own *Owner) checkKeyless(opn *peerpb.Open, ses uint64) (*controlpb.Shard, time.Time, *siskinrill.Refusal) {
+	switch {
+	case opn.GetOwnerSession() != ses:
+		return nil, time.Time{}, own.versioned(siskinrill.ReasonWrongOwner)
+	case own.drainOver():
+		return nil, time.Time{}, own.versioned(siskinrill.ReasonDraining)
+	}
+	row := &controlpb.Shard{Service: opn.GetService(), Owner: ses, Phase: controlpb.Phase_PHASE_OWNED}
+	return row, time.Now().Add(keylessGrant), nil
+}
+
 // rowReason returns why a row does not allow the attempt, empty if it does.
 func rowReason(row *controlpb.Shard, opn *peerpb.Open, ses uint64) siskinrill.Reason {
 	switch {
@@ -52,7 +72,7 @@
 func (own *Owner) drainOver() bool {
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	return !own.drainFrom.IsZero() && time.Since(own.drainFrom) >= drainGrace
+	return own.closed || !own.drainFrom.IsZero() && time.Since(own.drainFrom) >= own.opt.DrainGrace
 }
 
 // checkArrival checks an attempt on arrival; the token is a log index, so one over this agent's version shows that its copy is behind.
--- a/internal/agent/owner/fake_test.go
+++ b/internal/agent/owner/fake_test.go
@@ -113,6 +113,10 @@
 	return &controlpb.Node{Session: ses, PeerAddress: "127.0.0.1:1"}
 }
 
+func (fse *fakeSession) Limits() *controlpb.RequestLimits { return nil }
+
+func (fse *fakeSession) Upstreams(string) []*controlpb.Node { return nil }
+
 func (fse *fakeSession) Nodes() (list []*controlpb.Node) {
 	fse.read(func() { list = fse.nodes })
 	return list
@@ -178,6 +182,14 @@
 	return fba.do(ctx, att, grt)
 }
 
+func (fba *fakeBackend) Held(*controlpb.Shard) bool { return true }
+
+func (fba *fakeBackend) AwaitHold(context.Context, *controlpb.Shard) bool { return true }
+
+func (fba *fakeBackend) Revoke(_ context.Context, refs []*controlpb.ShardRef) ([]*controlpb.ShardRef, bool) {
+	return refs, true
+}
+
 func (fba *fakeBackend) Grants(context.Context, []*controlpb.ShardRef, []*controlpb.ShardRef) error {
 	time.Sleep(fba.tell)
 	return nil
--- a/internal/agent/owner/handle.go
+++ b/internal/agent/owner/handle.go
@@ -61,9 +61,16 @@
 			return ans, ref
 		}
 	}
+	keyless := own.keyless(tck.shard.service)
+	if !keyless && !own.bck.AwaitHold(ctx, row) {
+		return nil, own.versioned(siskinrill.ReasonNotHeld)
+	}
 	if ref := own.admit(ctx, tck); ref != nil {
 		return nil, ref
 	}
+	if keyless {
+		return nil, nil
+	}
 	if !own.tell(ctx, []*controlpb.Shard{row}) {
 		return nil, siskinrill.NotRun(waitReason(ctx))
 	}
@@ -98,6 +105,9 @@
 	if ref != nil {
 		return siskinrill.Grant{}, ref
 	}
+	if !own.keyless(opn.GetService()) && !own.bck.Held(row) {
+		return siskinrill.Grant{}, own.versioned(siskinrill.ReasonNotHeld)
+	}
 	return siskinrill.NewGrant(refOf(row), exp), nil
 }
 
--- a/internal/agent/owner/options.go
+++ b/internal/agent/owner/options.go
@@ -17,7 +17,7 @@
 	keptAnswer = 16 << 10
 	// catchUp is how long a request from an entry with a newer copy of the table waits for this agent's copy.
 	catchUp = 100 * time.Millisecond
-	// drainGrace is how long an upstream that drains still serves what it owns; a leaving backend server receives nothing new after 3 s.
+	// drainGrace is the default of Options.DrainGrace; a leaving backend server receives nothing new after 3 s.
 	drainGrace = 2500 * time.Millisecond
 	// defaultTimeout is the deadline of an attempt that names none.
 	defaultTimeout = 30 * time.Second
@@ -31,6 +31,8 @@
 	tickInterval = 100 * time.Millisecond
 	// sweepInterval is how often expired records are dropped.
 	sweepInterval = time.Second
+	// keylessGrant is the life of a grant for a request that needs no ownership; its deadline bounds it long before.
+	keylessGrant = time.Hour
 	// releaseRepeat is the time after which a release is reported again while the row has not changed.
 	releaseRepeat = 500 * time.Millisecond
 )
@@ -39,6 +41,8 @@
 type Options struct {
 	// Slots returns how many requests the backend server can run at once, 0 while it cannot be used; default: the slots of this session's upstream.
 	Slots func() int
+	// DrainGrace is how long an upstream that drains still serves; default 2.5 s.
+	DrainGrace time.Duration
 	// MaxRecords bounds the attempt records of requests that run or ran at most once; default 131,072, enough for 2,100 such requests a second and about 33 MB.
 	MaxRecords int
 	// MaxPast bounds each of the two generations of ended attempt ids; default 262,144.
@@ -54,6 +58,7 @@
 }
 
 func (opt Options) withDefaults() Options {
+	opt.DrainGrace = cmp.Or(opt.DrainGrace, drainGrace)
 	opt.MaxRecords = cmp.Or(opt.MaxRecords, 1<<17)
 	opt.MaxPast = cmp.Or(opt.MaxPast, 1<<18)
 	opt.MaxIdempotency = cmp.Or(opt.MaxIdempotency, 1<<16)
--- a/internal/agent/owner/owner.go
+++ b/internal/agent/owner/owner.go
@@ -8,6 +8,7 @@
 
 	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
 
 // maxSessions bounds the earlier sessions of this process for which it can still prove that nothing ran.
@@ -43,6 +44,7 @@
 	moves     map[moveKey]*move
 	lds       *loads
 	drainFrom time.Time // zero: does not drain
+	closed    bool      // takes no new attempts
 }
 
 var (
@@ -76,6 +78,23 @@
 	return own.taken == 0 && own.que.Len() == 0 && len(own.moves) == 0
 }
 
+// Close refuses all further attempts with proof that they do not run; those that wait or run go on.
+func (own *Owner) Close() {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	own.closed = true
+}
+
+// InHand returns what this agent runs and queues now.
+func (own *Owner) InHand() *peerpb.OwnerLoad {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	return &peerpb.OwnerLoad{
+		Running: uint32(own.taken), Queued: uint32(own.que.Len()),
+		Limit: uint32(own.lim.current()), LatencyMs: uint32(own.lim.latency().Milliseconds()),
+	}
+}
+
 // slots returns how many requests the backend server can run at once.
 func (own *Owner) slots() int {
 	if own.opt.Slots != nil {
--- a/internal/agent/owner/release.go
+++ b/internal/agent/owner/release.go
@@ -113,7 +113,7 @@
 	return tck.shard.key == "" && row.GetPartition() == tck.shard.partition
 }
 
-// finishMove transfers the records and reports the rows as released.
+// finishMove transfers the records, waits until the backend server holds the rows no longer, and reports them as released.
 func (own *Owner) finishMove(ctx context.Context, target uint64, rows []*controlpb.Shard) {
 	if unsent := own.unsent(rows); len(unsent) > 0 {
 		own.handOver(ctx, target, unsent)
@@ -122,7 +122,9 @@
 	for _, row := range rows {
 		refs = append(refs, refOf(row))
 	}
-	own.ses.Release(refs)
+	if left, done := own.bck.Revoke(ctx, refs); done {
+		own.ses.Release(left)
+	}
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	for _, row := range rows {
--- a/internal/agent/owner/transfer.go
+++ b/internal/agent/owner/transfer.go
@@ -111,12 +111,12 @@
 // recordsOf returns the ended records of the keys in the rows.
 func (own *Owner) recordsOf(rows []*controlpb.Shard) []*peerpb.IdempotencyRecord {
 	now := time.Now()
-	nums := own.partitions(rows)
+	svcs := own.services(rows)
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	var recs []*peerpb.IdempotencyRecord
 	for _, clm := range own.claims {
-		if clm.running || !now.Before(clm.until) || !covered(rows, nums, clm.id) {
+		if clm.running || !now.Before(clm.until) || !covered(rows, svcs, clm.id) {
 			continue
 		}
 		recs = append(recs, &peerpb.IdempotencyRecord{
@@ -127,17 +127,17 @@
 	return recs
 }
 
-// partitions returns the number of partitions of each service in the rows.
-func (own *Owner) partitions(rows []*controlpb.Shard) map[string]uint32 {
-	nums := map[string]uint32{}
+// services returns the services of the rows by name.
+func (own *Owner) services(rows []*controlpb.Shard) map[string]*controlpb.Service {
+	svcs := map[string]*controlpb.Service{}
 	for _, row := range rows {
-		nums[row.GetService()] = own.ses.Service(row.GetService()).GetPartitions()
+		svcs[row.GetService()] = own.ses.Service(row.GetService())
 	}
-	return nums
+	return svcs
 }
 
 // covered reports whether a key belongs to one of the rows; a key with an override may be sent with its partition as well, which does no harm.
-func covered(rows []*controlpb.Shard, nums map[string]uint32, idt claimKey) bool {
+func covered(rows []*controlpb.Shard, svcs map[string]*controlpb.Service, idt claimKey) bool {
 	for _, row := range rows {
 		if row.GetService() != idt.service {
 			continue
@@ -148,8 +148,7 @@
 			}
 			continue
 		}
-		num := nums[idt.service]
-		if num > 0 && siskinrill.Partition(idt.service, idt.key, num) == row.GetPartition() {
+		if par, ok := siskinrill.PartitionOf(svcs[idt.service], idt.key); ok && par == row.GetPartition() {
 			return true
 		}
 	}
--- a/internal/agent/peer/forward.go
+++ b/internal/agent/peer/forward.go
@@ -192,7 +192,8 @@
 	}
 	return siskinrill.NewRefusal(siskinrill.Reason(msg.GetReason()), out, nil).
 		WithRetryAfter(time.Duration(msg.GetRetryAfterMs()) * time.Millisecond).
-		WithVersion(msg.GetVersion())
+		WithVersion(msg.GetVersion()).
+		WithLoad(msg.GetLoad())
 }
 
 // answerBody is what follows the first part of an answer's body.
--- a/internal/agent/peer/server.go
+++ b/internal/agent/peer/server.go
@@ -96,7 +96,7 @@
 	}
 	ctx, cancel := context.WithTimeout(str.Context(), time.Duration(opn.GetTimeoutMs())*time.Millisecond)
 	defer cancel()
-	rpl := &reply{stream: str, method: opn.GetMethod(), skipEnd: srv.hooks.skipEnd}
+	rpl := &reply{stream: str, owner: srv.owner, method: opn.GetMethod(), skipEnd: srv.hooks.skipEnd}
 	var bdy io.Reader
 	if !opn.GetBodyEnd() {
 		bdy = &requestBody{reply: rpl, stream: str, length: opn.GetBodyLength(), total: int64(len(opn.GetBody()))}
@@ -113,6 +113,7 @@
 type reply struct {
 	mu      sync.Mutex
 	stream  peerpb.PeerService_ForwardServer
+	owner   siskinrill.Owner
 	method  string
 	skipEnd bool
 }
@@ -133,6 +134,7 @@
 		Outcome:      ref.Outcome(),
 		RetryAfterMs: uint32(ref.RetryAfter().Milliseconds()),
 		Version:      ref.Version(),
+		Load:         rpl.owner.InHand(),
 	}
 	return rpl.send(&peerpb.OwnerMessage{Kind: &peerpb.OwnerMessage_Refused{Refused: msg}})
 }
@@ -189,8 +191,13 @@
 	}
 }
 
+// respond sends the first message of an answer, which may be shared with a kept one and is therefore copied.
 func (rpl *reply) respond(rsp *peerpb.Response) error {
-	return rpl.send(&peerpb.OwnerMessage{Kind: &peerpb.OwnerMessage_Response{Response: rsp}})
+	msg := &peerpb.Response{
+		Status: rsp.GetStatus(), Headers: rsp.GetHeaders(), BodyLength: rsp.GetBodyLength(),
+		Body: rsp.GetBody(), BodyEnd: rsp.GetBodyEnd(), Load: rpl.owner.InHand(),
+	}
+	return rpl.send(&peerpb.OwnerMessage{Kind: &peerpb.OwnerMessage_Response{Response: msg}})
 }
 
 // rest sends what follows the first part of a body, and its end.
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -21,6 +21,8 @@
 	DefaultStopTimeout = 5 * time.Second
 
 	maxStop = time.Hour
+	// maxFreshness allows entries to serve on their copy of the configuration while control is down for days.
+	maxFreshness = 1000 * time.Hour
 )
 
 // Log is the section [log].
@@ -49,6 +51,10 @@
 	Data           string            // data directory
 	InitialMembers map[string]string // IP:port by name
 	MemberOrder    []string          // names of InitialMembers in the order of the file
+	Seeds          []string          // IP:port of some control processes, in place of InitialMembers
+	Bootstrap      bool              // with Seeds: the deployment starts for the first time
+	Voters         uint32            // with Seeds: number of voters that the group restores by itself, 0 for the default
+	Lease          time.Duration     // of an agent, 0 for the default
 	StopTimeout    time.Duration
 	Admin          Admin
 	Log            Log
@@ -62,8 +68,18 @@
 	BackendListen string   // IP:port for announcements of the backend server
 	Control       []string // IP:port of the control processes
 	DrainTimeout  time.Duration
-	Admin         Admin
-	Log           Log
+	// KeepKeys leaves the keys with the backend server at a stop, for the next process beside it.
+	KeepKeys bool
+	// Freshness is how long requests are taken after control was last heard, 0 for the default.
+	Freshness time.Duration
+	// DrainGrace is how long a backend server that leaves still gets requests, 0 for the default.
+	DrainGrace time.Duration
+	// BackendIdle is the longest idle time of a connection to the backend server that is used again, 0 for the default.
+	BackendIdle time.Duration
+	// Unframed accepts answers of the backend server that end with their connection.
+	Unframed bool
+	Admin    Admin
+	Log      Log
 }
 
 // Standin holds the settings of a stand-in backend server.
@@ -107,11 +123,18 @@
 			doc.place(&set.Place),
 			address("listen", &set.Listen).Required(),
 			source.Text("data", &set.Data).Required(),
-			source.Texts("initial_members", &mbs).Required(),
+			source.Texts("initial_members", &mbs),
+			source.Texts("seeds", &set.Seeds),
+			source.Flag("bootstrap", &set.Bootstrap),
+			source.Whole("voters", &set.Voters, 1, 9),
+			source.Duration("lease", &set.Lease, time.Second, time.Minute),
 			source.Duration("stop_timeout", &set.StopTimeout, 0, maxStop),
 		)...,
 	)
 	doc.common(&set.Admin, &set.Log)
+	if (len(mbs) == 0) == (len(set.Seeds) == 0) {
+		doc.checker.Add(doc.at("control", "initial_members"), "control.initial_members", "is missing; either initial_members or seeds must be set")
+	}
 	set.InitialMembers, set.MemberOrder = doc.members(mbs, set.Name, set.Listen)
 	doc.distinct(place{"control", "listen", set.Listen}, place{"admin", "listen", set.Admin.Listen})
 	return set, doc.checker.Err()
@@ -139,6 +162,11 @@
 			address("backend_listen", &set.BackendListen).Required(),
 			addresses("control", &set.Control).Required(),
 			source.Duration("drain_timeout", &set.DrainTimeout, 0, maxStop),
+			source.Flag("keep_keys", &set.KeepKeys),
+			source.Duration("freshness", &set.Freshness, 0, maxFreshness),
+			source.Duration("drain_grace", &set.DrainGrace, 0, maxStop),
+			source.Duration("backend_idle", &set.BackendIdle, 0, maxStop),
+			source.Flag("unframed", &set.Unframed),
 		)...,
 	)
 	doc.common(&set.Admin, &set.Log)
--- a/internal/control/agent/fill.go
+++ b/internal/control/agent/fill.go
@@ -78,6 +78,10 @@
 		row := &rows.Partitions[shd.GetPartition()]
 		row.Phase, row.Target = shd.GetPhase(), shd.GetTarget()
 	}
+	rows.HotKeys = nil
+	if rows.Service.GetKeyMode() != controlpb.KeyMode_KEY_MODE_TEXT {
+		return
+	}
 	floor := hotFloor * total / float64(max(len(rows.Upstreams), 1))
 	rows.HotKeys = trm.loads.hottest(rows.Service.GetName(), floor, uint32(len(tab.GetOwners())), now)
 	rows.HotKeys = slices.DeleteFunc(rows.HotKeys, func(hot siskinrill.HotKey) bool {
--- a/internal/control/agent/options.go
+++ b/internal/control/agent/options.go
@@ -16,6 +16,14 @@
 	SendTimeout   time.Duration // a stream that takes no message for this long is closed; default 5 s
 }
 
+// LeaseOptions returns options for a lease of an agent, the defaults for 0; the wait for its end has a margin of 5% for clock rates and 20 ms, and five renewals fit into it.
+func LeaseOptions(lease time.Duration) Options {
+	if lease == 0 {
+		return Options{}
+	}
+	return Options{Lease: lease, Wait: lease + lease/20 + 20*time.Millisecond, RenewEvery: lease / 5}
+}
+
 // hooks break single rules, so that tests can prove that they would notice.
 type hooks struct {
 	skipConfirm  bool // renewals are answered without confirming the leadership
--- a/internal/control/agent/pack.go
+++ b/internal/control/agent/pack.go
@@ -45,7 +45,7 @@
 	pkr.rows[shd.GetService()][shd.GetPartition()] = shd
 }
 
-// split separates the rows that are being released from the plain ones, each in the order of the partitions.
+// split separates the rows that are being released, or come with a handover, from the plain ones, each in the order of the partitions.
 func split(svc string, rows map[uint32]*controlpb.Shard) ([]*controlpb.Change, *controlpb.RowBatch) {
 	nums := make([]uint32, 0, len(rows))
 	for num := range rows {
@@ -56,7 +56,7 @@
 	plain := &controlpb.RowBatch{Service: svc}
 	for _, num := range nums {
 		shd := rows[num]
-		if shd.GetPhase() == controlpb.Phase_PHASE_RELEASING {
+		if shd.GetPhase() == controlpb.Phase_PHASE_RELEASING || shd.GetHandover() != "" {
 			moving = append(moving, &controlpb.Change{Kind: &controlpb.Change_SetShard{SetShard: shd}})
 			continue
 		}
--- a/internal/control/member/form.go
+++ b/internal/control/member/form.go
@@ -86,7 +86,7 @@
 	// Entry 1 of term 1 is the same at every founding member, and no leader is elected in term 1, because all begin with it.
 	ent := &controlpb.Entry{Index: 1, Term: 1, Kind: controlpb.EntryKind_ENTRY_KIND_MEMBERS, Data: raft.EncodeMembers(mbs)}
 	hst := &controlpb.HardState{Term: 1, Commit: 1}
-	return grp.join(mbs, hst, []*controlpb.Entry{ent})
+	return grp.enter(mbs, hst, []*controlpb.Entry{ent})
 }
 
 // adopt makes this process the member that a message is meant for: the sender's membership holds this store, so a leader has added it.
@@ -94,10 +94,10 @@
 // Until it receives the membership it knows itself as a learner only, and therefore does not campaign.
 func (grp *Group) adopt(arr arrival) {
 	self := &controlpb.Member{Id: arr.msg.GetTo(), Name: grp.opt.Name, StoreId: grp.wal.StoreID(), Address: grp.opt.Address, Learner: true}
-	grp.join(&controlpb.Members{ClusterId: arr.clusterID, Members: []*controlpb.Member{self}}, nil, nil)
+	grp.enter(&controlpb.Members{ClusterId: arr.clusterID, Members: []*controlpb.Member{self}}, nil, nil)
 }
 
-func (grp *Group) join(mbs *controlpb.Members, hst *controlpb.HardState, ents []*controlpb.Entry) bool {
+func (grp *Group) enter(mbs *controlpb.Members, hst *controlpb.HardState, ents []*controlpb.Entry) bool {
 	err := grp.wal.Form(mbs, wal.Batch{HardState: hst, Entries: ents})
 	if err == nil {
 		err = grp.start(mbs, raft.Initial{HardState: hst, Members: mbs, Entries: ents})
--- a/internal/control/member/group.go
+++ b/internal/control/member/group.go
@@ -22,6 +22,7 @@
 	proposals chan *proposal
 	confirms  chan *confirmation
 	calls     chan call
+	joins     chan *controlpb.JoinRequest
 	stopped   chan struct{}
 	changing  sync.Mutex
 
@@ -58,6 +59,7 @@
 		proposals: make(chan *proposal, requestLimit),
 		confirms:  make(chan *confirmation, requestLimit),
 		calls:     make(chan call, requestLimit),
+		joins:     make(chan *controlpb.JoinRequest, admitQueue),
 		stopped:   make(chan struct{}),
 		waiting:   map[uint64]*proposal{},
 		peers:     map[uint64]*peer{},
@@ -118,6 +120,10 @@
 	if grp.rft == nil && len(grp.opt.InitialMembers) > 0 && grp.opt.InitialMembers[0].Name == grp.opt.Name {
 		wgr.Go(func() { grp.form(ctx) })
 	}
+	if len(grp.opt.Seeds) > 0 {
+		wgr.Go(func() { grp.join(ctx) })
+		wgr.Go(func() { grp.repair(ctx) })
+	}
 	err := grp.loop(ctx, &wgr)
 	grp.end(err)
 	cancel()
--- /dev/null
+++ b/internal/control/member/join.go
@@ -0,0 +1,115 @@
+package member
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/siskinrill/siskinrill/internal/control/raft"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	joinPause   = 100 * time.Millisecond // between attempts to form or to join a cluster
+	joinTimeout = 400 * time.Millisecond // of one request to join, so that a lost seed delays the others little
+	admitQueue  = 16                     // requests to join that wait for the leader; more are dropped, as processes ask again
+)
+
+// join makes a process that was started with seeds a voter: the least seed forms the cluster on the first start, every other process asks until the leader has admitted it.
+func (grp *Group) join(ctx context.Context) {
+	addrs := slices.Clone(grp.opt.Seeds)
+	for ctx.Err() == nil && !grp.votes(ctx) {
+		if grp.mayForm() && grp.formFromSeeds(ctx) {
+			return
+		}
+		for _, addr := range addrs {
+			if addr == grp.opt.Address {
+				continue
+			}
+			for _, got := range grp.askToJoin(ctx, addr) {
+				if got != "" && !slices.Contains(addrs, got) {
+					addrs = append(addrs, got)
+				}
+			}
+		}
+		pause(ctx, joinPause)
+	}
+}
+
+// mayForm reports whether this process is the one that forms the cluster, so that two are never formed.
+func (grp *Group) mayForm() bool {
+	return grp.opt.Bootstrap && grp.ClusterID() == "" && slices.Min(grp.opt.Seeds) == grp.opt.Address
+}
+
+// votes reports whether this process is a voter by its own copy of the membership.
+func (grp *Group) votes(ctx context.Context) bool {
+	voter := false
+	_ = grp.call(ctx, func() {
+		if grp.rft == nil {
+			return
+		}
+		for _, mem := range grp.rft.Members().GetMembers() {
+			voter = voter || mem.GetId() == grp.rft.ID() && !mem.GetLearner()
+		}
+	})
+	return voter
+}
+
+// formFromSeeds founds the cluster once all seeds answer and none belongs to one.
+func (grp *Group) formFromSeeds(ctx context.Context) bool {
+	mbs := &controlpb.Members{ClusterId: uuid.NewString(), NextId: 1}
+	for _, addr := range grp.opt.Seeds {
+		ans := &controlpb.IdentifyAnswer{Name: grp.opt.Name, StoreId: grp.wal.StoreID()}
+		if addr != grp.opt.Address {
+			var err error
+			if ans, err = identify(ctx, addr); err != nil || ans.GetFormed() {
+				return false
+			}
+		}
+		mbs.Members = append(mbs.Members, &controlpb.Member{Id: mbs.NextId, Name: ans.GetName(), StoreId: ans.GetStoreId(), Address: addr})
+		mbs.NextId++
+	}
+	grp.found(ctx, mbs)
+	return true
+}
+
+// askToJoin returns the addresses of members that the answer names.
+func (grp *Group) askToJoin(ctx context.Context, addr string) []string {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	var ans *controlpb.JoinAnswer
+	err := ask(ctx, addr, func(ctx context.Context, cln controlpb.MemberServiceClient) error {
+		var err error
+		ans, err = cln.Join(ctx, &controlpb.JoinRequest{Name: grp.opt.Name, StoreId: grp.wal.StoreID(), Address: grp.opt.Address})
+		return err
+	})
+	if err != nil {
+		grp.opt.Logger.Debugf("member: %s does not answer a request to join: %v", addr, err)
+		return nil
+	}
+	return append(ans.GetAddresses(), ans.GetLeaderAddress())
+}
+
+// Join notes the request of another control process at the leader, and names the members elsewhere.
+func (srv *server) Join(ctx context.Context, req *controlpb.JoinRequest) (*controlpb.JoinAnswer, error) {
+	ans := &controlpb.JoinAnswer{}
+	leading := false
+	err := srv.grp.inspectAny(ctx, func() error {
+		leading = srv.grp.rft.Role() == raft.Leader
+		ans.LeaderAddress = srv.grp.addressOf(srv.grp.rft.LeaderID())
+		for _, mem := range srv.grp.rft.Members().GetMembers() {
+			ans.Addresses = append(ans.Addresses, mem.GetAddress())
+			ans.Member = ans.Member || mem.GetStoreId() == req.GetStoreId() && !mem.GetLearner()
+		}
+		return nil
+	})
+	if err == nil && leading && !ans.GetMember() {
+		select {
+		case srv.grp.joins <- req:
+		default:
+		}
+	}
+	return ans, nil
+}
--- a/internal/control/member/options.go
+++ b/internal/control/member/options.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"io"
 	"math/rand/v2"
 	"time"
@@ -22,7 +23,10 @@
 	Name            string
 	Address         string // IP:port of the own gRPC listener, as other control processes reach it
 	DataDir         string
-	InitialMembers  []Peer // the first one forms the cluster; empty for a process that is added later
+	InitialMembers  []Peer   // the first one forms the cluster; empty for a process that is added later
+	Seeds           []string // IP:port of some control processes, in place of InitialMembers; the least of them forms the cluster, others join it
+	Bootstrap       bool     // with Seeds: the deployment starts for the first time, so that a cluster may be formed
+	Voters          int      // with Seeds: number of voters that the leader restores by itself; 5
 	Registry        siskinrill.Registry
 	Logger          *logrus.Logger
 	Tick            time.Duration  // between heartbeats; 50 ms
@@ -62,6 +66,7 @@
 	if opt.Seed == 0 {
 		opt.Seed = rand.Uint64()
 	}
+	opt.Voters = cmp.Or(opt.Voters, 5)
 	if opt.Logger == nil {
 		opt.Logger = logrus.New()
 		opt.Logger.SetOutput(io.Discard)
--- a/internal/control/operator/apply.go
+++ b/internal/control/operator/apply.go
@@ -19,8 +19,7 @@
 	if req.GetChangeId() == "" || req.GetConfiguration() == nil {
 		return nil, status.Error(codes.InvalidArgument, "change_id and configuration are needed")
 	}
-	cmd := registry.ApplyConfiguration(req.GetChangeId(), req.GetOperator(), req.GetConfiguration())
-	res, err := svc.log.Propose(ctx, cmd)
+	res, err := svc.log.Propose(ctx, command(req))
 	if err != nil {
 		return nil, svc.fault(err)
 	}
@@ -28,7 +27,7 @@
 	if rec == nil {
 		return nil, status.Error(codes.Internal, "the registry gave no answer to the change")
 	}
-	if rec.GetContentHash() != registry.ContentHash(req.GetConfiguration()) || rec.GetNumber() != req.GetConfiguration().GetNumber() {
+	if rec.GetContentHash() != hash(req) || rec.GetNumber() != req.GetConfiguration().GetNumber() {
 		return nil, status.Errorf(codes.AlreadyExists, "change_id_reused: %s was used for another change", req.GetChangeId())
 	}
 	ans := &controlpb.ApplyAnswer{Record: rec}
@@ -38,6 +37,20 @@
 	return svc.await(ctx, ans, time.Duration(req.GetWaitMs())*time.Millisecond)
 }
 
+func command(req *controlpb.ApplyRequest) *controlpb.Command {
+	if req.GetBase() == nil {
+		return registry.ApplyConfiguration(req.GetChangeId(), req.GetOperator(), req.GetConfiguration())
+	}
+	return registry.Rebase(req.GetChangeId(), req.GetOperator(), req.GetConfiguration(), req.GetBase().GetNumber(), req.GetPatch())
+}
+
+func hash(req *controlpb.ApplyRequest) string {
+	if req.GetPatch() == nil {
+		return registry.ContentHash(req.GetConfiguration())
+	}
+	return registry.PatchHash(req.GetPatch())
+}
+
 // await fills in who lags, once nobody does or the time is over.
 func (svc *Service) await(ctx context.Context, ans *controlpb.ApplyAnswer, wait time.Duration) (*controlpb.ApplyAnswer, error) {
 	end := time.Now().Add(wait)
--- a/internal/control/operator/status.go
+++ b/internal/control/operator/status.go
@@ -139,18 +139,31 @@
 	svc.registry.View(func(stt *controlpb.RegistryState) {
 		for _, tab := range stt.GetTables() {
 			if tab.GetService() == req.GetService() && len(tab.GetOwners()) > 0 {
-				ans = owner(stt, tab, req.GetKey())
+				ans = owner(stt, tab, configured(stt, req.GetService()), req.GetKey())
 			}
 		}
 	})
 	if ans == nil {
-		return nil, status.Errorf(codes.NotFound, "unknown_service: %s", req.GetService())
+		return nil, status.Errorf(codes.NotFound, "unknown_service: %s has no key %q", req.GetService(), req.GetKey())
 	}
 	return ans, nil
 }
 
-func owner(stt *controlpb.RegistryState, tab *controlpb.ServiceTable, key string) *controlpb.OwnerAnswer {
-	prt := siskinrill.Partition(tab.GetService(), key, uint32(len(tab.GetOwners())))
+func configured(stt *controlpb.RegistryState, name string) *controlpb.Service {
+	for _, svc := range stt.GetConfiguration().GetServices() {
+		if svc.GetName() == name {
+			return svc
+		}
+	}
+	return nil
+}
+
+// owner returns nil for a key that the service cannot have.
+func owner(stt *controlpb.RegistryState, tab *controlpb.ServiceTable, svc *controlpb.Service, key string) *controlpb.OwnerAnswer {
+	prt, ok := siskinrill.PartitionOf(svc, key)
+	if !ok || int(prt) >= len(tab.GetOwners()) {
+		return nil
+	}
 	ans := &controlpb.OwnerAnswer{
 		Service: tab.GetService(), Key: key, Partition: prt,
 		Session: tab.GetOwners()[prt], Token: tab.GetTokens()[prt], Phase: "owned",
--- a/internal/control/registry/commands.go
+++ b/internal/control/registry/commands.go
@@ -36,6 +36,12 @@
 	return &controlpb.Command{Kind: &controlpb.Command_ApplyConfiguration{ApplyConfiguration: app}}
 }
 
+// Rebase returns the command that decides on a change which builds on a configuration number: a whole configuration, or a patch when that is not nil.
+func Rebase(cid, opr string, cnf *controlpb.Configuration, base uint64, pat *controlpb.ConfigurationChange) *controlpb.Command {
+	app := &controlpb.ApplyConfiguration{ChangeId: cid, Configuration: cnf, Operator: opr, Base: &controlpb.BaseVersion{Number: base}, Patch: pat}
+	return &controlpb.Command{Kind: &controlpb.Command_ApplyConfiguration{ApplyConfiguration: app}}
+}
+
 // SetDrain returns the command that starts or undoes the drain of an upstream.
 func SetDrain(ups string, drn bool) *controlpb.Command {
 	return &controlpb.Command{Kind: &controlpb.Command_SetDrain{SetDrain: &controlpb.SetDrain{Upstream: ups, Drain: drn}}}
--- a/internal/control/registry/configure.go
+++ b/internal/control/registry/configure.go
@@ -19,6 +19,11 @@
 	ReasonPartitionsRange = "partitions_out_of_range"
 	ReasonUnknownService  = "unknown_service"
 	ReasonDuplicateName   = "duplicate_name"
+	ReasonBaseNotCurrent  = "base_not_current"
+	ReasonNumberNotAbove  = "number_not_above"
+	ReasonKeyModeFixed    = "key_mode_fixed"
+	ReasonSamePlace       = "same_place"
+	ReasonNoWeight        = "no_weight"
 )
 
 // Bounds of the number of partitions of a service.
@@ -34,7 +39,11 @@
 func ContentHash(cnf *controlpb.Configuration) string {
 	cpy := normalize(cnf)
 	cpy.Number = 0
-	raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(cpy)
+	return hashOf(cpy)
+}
+
+func hashOf(msg proto.Message) string {
+	raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(msg)
 	if err != nil {
 		// Only text that is not UTF-8 fails here, and such a command cannot be decoded from the log.
 		return ""
@@ -46,6 +55,8 @@
 func normalize(cnf *controlpb.Configuration) *controlpb.Configuration {
 	cpy := &controlpb.Configuration{
 		Number:   cnf.GetNumber(),
+		Limits:   cnf.GetLimits(),
+		Document: cnf.GetDocument(),
 		Services: append([]*controlpb.Service(nil), cnf.GetServices()...),
 		Routes:   append([]*controlpb.Route(nil), cnf.GetRoutes()...),
 	}
@@ -59,13 +70,16 @@
 	if rec, ok := reg.answers[cmd.GetChangeId()]; ok {
 		return rec
 	}
-	cnf := normalize(cmd.GetConfiguration())
+	cnf := reg.proposed(cmd)
 	rec := &controlpb.ChangeRecord{
-		ChangeId: cmd.GetChangeId(), Number: cnf.GetNumber(), Index: idx, ContentHash: ContentHash(cnf),
+		ChangeId: cmd.GetChangeId(), Number: cnf.GetNumber(), Index: idx, ContentHash: contentHash(cmd),
 	}
-	rec.Reason, rec.Winner = reg.refusal(cnf)
+	rec.Reason, rec.Winner = reg.refusal(cmd, cnf)
 	rec.Accepted = rec.GetReason() == ""
-	reg.remember(rec)
+	// A refused change on a base is not remembered: it cannot become valid, because the current number only rises.
+	if rec.GetAccepted() || cmd.GetBase() == nil {
+		reg.remember(rec)
+	}
 	if rec.GetAccepted() {
 		reg.install(idx, cnf)
 	}
@@ -82,9 +96,13 @@
 	}
 }
 
-func (reg *Registry) refusal(cnf *controlpb.Configuration) (string, string) {
+func (reg *Registry) refusal(cmd *controlpb.ApplyConfiguration, cnf *controlpb.Configuration) (string, string) {
 	cur := reg.state.GetConfiguration().GetNumber()
-	if cnf.GetNumber() != cur+1 {
+	if cmd.GetBase() != nil {
+		if rsn := numberRefusal(cmd, cur); rsn != "" {
+			return rsn, ""
+		}
+	} else if cnf.GetNumber() != cur+1 {
 		if win := reg.winner(cnf.GetNumber()); win != "" {
 			return ReasonNumberTaken, win
 		}
@@ -114,12 +132,15 @@
 		if pos > 0 && services[pos-1].GetName() == svc.GetName() {
 			return ReasonDuplicateName
 		}
-		if svc.GetPartitions() < MinPartitions || svc.GetPartitions() > MaxPartitions {
+		if svc.GetKeyMode() != controlpb.KeyMode_KEY_MODE_NONE && (svc.GetPartitions() < MinPartitions || svc.GetPartitions() > MaxPartitions) {
 			return ReasonPartitionsRange
 		}
 		if tab := reg.table(svc.GetName()); tab != nil && len(tab.GetOwners()) != int(svc.GetPartitions()) {
 			return ReasonPartitionsFixed
 		}
+		if old := findService(reg.state.GetConfiguration(), svc.GetName()); old != nil && old.GetKeyMode() != svc.GetKeyMode() {
+			return ReasonKeyModeFixed
+		}
 	}
 	return ""
 }
@@ -129,11 +150,11 @@
 		if pos > 0 && cnf.GetRoutes()[pos-1].GetName() == rou.GetName() {
 			return ReasonDuplicateName
 		}
-		if findService(cnf, rou.GetService()) == nil {
-			return ReasonUnknownService
+		if rsn := badTargets(cnf, rou); rsn != "" {
+			return rsn
 		}
 	}
-	return ""
+	return samePlace(cnf.GetRoutes())
 }
 
 func findService(cnf *controlpb.Configuration, name string) *controlpb.Service {
@@ -151,6 +172,7 @@
 	chg := &controlpb.ConfigurationChange{Number: cnf.GetNumber()}
 	chg.SetServices, chg.RemoveServices = diffServices(old.GetServices(), cnf.GetServices())
 	chg.SetRoutes, chg.RemoveRoutes = diffRoutes(old.GetRoutes(), cnf.GetRoutes())
+	chg.SetLimits = cnf.GetLimits()
 	reg.state.Configuration = cnf
 	reg.ring.add(idx, &controlpb.Change{Kind: &controlpb.Change_Configuration{Configuration: chg}})
 	for _, svc := range cnf.GetServices() {
--- a/internal/control/registry/nodes.go
+++ b/internal/control/registry/nodes.go
@@ -86,7 +86,8 @@
 	}
 	same := serving(old.GetUpstream()) && serving(nod.GetUpstream()) &&
 		old.GetUpstream().GetId() == nod.GetUpstream().GetId() &&
-		old.GetUpstream().GetService() == nod.GetUpstream().GetService()
+		old.GetUpstream().GetService() == nod.GetUpstream().GetService() &&
+		old.GetUpstream().GetIncarnation() == nod.GetUpstream().GetIncarnation()
 	if nod.GetUpstream() != nil && !same {
 		nod.Upstream.SinceIndex = idx
 	}
@@ -95,6 +96,54 @@
 	if !same {
 		reg.giveUp(idx, map[uint64]bool{nod.GetSession(): true})
 	}
+	reg.succeed(idx, nod)
+}
+
+// succeed ends the earlier sessions of a restarted agent once it has heard its backend server. The rows stay with a backend server that has not restarted meanwhile, since it is still their only holder; those of an earlier incarnation, which can hold nothing any more, are given up.
+func (reg *Registry) succeed(idx uint64, nod *controlpb.Node) {
+	if nod.GetUpstream().GetIncarnation() == 0 {
+		return
+	}
+	var earlier []uint64
+	for _, old := range reg.state.GetNodes() {
+		if old.GetName() != nod.GetName() || old.GetSession() >= nod.GetSession() {
+			continue
+		}
+		earlier = append(earlier, old.GetSession())
+		ups := old.GetUpstream()
+		if ups.GetId() == nod.GetUpstream().GetId() && ups.GetIncarnation() == nod.GetUpstream().GetIncarnation() && serving(nod.GetUpstream()) {
+			reg.inherit(idx, old.GetSession(), nod.GetSession())
+		}
+	}
+	if len(earlier) > 0 {
+		reg.expire(idx, earlier)
+	}
+}
+
+// inherit gives the rows of one session, and those on their way to it, to another; their tokens stay.
+func (reg *Registry) inherit(idx, from, to uint64) {
+	for _, tab := range reg.state.GetTables() {
+		for prt := range tab.GetOwners() {
+			if row := partition(tab, uint32(prt)); row.GetOwner() == from || row.GetTarget() == from {
+				reg.put(idx, tab, inherited(row, from, to))
+			}
+		}
+		for _, old := range append([]*controlpb.Shard(nil), tab.GetOverrides()...) {
+			if row := override(tab, old.GetKey()); row.GetOwner() == from || row.GetTarget() == from {
+				reg.put(idx, tab, inherited(row, from, to))
+			}
+		}
+	}
+}
+
+func inherited(row *controlpb.Shard, from, to uint64) *controlpb.Shard {
+	if row.GetOwner() == from {
+		row.Owner = to
+	}
+	if row.GetTarget() == from {
+		row.Target = to
+	}
+	return row
 }
 
 func (reg *Registry) setDrain(cmd *controlpb.SetDrain) {
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/siskinrill/siskinrill"
@@ -111,6 +112,7 @@
 		Owners:    append([]uint64(nil), tab.GetOwners()...),
 		Tokens:    append([]uint64(nil), tab.GetTokens()...),
 		Moving:    append([]*controlpb.Shard(nil), tab.GetMoving()...),
+		Handovers: maps.Clone(tab.GetHandovers()),
 		Overrides: append([]*controlpb.Shard(nil), tab.GetOverrides()...),
 	}
 }
--- a/internal/control/registry/shards.go
+++ b/internal/control/registry/shards.go
@@ -51,7 +51,7 @@
 		return row
 	}
 	if row.GetOwner() != 0 {
-		row.Phase = owned
+		row.Phase, row.Handover = owned, tab.GetHandovers()[prt]
 	}
 	return row
 }
@@ -87,6 +87,7 @@
 func putPartition(tab *controlpb.ServiceTable, row *controlpb.Shard) {
 	prt := row.GetPartition()
 	tab.Owners[prt], tab.Tokens[prt] = row.GetOwner(), row.GetToken()
+	putHandover(tab, row)
 	pos, ok := findMoving(tab, prt)
 	switch {
 	case row.GetPhase() == releasing && ok:
@@ -98,6 +99,17 @@
 	}
 }
 
+func putHandover(tab *controlpb.ServiceTable, row *controlpb.Shard) {
+	if row.GetHandover() == "" || row.GetPhase() != owned {
+		delete(tab.GetHandovers(), row.GetPartition())
+		return
+	}
+	if tab.GetHandovers() == nil {
+		tab.Handovers = map[uint32]string{}
+	}
+	tab.Handovers[row.GetPartition()] = row.GetHandover()
+}
+
 // removeOverride returns a key to its partition, whose owner gets a newer token so that tokens rise for each key too.
 func (reg *Registry) removeOverride(idx uint64, tab *controlpb.ServiceTable, row *controlpb.Shard) {
 	pos, ok := findOverride(tab, row.GetKey())
@@ -113,16 +125,16 @@
 	}
 }
 
-// handOver ends the ownership of a row: it goes to its target, to nobody, or, for a retiring override, back to its partition.
-func (reg *Registry) handOver(idx uint64, tab *controlpb.ServiceTable, row *controlpb.Shard) {
+// handOver ends the ownership of a row: it goes to its target with what the owner's backend server left, to nobody, or, for a retiring override, back to its partition.
+func (reg *Registry) handOver(idx uint64, tab *controlpb.ServiceTable, row *controlpb.Shard, handover string) {
 	if row.GetRetiring() {
 		reg.removeOverride(idx, tab, row)
 		return
 	}
 	tgt := row.GetTarget()
-	row.Owner, row.Phase, row.Target = 0, orphan, 0
+	row.Owner, row.Phase, row.Target, row.Handover = 0, orphan, 0, ""
 	if tgt != 0 && reg.usable(tgt, tab.GetService()) {
-		row.Owner, row.Phase, row.Token = tgt, owned, idx
+		row.Owner, row.Phase, row.Token, row.Handover = tgt, owned, idx, handover
 	}
 	reg.put(idx, tab, row)
 }
@@ -135,13 +147,13 @@
 		}
 		for prt, own := range tab.GetOwners() {
 			if own != 0 && gone[own] {
-				reg.handOver(idx, tab, partition(tab, uint32(prt)))
+				reg.handOver(idx, tab, partition(tab, uint32(prt)), "")
 			}
 		}
 		for _, row := range append([]*controlpb.Shard(nil), tab.GetOverrides()...) {
 			reg.giveUpTarget(idx, tab, override(tab, row.GetKey()), gone)
 			if row.GetOwner() != 0 && gone[row.GetOwner()] {
-				reg.handOver(idx, tab, override(tab, row.GetKey()))
+				reg.handOver(idx, tab, override(tab, row.GetKey()), "")
 			}
 		}
 	}
@@ -163,7 +175,7 @@
 			skipped++
 			continue
 		}
-		reg.handOver(idx, tab, row)
+		reg.handOver(idx, tab, row, ref.GetHandover())
 	}
 	return skipped
 }
@@ -222,7 +234,7 @@
 	if row.GetPhase() != owned || row.GetOwner() == tgt || !reg.usable(tgt, tab.GetService()) {
 		return false
 	}
-	row.Phase, row.Target = releasing, tgt
+	row.Phase, row.Target, row.Handover = releasing, tgt, ""
 	reg.put(idx, tab, row)
 	return true
 }
@@ -240,11 +252,16 @@
 	return true
 }
 
+// textKeys reports whether a service divides text keys by hash; only those have overrides.
+func (reg *Registry) textKeys(svc string) bool {
+	return findService(reg.state.GetConfiguration(), svc).GetKeyMode() == controlpb.KeyMode_KEY_MODE_TEXT
+}
+
 // isolate takes a key out of its partition. The partition's owner holds the new row as releasing until it has finished the key's requests.
 func (reg *Registry) isolate(idx uint64, asg *controlpb.Assignment) bool {
 	ref := asg.GetShard()
 	tab := reg.table(ref.GetService())
-	if tab == nil || len(tab.GetOverrides()) >= MaxOverrides || ref.GetKey() == "" || len(ref.GetKey()) > siskinrill.MaxKeyBytes {
+	if tab == nil || !reg.textKeys(ref.GetService()) || len(tab.GetOverrides()) >= MaxOverrides || ref.GetKey() == "" || len(ref.GetKey()) > siskinrill.MaxKeyBytes {
 		return false
 	}
 	prt := partition(tab, siskinrill.Partition(ref.GetService(), ref.GetKey(), uint32(len(tab.GetOwners()))))
--- /dev/null
+++ b/internal/host/boottime/doc.go
@@ -0,0 +1,2 @@
+// Package boottime reads the host's clock that counts suspensions and is never set.
+package boottime
--- a/internal/process/actor/server.go
+++ b/internal/process/actor/server.go
@@ -17,6 +17,12 @@
 // acceptTime is how long the first request of an accepted connection may take to arrive and be read.
 const acceptTime = 50 * time.Millisecond
 
+// Server is an HTTP handler with its listener.
+type Server struct {
+	Listener net.Listener
+	Handler  http.Handler
+}
+
 // HTTP adds an HTTP server to a group; when the group ends, requests in flight have grace to finish.
 func HTTP(grp *run.Group, lis net.Listener, hdl http.Handler, grace time.Duration) {
 	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout}
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -32,6 +32,12 @@
 	drainPoll = 20 * time.Millisecond
 	// lingerTime is how long a drained agent still serves callers, whose connections it asks to close; a request sent on a connection that closes at the same moment is lost to its caller.
 	lingerTime = time.Second
+	// longestLease lets control decide on the length of leases.
+	longestLease = time.Minute
+	// leaveTime is how long callers need to notice that the agent is no longer ready: they ask every second and leave after two misses.
+	leaveTime = 2200 * time.Millisecond
+	// longestLeave bounds the wait for callers that come nevertheless.
+	longestLeave = 3 * time.Second
 	// quietTime is how long no request must have arrived for an earlier end of that.
 	quietTime = 200 * time.Millisecond
 )
@@ -44,6 +50,11 @@
 	Backend  net.Listener // for announcements, opened at Settings.BackendListen when nil
 	Admin    net.Listener // for the admin API, opened at Settings.Admin.Listen when nil
 	Logger   *logrus.Logger
+	// Callers' requests and those to the backend server pass these when set, to translate headers.
+	Translate func(next http.Handler) http.Handler
+	Transport func(pool http.RoundTripper) http.RoundTripper
+	// Extra are further HTTP servers, which may call the agent that they are given.
+	Extra func(prc *Process) []actor.Server
 }
 
 // Process is an assembled agent.
@@ -60,6 +71,27 @@
 	admin    *adminhttp.Handler
 	stopping atomic.Bool
 	request  atomic.Int64 // Unix time in nanoseconds of the last request of a caller
+	inFlight atomic.Int64 // requests of callers
+	extra    []actor.Server
+}
+
+// Announce takes an announcement of the backend server over and returns the answer to it; an error is a *backend.AnnouncementError.
+func (prc *Process) Announce(ctx context.Context, ann *backend.Announcement) (backend.Standing, error) {
+	return prc.backend.Announce(ctx, ann)
+}
+
+// Leave takes over that the backend server of an id has left.
+func (prc *Process) Leave(id string) { prc.backend.Leave(id) }
+
+// TakesCallers returns an error while callers are better sent elsewhere: the agent stops, or knows no configuration in force.
+func (prc *Process) TakesCallers() error {
+	if prc.stopping.Load() {
+		return errors.New("the agent stops")
+	}
+	if !prc.session.Fresh() || prc.session.Version() == 0 {
+		return errors.New("no configuration is known")
+	}
+	return nil
 }
 
 // held names the embedded session, whose own name is that of one of its methods.
@@ -82,19 +114,31 @@
 		return nil, err
 	}
 	prc := &Process{options: opt, counters: siskinrill.NewCounters()}
-	prc.session = control.New(control.Options{Node: node(opt), Control: opt.Settings.Control, Logger: opt.Logger})
+	set := opt.Settings
+	prc.session = control.New(control.Options{
+		Node: node(opt), Control: set.Control, Logger: opt.Logger, Counters: prc.counters,
+		Lease: longestLease, Freshness: set.Freshness,
+	})
 	prc.pool = peer.NewPool(peer.Options{Logger: opt.Logger, Counters: prc.counters})
 	prc.backend = backend.New(backend.Options{
 		OnUpstream: prc.session.SetUpstream, Draining: prc.session.Draining,
 		MayStop: func() bool { return prc.owner.Idle() },
+		Owned:   prc.session.Owned, Lease: prc.session.Expires, Service: prc.session.Service,
+		Transport: opt.Transport, MaxIdle: set.BackendIdle, Unframed: set.Unframed,
 	}, prc.counters)
 	ses := guarded{held: prc.session, backend: prc.backend}
-	prc.owner = owner.New(owner.Options{Slots: prc.backend.Slots}, ses, prc.pool, prc.backend, prc.counters)
+	prc.owner = owner.New(owner.Options{Slots: prc.backend.Slots, DrainGrace: set.DrainGrace}, ses, prc.pool, prc.backend, prc.counters)
 	prc.session.SetLoadSource(prc.owner)
 	prc.server = grpc.NewServer(peer.ServerOptions()...)
 	peer.NewServer(prc.owner, prc.session).Register(prc.server)
 	hdl := caller.New(caller.Options{Logger: opt.Logger}, prc.session, prc.pool, prc.owner, prc.counters)
 	prc.callers = prc.closing(hdl)
+	if opt.Translate != nil {
+		prc.callers = opt.Translate(prc.callers)
+	}
+	if opt.Extra != nil {
+		prc.extra = opt.Extra(prc)
+	}
 	prc.operator = adminhttp.NewOperator(opt.Settings.Control...)
 	prc.admin = adminhttp.New(adminhttp.Options{
 		Role: "agent", Name: opt.Settings.Name, Token: opt.Settings.Admin.Token,
@@ -139,6 +183,8 @@
 func (prc *Process) closing(hdl http.Handler) http.Handler {
 	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
 		prc.request.Store(time.Now().UnixNano())
+		prc.inFlight.Add(1)
+		defer prc.inFlight.Add(-1)
 		if prc.stopping.Load() {
 			wri.Header().Set("Connection", "close")
 		}
@@ -192,9 +238,12 @@
 	var grp run.Group
 	actor.Until(ctx, &grp, prc.drain)
 	// Interrupts run in this order, so callers' requests finish while everything that they need still runs.
-	actor.HTTP(&grp, prc.options.Callers, prc.callers, max(set.DrainTimeout, adminGrace))
+	actor.HTTP(&grp, prc.options.Callers, prc.callers, prc.callerGrace())
 	actor.HTTP(&grp, prc.options.Backend, prc.backend.Handler(), adminGrace)
 	actor.HTTP(&grp, prc.options.Admin, prc.admin, adminGrace)
+	for _, srv := range prc.extra {
+		actor.HTTP(&grp, srv.Listener, srv.Handler, adminGrace)
+	}
 	actor.GRPC(&grp, prc.options.Peers, prc.server)
 	actor.Loop(&grp, prc.owner.Run)
 	actor.Loop(&grp, prc.backend.Run)
@@ -204,6 +253,14 @@
 	return err
 }
 
+// callerGrace is how long requests of callers have to finish after the drain.
+func (prc *Process) callerGrace() time.Duration {
+	if prc.options.Settings.KeepKeys {
+		return adminGrace
+	}
+	return max(prc.options.Settings.DrainTimeout, adminGrace)
+}
+
 // drain waits until the agent owns nothing and has no request in flight, its lease is over, or the time is up; a drain timeout of 0 skips it.
 func (prc *Process) drain() {
 	log := prc.options.Logger.WithField("name", prc.options.Settings.Name)
@@ -212,6 +269,10 @@
 		return
 	}
 	log.Info("agent: Draining.")
+	if prc.options.Settings.KeepKeys {
+		prc.finish(log)
+		return
+	}
 	prc.session.Drain()
 	end := time.Now().Add(prc.options.Settings.DrainTimeout)
 	for time.Now().Before(end) {
@@ -230,6 +291,24 @@
 	log.Warn("agent: The drain took too long.")
 }
 
+// finish serves callers until they have gone elsewhere, then refuses new work and waits for what runs; the keys stay with the backend server for the next process beside it.
+func (prc *Process) finish(log *logrus.Entry) {
+	begin := time.Now()
+	end := begin.Add(prc.options.Settings.DrainTimeout)
+	for time.Since(begin) < leaveTime || time.Since(begin) < longestLeave && time.Since(time.Unix(0, prc.request.Load())) < quietTime {
+		time.Sleep(drainPoll)
+	}
+	prc.owner.Close()
+	for time.Now().Before(end) {
+		if lod := prc.owner.InHand(); lod.GetRunning() == 0 && lod.GetQueued() == 0 && prc.inFlight.Load() == 0 {
+			log.Info("agent: Finished.")
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+	log.Warn("agent: Requests still run at the stop.")
+}
+
 // linger gives callers time to close their connections.
 func (prc *Process) linger() {
 	for end := time.Now().Add(lingerTime); time.Now().Before(end); time.Sleep(drainPoll) {
--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -31,6 +31,8 @@
 	Listener net.Listener // for gRPC, opened at Settings.Listen when nil
 	Admin    net.Listener // for the admin API, opened at Settings.Admin.Listen when nil
 	Logger   *logrus.Logger
+	// Extra are further HTTP servers, which may call the operator that they are given.
+	Extra func(opr *adminhttp.Operator) []actor.Server
 }
 
 // Process is an assembled control process.
@@ -41,6 +43,7 @@
 	server   *grpc.Server
 	operator *adminhttp.Operator
 	handler  *adminhttp.Handler
+	extra    []actor.Server
 }
 
 // New opens the data directory and the listeners; an error may be a *wal.DamageError or a *wal.LockedError.
@@ -49,6 +52,7 @@
 	grp, err := member.New(member.Options{
 		Name: opt.Settings.Name, Address: opt.Settings.Listen, DataDir: opt.Settings.Data,
 		InitialMembers: peers(opt.Settings), Registry: reg, Logger: opt.Logger,
+		Seeds: opt.Settings.Seeds, Bootstrap: opt.Settings.Bootstrap, Voters: int(opt.Settings.Voters),
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "open data directory")
@@ -57,12 +61,15 @@
 		return nil, err
 	}
 	prc := &Process{options: opt, group: grp}
-	prc.sessions = agent.New(agent.Options{}, grp, reg, assign.New(assign.Limits{}))
+	prc.sessions = agent.New(agent.LeaseOptions(opt.Settings.Lease), grp, reg, assign.New(assign.Limits{}))
 	prc.server = grpc.NewServer(grpc.MaxRecvMsgSize(member.MaxMessageBytes))
 	grp.Register(prc.server)
 	prc.sessions.Register(prc.server)
 	operator.New(grp, reg, prc.sessions).Register(prc.server)
 	prc.operator = adminhttp.NewOperator(append([]string{opt.Settings.Listen}, addresses(opt.Settings)...)...)
+	if opt.Extra != nil {
+		prc.extra = opt.Extra(prc.operator)
+	}
 	prc.handler = adminhttp.New(adminhttp.Options{
 		Role: "control", Name: opt.Settings.Name, Token: opt.Settings.Admin.Token,
 		Operator: prc.operator, Counters: siskinrill.NewCounters(), Ready: prc.Ready,
@@ -98,6 +105,11 @@
 			out = append(out, set.InitialMembers[nam])
 		}
 	}
+	for _, adr := range set.Seeds {
+		if adr != set.Listen {
+			out = append(out, adr)
+		}
+	}
 	return out
 }
 
@@ -134,6 +146,9 @@
 	var grp run.Group
 	actor.Until(ctx, &grp, prc.stop)
 	actor.HTTP(&grp, prc.options.Admin, prc.handler, adminGrace)
+	for _, srv := range prc.extra {
+		actor.HTTP(&grp, srv.Listener, srv.Handler, adminGrace)
+	}
 	actor.Loop(&grp, prc.sessions.Run)
 	actor.Loop(&grp, prc.group.Run)
 	actor.GRPC(&grp, prc.options.Listener, prc.server)
--- a/key.go
+++ b/key.go
@@ -1,10 +1,19 @@
 package siskinrill
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
 
 // MaxKeyBytes is the longest key accepted.
 const MaxKeyBytes = 256
 
+// NumberKeys is the number of keys of a service whose keys are numbers, which are 0 to NumberKeys-1.
+const NumberKeys = 1 << 16
+
 // Partition returns the hash partition of a key, in 0 to partitions-1; partitions must not be 0.
 func Partition(svc, key string, partitions uint32) uint32 {
 	var dig xxhash.Digest
@@ -14,3 +23,34 @@
 	_, _ = dig.WriteString(key)
 	return uint32(dig.Sum64() % uint64(partitions))
 }
+
+// PartitionOf returns the partition of a key by the key mode of its service, and false for a key that the service cannot have; a service without keys has partition 0 only.
+func PartitionOf(svc *controlpb.Service, key string) (uint32, bool) {
+	num := svc.GetPartitions()
+	switch svc.GetKeyMode() {
+	case controlpb.KeyMode_KEY_MODE_NONE:
+		return 0, true
+	case controlpb.KeyMode_KEY_MODE_NUMBER:
+		val, err := strconv.ParseUint(key, 10, 32)
+		if err != nil || val >= NumberKeys || num == 0 {
+			return 0, false
+		}
+		return uint32(val * uint64(num) / NumberKeys), true
+	default:
+		if num == 0 {
+			return 0, false
+		}
+		return Partition(svc.GetName(), key, num), true
+	}
+}
+
+// KeyRange returns the first and the last key of a partition of a service whose keys are numbers.
+func KeyRange(par, partitions uint32) (first, last uint32) {
+	return rangeStart(par, partitions), rangeStart(par+1, partitions) - 1
+}
+
+// rangeStart returns the least key k with k*partitions/NumberKeys >= par.
+func rangeStart(par, partitions uint32) uint32 {
+	num := uint64(partitions)
+	return uint32((uint64(par)*NumberKeys + num - 1) / num)
+}
--- a/path.go
+++ b/path.go
@@ -79,6 +79,8 @@
 	Withdraw(ctx context.Context, req *peerpb.WithdrawRequest) (*peerpb.WithdrawAnswer, error)
 	// Transfer stores idempotency records handed over by an earlier owner.
 	Transfer(ctx context.Context, req *peerpb.TransferRequest) (*peerpb.TransferAnswer, error)
+	// InHand returns what this agent runs and queues now.
+	InHand() *peerpb.OwnerLoad
 }
 
 // Forwarder carries attempts to the agent of the owner at an IP:port.
@@ -98,6 +100,12 @@
 	Do(ctx context.Context, att *Attempt, grt Grant) (*Answer, error)
 	// Grants tells the backend server which shards it now owns and which it lost; a backend server without that endpoint is not an error.
 	Grants(ctx context.Context, granted, revoked []*controlpb.ShardRef) error
+	// Held reports whether the backend server holds a row now; one that learns of grants by other means than its heartbeats always does.
+	Held(row *controlpb.Shard) bool
+	// AwaitHold returns once the backend server holds a row, false if the context ended first.
+	AwaitHold(ctx context.Context, row *controlpb.Shard) bool
+	// Revoke returns the references with what the backend server left for the next owner, once it holds none of them any more; false if the context ended first.
+	Revoke(ctx context.Context, refs []*controlpb.ShardRef) ([]*controlpb.ShardRef, bool)
 }
 
 // Grant is the right to run one attempt: the fencing token and the end of the lease.
@@ -119,7 +127,7 @@
 type Lease interface {
 	// Session returns the current session, 0 for none.
 	Session() uint64
-	// Expires returns the end of the lease and whether it is valid now by the monotonic and the wall clock.
+	// Expires returns the end of the lease and whether it is valid now by the monotonic clock and the boot time of the host.
 	Expires() (time.Time, bool)
 	// Fresh reports whether control was heard within the time that an entry may serve on its copy of the configuration.
 	Fresh() bool
@@ -127,8 +135,12 @@
 
 // Routes is the agent's copy of the configuration and of the ownership.
 type Routes interface {
-	// Match returns the route and key of a method and escaped path; without a match the reason is no_route or method_not_allowed.
-	Match(method, path string) (*controlpb.Route, string, Reason)
+	// Match returns the route and key of a host, method and escaped path; without a match the reason is no_route or method_not_allowed. The key of a route by prefix is empty: it comes with the request.
+	Match(host, method, path string) (*controlpb.Route, string, Reason)
+	// Limits returns the limits of callers' requests, nil if there are none; they must not be changed.
+	Limits() *controlpb.RequestLimits
+	// Upstreams returns the agents whose backend servers serve a service, in the order of their sessions; the slice must not be changed.
+	Upstreams(svc string) []*controlpb.Node
 	// Service returns a service of the configuration, nil if there is none.
 	Service(name string) *controlpb.Service
 	// Shard returns the row that holds a key, a copy the caller may keep; nil if the service is not known.
--- a/reason.go
+++ b/reason.go
@@ -63,6 +63,10 @@
 	ReasonAnswerNotKept Reason = "answer_not_kept"
 	// ReasonRecordNotCopied means that no other agent stored or returned copies of idempotency records in time.
 	ReasonRecordNotCopied Reason = "record_not_copied"
+	// ReasonNotHeld means that the backend server has not taken the key yet, or holds it no longer.
+	ReasonNotHeld Reason = "not_held"
+	// ReasonBadKey means that the request has no key that its service can have.
+	ReasonBadKey Reason = "bad_key"
 	// ReasonInternal means a fault of the router itself.
 	ReasonInternal Reason = "internal"
 )
