assign: let the first grants of a service wait for its upstreams

Change: no grant before the newest upstream has been there for the settling time; an announcement that the leases do not hold yet is new.

--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -55,6 +55,7 @@
 	Bootstrap      bool              // with Seeds: the deployment starts for the first time
 	Voters         uint32            // with Seeds: number of voters that the group restores by itself, 0 for the default
 	Lease          time.Duration     // of an agent, 0 for the default
+	Settle         time.Duration     // wait for further upstreams before the first grants of a service
 	StopTimeout    time.Duration
 	Admin          Admin
 	Log            Log
@@ -128,6 +129,7 @@
 			source.Flag("bootstrap", &set.Bootstrap),
 			source.Whole("voters", &set.Voters, 1, 9),
 			source.Duration("lease", &set.Lease, time.Second, time.Minute),
+			source.Duration("settle", &set.Settle, 0, time.Minute),
 			source.Duration("stop_timeout", &set.StopTimeout, 0, maxStop),
 		)...,
 	)
--- a/internal/control/agent/fill.go
+++ b/internal/control/agent/fill.go
@@ -38,14 +38,12 @@
 		}
 		row := siskinrill.UpstreamRow{
 			Session: nod.GetSession(), Zone: nod.GetZone(), Slots: ups.GetSlots(), State: ups.GetState(),
-			Age: longServed, ReportAge: neverReported,
+			ReportAge: neverReported,
 		}
 		if _, ok := slices.BinarySearch(stt.GetDrains(), ups.GetId()); ok {
 			row.State = controlpb.UpstreamState_UPSTREAM_STATE_DRAINING
 		}
-		if lea := trm.leases[nod.GetSession()]; lea != nil && !lea.announcedAt.IsZero() {
-			row.Age = now.Sub(lea.announcedAt)
-		}
+		row.Age = trm.age(nod, now)
 		if rep := trm.loads.reports[nod.GetSession()]; rep != nil {
 			row.Requests, row.Busy, row.ReportAge = rep.requests, rep.busy, now.Sub(rep.at)
 		}
@@ -53,6 +51,18 @@
 	}
 }
 
+// age returns the time since the announcement of an upstream. A plan may see an announcement before the leases are brought up to date, so that one that they do not hold yet has just been made.
+func (trm *term) age(nod *controlpb.Node, now time.Time) time.Duration {
+	lea := trm.leases[nod.GetSession()]
+	if nod.GetUpstream().GetSinceIndex() > trm.base && (lea == nil || lea.announced != nod.GetUpstream().GetSinceIndex()) {
+		return 0
+	}
+	if lea == nil || lea.announcedAt.IsZero() {
+		return longServed
+	}
+	return now.Sub(lea.announcedAt)
+}
+
 func serves(ups *controlpb.Upstream) bool {
 	return ups.GetState() == controlpb.UpstreamState_UPSTREAM_STATE_SERVING ||
 		ups.GetState() == controlpb.UpstreamState_UPSTREAM_STATE_DRAINING
--- a/internal/control/assign/grant.go
+++ b/internal/control/assign/grant.go
@@ -7,6 +7,21 @@
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
+// gathering reports whether no row of the service was ever granted and upstreams still arrive.
+func (wrk *work) gathering() bool {
+	for pos := range wrk.svc.Partitions {
+		if wrk.svc.Partitions[pos].Token != 0 {
+			return false
+		}
+	}
+	for pos := range wrk.svc.Upstreams {
+		if wrk.svc.Upstreams[pos].Age < wrk.limits.Settle {
+			return true
+		}
+	}
+	return false
+}
+
 // grant gives orphans to the least loaded upstreams, the heaviest first so that several at once come out balanced.
 func (wrk *work) grant() {
 	var orphans []int32
--- a/internal/control/assign/policy.go
+++ b/internal/control/assign/policy.go
@@ -21,6 +21,7 @@
 	HotShare        float64       // a key over this share of an upstream's mean load gets an override; default 0.25
 	ColdShare       float64       // an override under this share is retired; default 0.10
 	ColdFor         time.Duration // once it has been for this long; default 30 s
+	Settle          time.Duration // the first grants of a service wait until its newest upstream has been there for this long, so that the first one does not get everything; default 0
 	Window          time.Duration // over which load figures average, twice their time constant, to tell imbalance from noise; default 10 s
 }
 
@@ -85,7 +86,7 @@
 	mem := pol.recall(svc)
 	wrk := &mem.spare
 	wrk.build(now, pol.limits, svc, mem)
-	if wrk.eligible == 0 {
+	if wrk.eligible == 0 || wrk.gathering() {
 		return nil
 	}
 	wrk.grant()
--- a/internal/control/assign/policy_test.go
+++ b/internal/control/assign/policy_test.go
@@ -262,3 +262,23 @@
 		})
 	}
 }
+
+// TestFirstGrantsWait guards against a first upstream that gets all keys of a service because it came a moment before the others, so that most keys have to move under load.
+func TestFirstGrantsWait(t *testing.T) {
+	svc := siskinrill.ServiceRows{Service: &controlpb.Service{Name: "vitrine", Partitions: 16}, Partitions: make([]siskinrill.ShardRow, 16)}
+	for pos := range svc.Partitions {
+		svc.Partitions[pos].Partition = uint32(pos)
+	}
+	tbl := &siskinrill.Tables{Services: []siskinrill.ServiceRows{svc}}
+	pol := New(Limits{Settle: 2 * time.Second})
+	serving := controlpb.UpstreamState_UPSTREAM_STATE_SERVING
+	tbl.Services[0].Upstreams = []siskinrill.UpstreamRow{{Session: 1, Slots: 4, State: serving, Age: 1900 * time.Millisecond}}
+	must.SliceEmpty(t, pol.Plan(0, tbl))
+	tbl.Services[0].Upstreams = []siskinrill.UpstreamRow{{Session: 1, Slots: 4, State: serving, Age: 3 * time.Second}, {Session: 2, Slots: 4, State: serving, Age: 2 * time.Second}}
+	asg := pol.Plan(time.Second, tbl)
+	counts := map[uint64]int{}
+	for _, itm := range asg {
+		counts[itm.GetTarget()]++
+	}
+	must.Eq(t, map[uint64]int{1: 8, 2: 8}, counts)
+}
--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -61,7 +61,7 @@
 		return nil, err
 	}
 	prc := &Process{options: opt, group: grp}
-	prc.sessions = agent.New(agent.LeaseOptions(opt.Settings.Lease), grp, reg, assign.New(assign.Limits{}))
+	prc.sessions = agent.New(agent.LeaseOptions(opt.Settings.Lease), grp, reg, assign.New(assign.Limits{Settle: opt.Settings.Settle}))
 	prc.server = grpc.NewServer(grpc.MaxRecvMsgSize(member.MaxMessageBytes))
 	grp.Register(prc.server)
 	prc.sessions.Register(prc.server)
