--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -55,6 +55,8 @@
 	Bootstrap      bool              // with Seeds: the deployment starts for the first time
 	Voters         uint32            // with Seeds: number of voters that the group restores by itself, 0 for the default
 	Lease          time.Duration     // of an agent, 0 for the default
+	Smoothing      time.Duration     // of load figures, 0 for the default; balancing reacts within a few of it
+	BySpeed        bool              // upstreams get keys by how fast they work
 	Settle         time.Duration     // wait for further upstreams before the first grants of a service
 	StopTimeout    time.Duration
 	Admin          Admin
@@ -71,6 +73,8 @@
 	DrainTimeout  time.Duration
 	// KeepKeys leaves the keys with the backend server at a stop, for the next process beside it.
 	KeepKeys bool
+	// ReportEvery is the interval of load reports, 0 for the default.
+	ReportEvery time.Duration
 	// Freshness is how long requests are taken after control was last heard, 0 for the default.
 	Freshness time.Duration
 	// DrainGrace is how long a backend server that leaves still gets requests, 0 for the default.
@@ -129,6 +133,8 @@
 			source.Flag("bootstrap", &set.Bootstrap),
 			source.Whole("voters", &set.Voters, 1, 9),
 			source.Duration("lease", &set.Lease, time.Second, time.Minute),
+			source.Duration("smoothing", &set.Smoothing, 0, time.Minute),
+			source.Flag("by_speed", &set.BySpeed),
 			source.Duration("settle", &set.Settle, 0, time.Minute),
 			source.Duration("stop_timeout", &set.StopTimeout, 0, maxStop),
 		)...,
@@ -165,6 +171,7 @@
 			addresses("control", &set.Control).Required(),
 			source.Duration("drain_timeout", &set.DrainTimeout, 0, maxStop),
 			source.Flag("keep_keys", &set.KeepKeys),
+			source.Duration("report_every", &set.ReportEvery, 0, time.Minute),
 			source.Duration("freshness", &set.Freshness, 0, maxFreshness),
 			source.Duration("drain_grace", &set.DrainGrace, 0, maxStop),
 			source.Duration("backend_idle", &set.BackendIdle, 0, maxStop),
--- a/internal/control/agent/fill.go
+++ b/internal/control/agent/fill.go
@@ -79,7 +79,7 @@
 		if own != 0 {
 			row.Phase = controlpb.Phase_PHASE_OWNED
 		}
-		fig.settle(row.Token, trm.reported(own), now)
+		fig.settle(row.Token, trm.reported(own), now, trm.loads.smoothing)
 		row.Load = fig.value
 		total += row.Load
 		rows.Partitions[prt] = row
@@ -117,7 +117,7 @@
 			fig = trm.split(svc, shd, now)
 		}
 		svc.overrides[shd.GetKey()] = fig
-		fig.settle(shd.GetToken(), trm.reported(shd.GetOwner()), now)
+		fig.settle(shd.GetToken(), trm.reported(shd.GetOwner()), now, trm.loads.smoothing)
 		rows.Overrides = append(rows.Overrides, siskinrill.ShardRow{
 			Partition: shd.GetPartition(), Key: shd.GetKey(), Owner: shd.GetOwner(), Token: shd.GetToken(),
 			Phase: shd.GetPhase(), Target: shd.GetTarget(), Retiring: shd.GetRetiring(), Load: fig.value,
--- a/internal/control/agent/loads.go
+++ b/internal/control/agent/loads.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// smoothing is the time constant of load figures.
-	smoothing = 5 * time.Second
 	// hotAge is how long a hot key is kept after the last report that named it.
 	hotAge = 3 * time.Second
 	// hotFloor leaves out keys under this share of an upstream's mean load, far below what the policy isolates.
@@ -31,17 +29,17 @@
 	token uint64
 }
 
-func (fig *figure) update(rate float64, now time.Time) {
+func (fig *figure) update(rate float64, now time.Time, smoothing time.Duration) {
 	if fig.at.IsZero() {
 		fig.value = rate
 	} else {
-		fig.value += (rate - fig.value) * (1 - decay(now.Sub(fig.at)))
+		fig.value += (rate - fig.value) * (1 - decay(now.Sub(fig.at), smoothing))
 	}
 	fig.at = now
 }
 
 // settle lets a figure sink when a report of its owner did not name the shard; after a new grant it starts from the earlier owner's value.
-func (fig *figure) settle(tok uint64, reported, now time.Time) {
+func (fig *figure) settle(tok uint64, reported, now time.Time, smoothing time.Duration) {
 	if fig.token != tok {
 		fig.token = tok
 		if !fig.at.IsZero() {
@@ -50,12 +48,12 @@
 		return
 	}
 	if !fig.at.IsZero() && reported.After(fig.at) {
-		fig.value *= decay(reported.Sub(fig.at))
+		fig.value *= decay(reported.Sub(fig.at), smoothing)
 		fig.at = reported
 	}
 }
 
-func decay(dur time.Duration) float64 { return math.Exp(-float64(dur) / float64(smoothing)) }
+func decay(dur, smoothing time.Duration) float64 { return math.Exp(-float64(dur) / float64(smoothing)) }
 
 // report is the newest load report of a session.
 type report struct {
@@ -77,13 +75,15 @@
 
 // loads keeps the figures that agents report; they are not durable.
 type loads struct {
+	smoothing time.Duration // time constant of the figures
+
 	mut      sync.Mutex
 	services map[string]*serviceLoads
 	reports  map[uint64]*report
 }
 
-func newLoads() *loads {
-	return &loads{services: map[string]*serviceLoads{}, reports: map[uint64]*report{}}
+func newLoads(smoothing time.Duration) *loads {
+	return &loads{smoothing: smoothing, services: map[string]*serviceLoads{}, reports: map[uint64]*report{}}
 }
 
 func (lds *loads) forget(ses uint64) {
@@ -107,12 +107,12 @@
 	rep.requests = float64(msg.GetRequests()) / secs
 	rep.busy = float64(msg.GetBusyMs()) / 1000 / secs
 	for _, shl := range msg.GetShards() {
-		lds.shard(shl.GetShard()).update(float64(shl.GetRequests())/secs, now)
+		lds.shard(shl.GetShard()).update(float64(shl.GetRequests())/secs, now, lds.smoothing)
 	}
-	rep.updateHot(msg.GetHotKeys(), secs, now)
+	rep.updateHot(msg.GetHotKeys(), secs, now, lds.smoothing)
 }
 
-func (rep *report) updateHot(keys []*controlpb.ShardLoad, secs float64, now time.Time) {
+func (rep *report) updateHot(keys []*controlpb.ShardLoad, secs float64, now time.Time, smoothing time.Duration) {
 	for _, shl := range keys {
 		nam := hotName{service: shl.GetShard().GetService(), key: shl.GetShard().GetKey()}
 		fig := rep.hot[nam]
@@ -120,7 +120,7 @@
 			fig = &figure{}
 			rep.hot[nam] = fig
 		}
-		fig.update(float64(shl.GetRequests())/secs, now)
+		fig.update(float64(shl.GetRequests())/secs, now, smoothing)
 	}
 	for nam, fig := range rep.hot {
 		if now.Sub(fig.at) > hotAge {
--- a/internal/control/agent/options.go
+++ b/internal/control/agent/options.go
@@ -13,6 +13,7 @@
 	Tick          time.Duration // of the assignment policy; default 100 ms
 	ConfigLag     time.Duration // a session further behind an accepted configuration is not renewed; default 10 s
 	ConfirmGather time.Duration // renewals that arrive within it share one confirmation; default 5 ms
+	Smoothing     time.Duration // time constant of the load figures; default 5 s
 	SendTimeout   time.Duration // a stream that takes no message for this long is closed; default 5 s
 }
 
@@ -38,6 +39,7 @@
 	opt.Tick = cmp.Or(opt.Tick, 100*time.Millisecond)
 	opt.ConfigLag = cmp.Or(opt.ConfigLag, 10*time.Second)
 	opt.ConfirmGather = cmp.Or(opt.ConfirmGather, 5*time.Millisecond)
+	opt.Smoothing = cmp.Or(opt.Smoothing, 5*time.Second)
 	opt.SendTimeout = cmp.Or(opt.SendTimeout, 5*time.Second)
 	return opt
 }
--- a/internal/control/agent/term.go
+++ b/internal/control/agent/term.go
@@ -41,7 +41,7 @@
 func newTerm(ctx context.Context, ses *Sessions, ldr siskinrill.Leadership) *term {
 	trm := &term{
 		ctx: ctx, sessions: ses, since: ldr.Since(), base: ses.registry.Index(),
-		hub: newHub(ses), loads: newLoads(), leases: map[uint64]*lease{}, drains: map[string]bool{},
+		hub: newHub(ses), loads: newLoads(ses.options.Smoothing), leases: map[uint64]*lease{}, drains: map[string]bool{},
 		kicked: make(chan struct{}, 1), queued: make(chan struct{}, 1),
 	}
 	trm.sync(trm.firstSeen())
--- a/internal/control/assign/policy.go
+++ b/internal/control/assign/policy.go
@@ -22,6 +22,7 @@
 	ColdShare       float64       // an override under this share is retired; default 0.10
 	ColdFor         time.Duration // once it has been for this long; default 30 s
 	Settle          time.Duration // the first grants of a service wait until its newest upstream has been there for this long, so that the first one does not get everything; default 0
+	BySpeed         bool          // upstreams get rows by how fast they work, beside their slots; default false
 	Window          time.Duration // over which load figures average, twice their time constant, to tell imbalance from noise; default 10 s
 }
 
@@ -60,6 +61,7 @@
 	movedKeys map[string]time.Duration // end of the pause of each override
 	cold      map[string]time.Duration // since when an override has been cold
 	seen      map[uint64]bool          // sessions, true while one is being filled
+	pace      map[uint64]*pace         // by session, with Limits.BySpeed
 	high      time.Duration            // since when the highest upstream has been too high, negative: it is not
 	idle      bool                     // the service had too few requests to be balanced
 	spare     work                     // buffers of the previous tick
@@ -106,7 +108,7 @@
 	if mem == nil || len(mem.moved) != len(svc.Partitions) {
 		mem = &memory{
 			moved: make([]time.Duration, len(svc.Partitions)), movedKeys: map[string]time.Duration{},
-			cold: map[string]time.Duration{}, seen: map[uint64]bool{}, high: -1,
+			cold: map[string]time.Duration{}, seen: map[uint64]bool{}, pace: map[uint64]*pace{}, high: -1,
 		}
 		pol.memory[name] = mem
 	}
--- a/internal/control/assign/work.go
+++ b/internal/control/assign/work.go
@@ -88,6 +88,7 @@
 
 func (wrk *work) buildUpstreams() {
 	wrk.ups = wrk.ups[:0]
+	speeds := wrk.speeds()
 	wrk.index, wrk.zones = map[uint64]int32{}, map[string]int32{}
 	wrk.eligible, wrk.weights, wrk.fulls = 0, 0, 0
 	for pos := range wrk.svc.Upstreams {
@@ -97,7 +98,7 @@
 			zon = int32(len(wrk.zones))
 			wrk.zones[src.Zone] = zon
 		}
-		ups := upstream{session: src.Session, zone: zon, full: float64(max(src.Slots, 1))}
+		ups := upstream{session: src.Session, zone: zon, full: float64(max(src.Slots, 1)) * speeds[pos]}
 		ups.weight = ups.full * ramp(src.Age, wrk.svc.Service.GetRampMs())
 		ups.young = ups.weight < ups.full
 		ups.eligible = src.State == controlpb.UpstreamState_UPSTREAM_STATE_SERVING
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -117,7 +117,7 @@
 	set := opt.Settings
 	prc.session = control.New(control.Options{
 		Node: node(opt), Control: set.Control, Logger: opt.Logger, Counters: prc.counters,
-		Lease: longestLease, Freshness: set.Freshness,
+		Lease: longestLease, Renew: longestLease, Freshness: set.Freshness, Report: set.ReportEvery,
 	})
 	prc.pool = peer.NewPool(peer.Options{Logger: opt.Logger, Counters: prc.counters})
 	prc.backend = backend.New(backend.Options{
--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -61,7 +61,9 @@
 		return nil, err
 	}
 	prc := &Process{options: opt, group: grp}
-	prc.sessions = agent.New(agent.LeaseOptions(opt.Settings.Lease), grp, reg, assign.New(assign.Limits{Settle: opt.Settings.Settle}))
+	ses := agent.LeaseOptions(opt.Settings.Lease)
+	ses.Smoothing = opt.Settings.Smoothing
+	prc.sessions = agent.New(ses, grp, reg, assign.New(limits(opt.Settings)))
 	prc.server = grpc.NewServer(grpc.MaxRecvMsgSize(member.MaxMessageBytes))
 	grp.Register(prc.server)
 	prc.sessions.Register(prc.server)
@@ -78,6 +80,15 @@
 	return prc, nil
 }
 
+// limits returns the limits of the policy; those of time follow the smoothing of the load figures.
+func limits(set settings.Control) assign.Limits {
+	lim := assign.Limits{Settle: set.Settle, BySpeed: set.BySpeed}
+	if smo := set.Smoothing; smo > 0 {
+		lim.Window, lim.HighFor, lim.Pause = 2*smo, smo/2, 6*smo
+	}
+	return lim
+}
+
 func (opt *Options) listen() (err error) {
 	if opt.Listener == nil {
 		if opt.Listener, err = actor.Listen(opt.Settings.Listen, opt.Admin); err != nil {
