backend, owner: serve a moving row until the server is asked to give it back

Change: the owner serves the row until an answer to a heartbeat leaves it out, and reports it as released once the server names it no longer; the entry asks the owner in place of waiting, and gives up when less than a typical run is left of the deadline. Grants and revocations share a lock.

--- a/internal/agent/backend/hold.go
+++ b/internal/agent/backend/hold.go
@@ -42,7 +42,9 @@
 // revocation is a partition that the server is to give back.
 type revocation struct {
 	handover string
+	left     bool // an answer has left it out, so that the server gives it back once it has finished its work
 	released bool
+	until    time.Time // end of the hold, if the server gives nothing back
 }
 
 // keys are the partitions that the server holds by its heartbeats, and those that it is to give back.
@@ -129,7 +131,7 @@
 		}
 	}
 	for key, rev := range kys.revoked {
-		rev.released = rev.released || rep[key.partition] != key.token
+		rev.released = rev.released || rev.left && rep[key.partition] != key.token
 	}
 	kys.wake()
 	return rep
@@ -143,18 +145,25 @@
 	}
 }
 
-// offer returns the rows to grant with an answer, in the order of their keys.
-func (kys *keys) offer(rows []*controlpb.Shard, svc string) []*controlpb.Shard {
+// offer returns the rows to grant with an answer, in the order of their keys. A revoked row is served until an answer leaves it out, because the server gives nothing back before.
+func (kys *keys) offer(rows []*controlpb.Shard, svc string, hold time.Duration) []*controlpb.Shard {
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
 	kys.prune(rows)
 	var out []*controlpb.Shard
 	for _, row := range rows {
-		if row.GetService() != svc || row.GetKey() != "" || kys.revoked[grantKey{row.GetPartition(), row.GetToken()}] != nil {
+		if row.GetService() != svc || row.GetKey() != "" {
 			continue
 		}
+		if rev := kys.revoked[grantKey{row.GetPartition(), row.GetToken()}]; rev != nil {
+			rev.left = true
+			delete(kys.held, row.GetPartition())
+			continue
+		}
+		kys.grant(row, hold)
 		out = append(out, row)
 	}
+	kys.wake()
 	slices.SortFunc(out, func(one, two *controlpb.Shard) int { return cmp.Compare(one.GetPartition(), two.GetPartition()) })
 	return out
 }
@@ -172,20 +181,15 @@
 	}
 }
 
-// granted notes what an answer grants.
-func (kys *keys) granted(rows []*controlpb.Shard, hold time.Duration) {
+// grant notes that an answer grants a row; the caller holds the mutex.
+func (kys *keys) grant(row *controlpb.Shard, hold time.Duration) {
 	now := time.Now()
-	kys.mu.Lock()
-	defer kys.mu.Unlock()
-	for _, row := range rows {
-		old, ok := kys.held[row.GetPartition()]
-		hld := heldKeys{token: row.GetToken(), from: now.Add(answerTime), until: now.Add(time.Duration(float64(hold) * clockRate))}
-		if ok && old.token == hld.token && old.until.After(now) {
-			hld.from, hld.until = old.from, later(old.until, hld.until)
-		}
-		kys.held[row.GetPartition()] = hld
+	old, ok := kys.held[row.GetPartition()]
+	hld := heldKeys{token: row.GetToken(), from: now.Add(answerTime), until: now.Add(time.Duration(float64(hold) * clockRate))}
+	if ok && old.token == hld.token && old.until.After(now) {
+		hld.from, hld.until = old.from, later(old.until, hld.until)
 	}
-	kys.wake()
+	kys.held[row.GetPartition()] = hld
 }
 
 func later(one, two time.Time) time.Time {
@@ -224,15 +228,21 @@
 		return
 	}
 	// The rows are read before the lease: rows of a session that ends in between are covered by its lease.
-	rows := cli.keys.offer(cli.opt.Owned(), ann.Service)
+	rows := cli.opt.Owned()
 	exp, valid := cli.opt.Lease()
 	hold := min(time.Duration(float64(time.Until(exp))/clockRate)-holdReserve, maxHold)
 	if !valid || hold < leastHold {
 		return
 	}
-	std.Holds = ranges(rows, svc.GetPartitions(), rep)
 	std.HoldMs = uint32(hold.Milliseconds())
-	cli.keys.granted(rows, std.hold())
+	std.Holds = ranges(cli.keys.offer(rows, ann.Service, std.hold()), svc.GetPartitions(), rep)
+}
+
+// HoldsKeys reports whether the server takes its keys from the answers to its heartbeats.
+func (cli *Client) HoldsKeys() bool {
+	cli.keys.mu.Lock()
+	defer cli.keys.mu.Unlock()
+	return cli.keys.active
 }
 
 // Held reports whether the server holds a row now; one that does not take its keys by heartbeats always does.
@@ -241,13 +251,16 @@
 	return held
 }
 
-// look returns whether a row is held, otherwise from when it will be, zero if that is not known, and a channel that is closed at the next change.
+// look returns whether a row is held, otherwise from when it will be, zero if that is not known, and a channel that is closed at the next change; that is nil if it will not be held any more.
 func (kys *keys) look(row *controlpb.Shard) (bool, time.Time, <-chan struct{}) {
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
 	if !kys.active {
 		return true, time.Time{}, nil
 	}
+	if rev := kys.revoked[grantKey{row.GetPartition(), row.GetToken()}]; rev != nil && rev.left {
+		return false, time.Time{}, nil
+	}
 	hld, ok := kys.held[row.GetPartition()]
 	now := time.Now()
 	if !ok || hld.token != row.GetToken() || !now.Before(hld.until) {
@@ -256,14 +269,14 @@
 	return !now.Before(hld.from), hld.from, kys.changed
 }
 
-// AwaitHold returns once the server holds a row, false if the context ended first.
+// AwaitHold returns once the server holds a row, false if it is to give it back or the context ended first.
 func (cli *Client) AwaitHold(ctx context.Context, row *controlpb.Shard) bool {
 	for {
 		held, from, changed := cli.keys.look(row)
 		if held {
 			return true
 		}
-		if !await(ctx, changed, from) {
+		if changed == nil || !await(ctx, changed, from) {
 			return false
 		}
 	}
@@ -313,26 +326,31 @@
 	for _, ref := range refs {
 		key := grantKey{ref.GetPartition(), ref.GetToken()}
 		if kys.revoked[key] == nil {
-			kys.revoked[key] = &revocation{}
+			rev := &revocation{}
+			if hld, ok := kys.held[ref.GetPartition()]; ok && hld.token == ref.GetToken() {
+				rev.until = hld.until
+			}
+			kys.revoked[key] = rev
 		}
 	}
 	return true
 }
 
-// pending returns when the last row that is not given back ends by itself, and a channel for changes; that is nil once none is left.
+// pending returns when the last row that is not given back ends by itself, and a channel for changes; that is nil once none is left. What the server never held is given back once an answer has left it out.
 func (kys *keys) pending(refs []*controlpb.ShardRef) (time.Time, <-chan struct{}) {
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
 	var last time.Time
+	waits := false
 	for _, ref := range refs {
-		hld, ok := kys.held[ref.GetPartition()]
 		rev := kys.revoked[grantKey{ref.GetPartition(), ref.GetToken()}]
-		if !ok || hld.token != ref.GetToken() || rev == nil || rev.released || !time.Now().Before(hld.until) {
+		if rev == nil || rev.released || !time.Now().Before(rev.until) {
 			continue
 		}
-		last = later(last, hld.until)
+		waits = true
+		last = later(last, rev.until)
 	}
-	if last.IsZero() {
+	if !waits {
 		return last, nil
 	}
 	return last, kys.changed
--- /dev/null
+++ b/internal/agent/backend/hold_test.go
@@ -0,0 +1,291 @@
+package backend
+
+import (
+	"context"
+	"math/rand"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// holder is a model of a backend server that takes its keys from the answers to its heartbeats; its clock runs 2% slow.
+type holder struct {
+	cli      *Client
+	rows     []*controlpb.Shard // of the agent
+	leaseEnd time.Time
+	sequence uint64
+	held     map[uint32]modelHold
+	working  map[uint32]bool // partitions whose keys are still being worked on
+	released []ReleasedRange
+	until    time.Time // of the newest answer
+	told     []*controlpb.Upstream
+}
+
+// modelHold is a partition that the model holds; what an answer leaves out is not prolonged by it.
+type modelHold struct {
+	token uint64
+	until time.Time
+}
+
+const heldPartitions = 16
+
+func row(par uint32, tok uint64) *controlpb.Shard {
+	return &controlpb.Shard{Service: "vitrine", Partition: par, Owner: 7, Token: tok, Phase: controlpb.Phase_PHASE_OWNED}
+}
+
+func refOf(row *controlpb.Shard) *controlpb.ShardRef {
+	return &controlpb.ShardRef{Service: row.GetService(), Partition: row.GetPartition(), Token: row.GetToken()}
+}
+
+func newHolder(lease time.Duration) *holder {
+	hol := &holder{held: map[uint32]modelHold{}, working: map[uint32]bool{}, leaseEnd: time.Now().Add(lease)}
+	svc := &controlpb.Service{Name: "vitrine", Partitions: heldPartitions, KeyMode: controlpb.KeyMode_KEY_MODE_NUMBER, Connections: 8}
+	hol.cli = New(Options{
+		Owned:      func() []*controlpb.Shard { return hol.rows },
+		Lease:      func() (time.Time, bool) { return hol.leaseEnd, time.Now().Before(hol.leaseEnd) },
+		Service:    func(string) *controlpb.Service { return svc },
+		OnUpstream: func(ups *controlpb.Upstream) { hol.told = append(hol.told, ups) },
+	}, siskinrill.NewCounters())
+	return hol
+}
+
+// expire drops what the model holds by its own clock.
+func (hol *holder) expire() {
+	for par, hld := range hol.held {
+		if !time.Now().Before(hld.until) {
+			delete(hol.held, par)
+		}
+	}
+}
+
+func (hol *holder) announcement() *Announcement {
+	hol.expire()
+	hol.sequence++
+	ann := &Announcement{
+		ID: "v1", Service: "vitrine", URL: "http://127.0.0.1:9", Slots: 2, Incarnation: 5, Sequence: hol.sequence,
+		HoldsKeys: true, Released: hol.released,
+	}
+	for par, hld := range hol.held {
+		fst, lst := siskinrill.KeyRange(par, heldPartitions)
+		ann.Holds = append(ann.Holds, HeldRange{First: fst, Last: lst, Token: hld.token})
+	}
+	return ann
+}
+
+// beat sends a heartbeat; a lost answer is not taken over.
+func (hol *holder) beat(t must.T, lost bool) Standing {
+	t.Helper()
+	sent := time.Now()
+	std, err := hol.cli.Announce(context.Background(), hol.announcement())
+	must.NoError(t, err)
+	if lost || std.HoldMs == 0 {
+		return std
+	}
+	hol.released = nil
+	offered := map[uint32]uint64{}
+	for _, rng := range std.Holds {
+		for _, par := range covered(rng.First, rng.Last, heldPartitions) {
+			offered[par] = rng.Token
+		}
+	}
+	for par := range hol.held {
+		if _, ok := offered[par]; !ok && !hol.working[par] {
+			fst, lst := siskinrill.KeyRange(par, heldPartitions)
+			hol.released = append(hol.released, ReleasedRange{First: fst, Last: lst, Handover: "warm"})
+			delete(hol.held, par)
+		}
+	}
+	hol.until = sent.Add(time.Duration(float64(std.hold()) * clockRate))
+	for par, tok := range offered {
+		hol.held[par] = modelHold{token: tok, until: hol.until}
+	}
+	return std
+}
+
+// TestHeartbeatGrants guards against a request for a key that the server has not taken yet, and against a hold that outlasts the lease on a slow clock.
+func TestHeartbeatGrants(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hol := newHolder(3 * time.Second)
+		hol.rows = []*controlpb.Shard{row(1, 5), row(2, 5), row(4, 6)}
+		must.True(t, hol.cli.Held(hol.rows[0])) // a server that has not told how it takes keys is not waited for
+		std := hol.beat(t, false)
+		must.False(t, hol.cli.Held(hol.rows[0]))
+		time.Sleep(answerTime)
+		must.True(t, hol.cli.Held(hol.rows[0]))
+		must.False(t, hol.cli.Held(row(1, 9)))
+		must.Eq(t, []GrantedRange{{First: 4096, Last: 12287, Token: 5}, {First: 16384, Last: 20479, Token: 6}}, std.Holds)
+		must.LessEq(t, hol.leaseEnd.UnixNano(), hol.until.UnixNano())
+		must.Greater(t, hol.leaseEnd.Add(-100*time.Millisecond).UnixNano(), hol.until.UnixNano())
+		time.Sleep(3 * time.Second)
+		must.False(t, hol.cli.Held(hol.rows[0]))
+		must.Eq(t, 0, hol.beat(t, false).HoldMs)
+	})
+}
+
+// TestLostHeartbeatAnswer guards against requests for keys whose grant was lost on its way.
+func TestLostHeartbeatAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hol := newHolder(time.Minute)
+		hol.beat(t, false)
+		hol.rows = []*controlpb.Shard{row(1, 5)}
+		hol.beat(t, true)
+		time.Sleep(time.Second)
+		must.True(t, hol.cli.Held(hol.rows[0])) // not known yet
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		std, err := hol.cli.Announce(ctx, hol.announcement())
+		must.NoError(t, err)
+		must.Len(t, 1, std.Holds)
+		must.False(t, hol.cli.Held(hol.rows[0]))
+		must.True(t, hol.cli.AwaitHold(ctx, hol.rows[0]))
+	})
+}
+
+// TestRevoke guards against a row that is reported as released while the server still works on it, and against one that is refused before the server is asked to give it back.
+func TestRevoke(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hol := newHolder(time.Minute)
+		hol.rows = []*controlpb.Shard{row(1, 5), row(2, 5)}
+		hol.beat(t, false)
+		time.Sleep(answerTime)
+		out := make(chan []*controlpb.ShardRef, 1)
+		go func() {
+			refs, _ := hol.cli.Revoke(t.Context(), []*controlpb.ShardRef{refOf(hol.rows[0])})
+			out <- refs
+		}()
+		synctest.Wait()
+		must.True(t, hol.cli.Held(hol.rows[0]))
+		hol.working[1] = true
+		std := hol.beat(t, false)
+		must.Eq(t, []GrantedRange{{First: 8192, Last: 12287, Token: 5}}, std.Holds)
+		must.False(t, hol.cli.Held(hol.rows[0]))
+		must.False(t, hol.cli.AwaitHold(t.Context(), hol.rows[0]))
+		must.True(t, hol.cli.Held(hol.rows[1]))
+		hol.beat(t, false)
+		synctest.Wait()
+		must.Eq(t, 0, len(out))
+		hol.working[1] = false
+		hol.beat(t, false)
+		hol.beat(t, false)
+		synctest.Wait()
+		refs := <-out
+		must.Eq(t, "warm", refs[0].GetHandover())
+		// Control may not have heard of the release yet, so the row must not be offered again.
+		must.Len(t, 1, hol.beat(t, false).Holds)
+	})
+}
+
+// TestRevokeOfSilentServer guards against a move that never ends because the server sends no heartbeat any more, and against one that ends before its hold.
+func TestRevokeOfSilentServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hol := newHolder(4 * time.Second)
+		hol.rows = []*controlpb.Shard{row(1, 5)}
+		hol.beat(t, false)
+		_, done := hol.cli.Revoke(t.Context(), []*controlpb.ShardRef{refOf(hol.rows[0])})
+		must.True(t, done)
+		must.False(t, time.Now().Before(hol.until))
+		must.Less(t, hol.leaseEnd.Add(time.Second).UnixNano(), time.Now().UnixNano())
+	})
+}
+
+// TestLateAnnouncements guards against a heartbeat of an earlier start, or one that was overtaken, that takes effect.
+func TestLateAnnouncements(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hol := newHolder(time.Minute)
+		hol.rows = []*controlpb.Shard{row(1, 5)}
+		hol.beat(t, false)
+		time.Sleep(answerTime)
+		for nam, ann := range map[string]*Announcement{
+			"overtaken":     {ID: "v1", Service: "vitrine", URL: "http://127.0.0.1:9", Slots: 2, Incarnation: 5, Sequence: 1, HoldsKeys: true, Leaving: true},
+			"earlier start": {ID: "v0", Service: "vitrine", URL: "http://127.0.0.1:9", Slots: 2, Incarnation: 4, Sequence: 99, HoldsKeys: true, Leaving: true},
+		} {
+			std, err := hol.cli.Announce(t.Context(), ann)
+			must.NoError(t, err, must.Sprint(nam))
+			must.Eq(t, Standing{Accepted: true}, std, must.Sprint(nam))
+			must.Eq(t, controlpb.UpstreamState_UPSTREAM_STATE_SERVING, hol.cli.State())
+			must.True(t, hol.cli.Held(hol.rows[0]))
+		}
+	})
+}
+
+// TestFailureIsToldAfterTheHold guards against another owner while a server that went silent may still hold its keys, and against a wait where it has certainly ended.
+func TestFailureIsToldAfterTheHold(t *testing.T) {
+	for nam, tcs := range map[string]struct {
+		cause string
+		after time.Duration
+	}{
+		"silent":  {cause: "silent", after: 3 * time.Second},
+		"refused": {cause: causeRefused},
+	} {
+		t.Run(nam, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				hol := newHolder(3 * time.Second)
+				hol.rows = []*controlpb.Shard{row(1, 5)}
+				hol.beat(t, false)
+				begin := time.Now()
+				hol.cli.fail(hol.cli.current(), tcs.cause)
+				for len(hol.told) < 2 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				must.Eq(t, controlpb.UpstreamState_UPSTREAM_STATE_FAILED, hol.told[1].GetState())
+				if tcs.after > 0 {
+					must.False(t, time.Now().Before(hol.until))
+				}
+				must.LessEq(t, tcs.after+50*time.Millisecond, time.Since(begin))
+			})
+		})
+	}
+}
+
+// TestHoldProperty guards against a row that is given up while the server still holds or works on it, over lost answers, pauses, moves and a lease that ends.
+func TestHoldProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Int64().Draw(rt, "seed")
+		synctest.Test(t, func(t *testing.T) { holdRun(rt, t, seed) })
+	})
+}
+
+func holdRun(rt *rapid.T, t *testing.T, seed int64) {
+	rnd := rand.New(rand.NewSource(seed))
+	hol := newHolder(3 * time.Second)
+	for par := range uint32(heldPartitions) {
+		hol.rows = append(hol.rows, row(par, 1))
+	}
+	done := make(chan *controlpb.ShardRef, heldPartitions)
+	for range 60 {
+		switch rnd.Intn(6) {
+		case 0:
+			time.Sleep(time.Duration(rnd.Intn(1500)) * time.Millisecond)
+		case 1:
+			par := uint32(rnd.Intn(heldPartitions))
+			hol.working[par] = !hol.working[par]
+		case 2:
+			ref := refOf(hol.rows[rnd.Intn(len(hol.rows))])
+			go func() {
+				if refs, ok := hol.cli.Revoke(t.Context(), []*controlpb.ShardRef{ref}); ok {
+					done <- refs[0]
+				}
+			}()
+		case 3:
+			hol.leaseEnd = time.Now().Add(3 * time.Second)
+		default:
+			hol.beat(t, rnd.Intn(4) == 0)
+		}
+		synctest.Wait()
+		hol.expire()
+		for len(done) > 0 {
+			ref := <-done
+			if hld, ok := hol.held[ref.GetPartition()]; ok && hld.token == ref.GetToken() {
+				rt.Fatalf("partition %d was given up while it is held", ref.GetPartition())
+			}
+			par := ref.GetPartition()
+			hol.rows[par] = row(par, hol.rows[par].GetToken()+1)
+		}
+	}
+}
--- a/internal/agent/caller/call.go
+++ b/internal/agent/caller/call.go
@@ -67,7 +67,8 @@
 	if tgt.shard == nil {
 		return tgt, siskinrill.ReasonNoOwner
 	}
-	if tgt.shard.GetPhase() == controlpb.Phase_PHASE_RELEASING {
+	if tgt.shard.GetPhase() == controlpb.Phase_PHASE_RELEASING && cal.service.GetKeyMode() != controlpb.KeyMode_KEY_MODE_NUMBER {
+		// A backend server with numeric keys serves a row until its next heartbeat, so that its agent decides.
 		return tgt, siskinrill.ReasonMoving
 	}
 	if tgt.shard.GetOwner() == 0 {
@@ -86,7 +87,7 @@
 
 // await waits for a version over ver, with poll for a short pause at most; a refusal tells that the time is up.
 func (cal *call) await(ver uint64, rsn siskinrill.Reason, poll bool) *siskinrill.Refusal {
-	left := min(hold(cal.service)-cal.held, time.Until(cal.deadline))
+	left := min(hold(cal.service)-cal.held, time.Until(cal.deadline)-cal.han.loads.typical(cal.service.GetName()))
 	if cal.req.Context().Err() != nil {
 		return siskinrill.NotRun(siskinrill.ReasonCallerGone)
 	}
@@ -188,6 +189,7 @@
 	case errors.As(err, &ref):
 		told = ref.Load()
 	}
+	cal.han.loads.noteRun(cal.service.GetName(), told)
 	cal.han.loads.note(ses, told, cal.han.outstanding.count(ses))
 }
 
--- a/internal/agent/caller/handler.go
+++ b/internal/agent/caller/handler.go
@@ -50,7 +50,7 @@
 		budgets:     budgets{buckets: map[string]*bucket{}},
 		outstanding: outstanding{counts: map[uint64]int{}},
 		weights:     weights{routes: map[string]*shares{}},
-		loads:       loads{seen: map[uint64]seenLoad{}},
+		loads:       loads{seen: map[uint64]seenLoad{}, runs: map[string]time.Duration{}},
 	}
 }
 
--- a/internal/agent/caller/pick.go
+++ b/internal/agent/caller/pick.go
@@ -17,6 +17,8 @@
 	farPenalty = 0.35
 	// evenScores is the difference of scores under which upstreams count as equally full; a random one is taken, so that entries that know the same do not all pick the same.
 	evenScores = 0.03
+	// runWeight divides the influence of an answer on the typical run time of a service.
+	runWeight = 100
 )
 
 // seenLoad is what an owner told of its load with its newest answer.
@@ -30,6 +32,7 @@
 type loads struct {
 	mu   sync.Mutex
 	seen map[uint64]seenLoad
+	runs map[string]time.Duration // by service
 }
 
 func (lds *loads) note(ses uint64, lod *peerpb.OwnerLoad, own int) {
@@ -47,6 +50,29 @@
 	return lds.seen[ses]
 }
 
+// typical returns the least time that an owner of a service told for a run: a request with less left cannot be served any more.
+func (lds *loads) typical(svc string) time.Duration {
+	lds.mu.Lock()
+	defer lds.mu.Unlock()
+	return lds.runs[svc]
+}
+
+// noteRun keeps the run time of the quickest owner of a service; that of another pulls it up slowly.
+func (lds *loads) noteRun(svc string, lod *peerpb.OwnerLoad) {
+	lat := time.Duration(lod.GetLatencyMs()) * time.Millisecond
+	if lat == 0 {
+		return
+	}
+	lds.mu.Lock()
+	defer lds.mu.Unlock()
+	old, known := lds.runs[svc]
+	if !known || lat < old {
+		lds.runs[svc] = lat
+		return
+	}
+	lds.runs[svc] += (lat - old) / runWeight
+}
+
 // forget drops the loads of sessions that are over.
 func (lds *loads) forget(live func(ses uint64) bool) {
 	lds.mu.Lock()
--- a/internal/agent/owner/check.go
+++ b/internal/agent/owner/check.go
@@ -20,6 +20,10 @@
 	}
 	row := own.ses.Shard(opn.GetService(), opn.GetKey())
 	rsn := rowReason(row, opn, ses)
+	if rsn == siskinrill.ReasonMoving && own.bck.HoldsKeys() && own.bck.Held(row) {
+		// The backend server gives the row back with its next heartbeat, and serves it until then.
+		rsn = ""
+	}
 	if rsn == "" && own.drainOver() {
 		rsn = siskinrill.ReasonDraining
 	}
@@ -55,10 +59,10 @@
 	switch {
 	case opn.GetOwnerSession() != ses || row == nil || row.GetOwner() != ses:
 		return siskinrill.ReasonWrongOwner
+	case row.GetPhase() == controlpb.Phase_PHASE_ORPHAN || row.GetToken() != opn.GetToken():
+		return siskinrill.ReasonWrongOwner
 	case row.GetPhase() == controlpb.Phase_PHASE_RELEASING:
 		return siskinrill.ReasonMoving
-	case row.GetPhase() != controlpb.Phase_PHASE_OWNED || row.GetToken() != opn.GetToken():
-		return siskinrill.ReasonWrongOwner
 	default:
 		return ""
 	}
--- a/internal/agent/owner/fake_test.go
+++ b/internal/agent/owner/fake_test.go
@@ -182,6 +182,8 @@
 	return fba.do(ctx, att, grt)
 }
 
+func (fba *fakeBackend) HoldsKeys() bool { return false }
+
 func (fba *fakeBackend) Held(*controlpb.Shard) bool { return true }
 
 func (fba *fakeBackend) AwaitHold(context.Context, *controlpb.Shard) bool { return true }
--- a/internal/agent/owner/handle.go
+++ b/internal/agent/owner/handle.go
@@ -63,7 +63,7 @@
 	}
 	keyless := own.keyless(tck.shard.service)
 	if !keyless && !own.bck.AwaitHold(ctx, row) {
-		return nil, own.versioned(siskinrill.ReasonNotHeld)
+		return nil, own.versioned(own.notHeld(row))
 	}
 	if ref := own.admit(ctx, tck); ref != nil {
 		return nil, ref
@@ -77,6 +77,14 @@
 	return nil, own.copyPending(ctx, tck, row)
 }
 
+// notHeld returns why the backend server does not hold a row: it has given it back for another owner, or has not taken it yet.
+func (own *Owner) notHeld(row *controlpb.Shard) siskinrill.Reason {
+	if row.GetPhase() == controlpb.Phase_PHASE_RELEASING {
+		return siskinrill.ReasonMoving
+	}
+	return siskinrill.ReasonNotHeld
+}
+
 // dispatch checks row and lease as the last step and hands the attempt over.
 func (own *Owner) dispatch(ctx context.Context, tck *ticket) (*siskinrill.Answer, error) {
 	grt, ref := own.lastCheck(tck)
@@ -106,7 +114,7 @@
 		return siskinrill.Grant{}, ref
 	}
 	if !own.keyless(opn.GetService()) && !own.bck.Held(row) {
-		return siskinrill.Grant{}, own.versioned(siskinrill.ReasonNotHeld)
+		return siskinrill.Grant{}, own.versioned(own.notHeld(row))
 	}
 	return siskinrill.NewGrant(refOf(row), exp), nil
 }
--- a/internal/agent/owner/release.go
+++ b/internal/agent/owner/release.go
@@ -39,15 +39,18 @@
 	}
 }
 
-// ready updates the moves and returns the rows that can be reported now, by target.
+// ready updates the moves and returns the rows that can be reported now, by target. A backend server that holds its keys by heartbeats gives a row back only once it has finished its work, and until an answer asks it to do so the row is served.
 func (own *Owner) ready(rows []*controlpb.Shard) map[uint64][]*controlpb.Shard {
+	holds := own.bck.HoldsKeys()
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	own.updateMoves(rows)
 	parts := map[uint64][]*controlpb.Shard{}
 	for _, mov := range own.moves {
-		own.refuseQueued(mov.row)
-		if mov.sending || time.Since(mov.reported) < releaseRepeat || own.inFlight(mov.row) {
+		if !holds {
+			own.refuseQueued(mov.row)
+		}
+		if mov.sending || time.Since(mov.reported) < releaseRepeat || !holds && own.inFlight(mov.row) {
 			continue
 		}
 		mov.sending = true
--- a/internal/control/agent/tick.go
+++ b/internal/control/agent/tick.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -79,12 +80,27 @@
 		logrus.Debugf("sessions: assignments are not committed: %v", err)
 		return
 	}
-	logrus.Debugf("sessions: %d assignments at index %d, %d skipped", len(asg), res.Index(), res.Skipped())
+	logAssignments(asg, res)
 	if trm.sessions.hooks.skipReleases {
 		trm.releaseForOwners()
 	}
 }
 
+// logAssignments tells how many rows of each service change.
+func logAssignments(asg []*controlpb.Assignment, res *siskinrill.Result) {
+	counts := map[string]map[string]int{}
+	for _, itm := range asg {
+		svc := itm.GetShard().GetService()
+		if counts[svc] == nil {
+			counts[svc] = map[string]int{}
+		}
+		counts[svc][strings.ToLower(strings.TrimPrefix(itm.GetKind().String(), "ASSIGNMENT_KIND_"))]++
+	}
+	for svc, cnt := range counts {
+		logrus.WithFields(logrus.Fields{"service": svc, "rows": cnt, "index": res.Index(), "skipped": res.Skipped()}).Info("sessions: Ownership changes.")
+	}
+}
+
 // releaseForOwners is reached only through a hook of the tests.
 func (trm *term) releaseForOwners() {
 	var cmds []*controlpb.Command
--- a/path.go
+++ b/path.go
@@ -100,6 +100,8 @@
 	Do(ctx context.Context, att *Attempt, grt Grant) (*Answer, error)
 	// Grants tells the backend server which shards it now owns and which it lost; a backend server without that endpoint is not an error.
 	Grants(ctx context.Context, granted, revoked []*controlpb.ShardRef) error
+	// HoldsKeys reports whether the backend server takes its keys from the answers to its heartbeats.
+	HoldsKeys() bool
 	// Held reports whether the backend server holds a row now; one that learns of grants by other means than its heartbeats always does.
 	Held(row *controlpb.Shard) bool
 	// AwaitHold returns once the backend server holds a row, false if the context ended first.
