--- a/internal/agent/backend/announce.go
+++ b/internal/agent/backend/announce.go
@@ -62,12 +62,13 @@
 		return Standing{Accepted: true}, nil
 	}
 	left := cli.accept(ctx, ann)
+	rep := cli.takeHolds(ann)
 	cli.report()
 	if left && cli.opt.OnDrain != nil {
 		logrus.Infof("backend: server %s is leaving", ann.ID)
 		cli.opt.OnDrain()
 	}
-	return cli.standing(ann), nil
+	return cli.standing(ann, rep), nil
 }
 
 // Leave takes over that a server is gone or about to be, without an announcement of its own before; it is served no longer than one that announced that it leaves.
@@ -97,14 +98,14 @@
 	_ = json.NewEncoder(wri).Encode(ans)
 }
 
-func (cli *Client) standing(ann *Announcement) Standing {
+func (cli *Client) standing(ann *Announcement, rep map[uint32]uint64) Standing {
 	std := Standing{Accepted: true, Draining: ann.Leaving}
 	if cli.opt.Draining != nil {
 		std.Draining = std.Draining || cli.opt.Draining()
 	}
 	std.MayStop = ann.Leaving && cli.opt.MayStop != nil && cli.opt.MayStop()
 	if ann.HoldsKeys {
-		cli.grantHolds(ann, &std)
+		cli.grantHolds(ann, rep, &std)
 	}
 	return std
 }
--- a/internal/agent/backend/hold.go
+++ b/internal/agent/backend/hold.go
@@ -28,9 +28,10 @@
 
 // heldKeys is a partition that the server holds by an answer to a heartbeat.
 type heldKeys struct {
-	token uint64
-	from  time.Time // when the server has surely read the answer
-	until time.Time // by the slowest clock that the server may have
+	token   uint64
+	offered bool      // by an answer of this process; another one before it may have granted the rest
+	from    time.Time // when the server has surely read the answer
+	until   time.Time // by the slowest clock that the server may have
 }
 
 // grantKey names a partition under one token.
@@ -130,6 +131,12 @@
 			delete(kys.held, par)
 		}
 	}
+	for par, tok := range rep {
+		if _, ok := kys.held[par]; !ok {
+			// An earlier process beside the server has granted it, for a time that is not known here.
+			kys.held[par] = heldKeys{token: tok, until: time.Now().Add(time.Duration(float64(maxHold) * clockRate))}
+		}
+	}
 	for key, rev := range kys.revoked {
 		rev.released = rev.released || rev.left && rep[key.partition] != key.token
 	}
@@ -185,9 +192,13 @@
 func (kys *keys) grant(row *controlpb.Shard, hold time.Duration) {
 	now := time.Now()
 	old, ok := kys.held[row.GetPartition()]
-	hld := heldKeys{token: row.GetToken(), from: now.Add(answerTime), until: now.Add(time.Duration(float64(hold) * clockRate))}
-	if ok && old.token == hld.token && old.until.After(now) {
+	hld := heldKeys{token: row.GetToken(), offered: true, from: now.Add(answerTime), until: now.Add(time.Duration(float64(hold) * clockRate))}
+	switch {
+	case !ok || old.token != hld.token || !old.until.After(now):
+	case old.offered:
 		hld.from, hld.until = old.from, later(old.until, hld.until)
+	default:
+		hld.from = now
 	}
 	kys.held[row.GetPartition()] = hld
 }
@@ -217,13 +228,20 @@
 	return out
 }
 
-// grantHolds fills in the keys that the server is to hold, as long as the agent's lease and the server's clock allow.
-func (cli *Client) grantHolds(ann *Announcement, std *Standing) {
+// takeHolds takes in what the server holds; it comes before control is told of the server, because rows that it held beside an earlier process come back then.
+func (cli *Client) takeHolds(ann *Announcement) map[uint32]uint64 {
+	if !ann.HoldsKeys || cli.opt.Service == nil {
+		return nil
+	}
+	return cli.keys.take(ann, cli.opt.Service(ann.Service).GetPartitions())
+}
+
+// grantHolds fills in the keys that the server is to hold, as long as the agent's lease and the server's clock allow; rep is what it holds.
+func (cli *Client) grantHolds(ann *Announcement, rep map[uint32]uint64, std *Standing) {
 	if cli.opt.Service == nil || cli.opt.Lease == nil || cli.opt.Owned == nil {
 		return
 	}
 	svc := cli.opt.Service(ann.Service)
-	rep := cli.keys.take(ann, svc.GetPartitions())
 	if svc.GetKeyMode() != controlpb.KeyMode_KEY_MODE_NUMBER || cli.current() == nil {
 		return
 	}
@@ -234,6 +252,10 @@
 	if !valid || hold < leastHold {
 		return
 	}
+	if len(rows) == 0 && len(rep) > 0 && !cli.keys.revokes() {
+		// What the server held beside an earlier process has not come back yet; an empty answer would make it give that up.
+		return
+	}
 	std.HoldMs = uint32(hold.Milliseconds())
 	std.Holds = ranges(cli.keys.offer(rows, ann.Service, std.hold()), svc.GetPartitions(), rep)
 }
@@ -263,7 +285,7 @@
 	}
 	hld, ok := kys.held[row.GetPartition()]
 	now := time.Now()
-	if !ok || hld.token != row.GetToken() || !now.Before(hld.until) {
+	if !ok || !hld.offered || hld.token != row.GetToken() || !now.Before(hld.until) {
 		return false, time.Time{}, kys.changed
 	}
 	return !now.Before(hld.from), hld.from, kys.changed
@@ -316,6 +338,12 @@
 	}
 }
 
+func (kys *keys) revokes() bool {
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	return len(kys.revoked) > 0
+}
+
 // revoke begins a revocation, false for a server that does not take its keys by heartbeats.
 func (kys *keys) revoke(refs []*controlpb.ShardRef) bool {
 	kys.mu.Lock()
--- a/internal/agent/backend/hold_test.go
+++ b/internal/agent/backend/hold_test.go
@@ -289,3 +289,30 @@
 		}
 	}
 }
+
+// TestRestartedAgent guards against a row that is given up, or a server that is told to hold nothing, because an agent that has restarted does not know what the server was granted before (two owners for 719 ms after all processes were killed).
+func TestRestartedAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hol := newHolder(3 * time.Second)
+		hol.rows = []*controlpb.Shard{row(1, 5), row(2, 5)}
+		hol.beat(t, false)
+		rows, opt := hol.rows, hol.cli.opt
+		hol.cli = New(opt, siskinrill.NewCounters())
+		hol.rows, hol.leaseEnd = nil, time.Now().Add(3*time.Second)
+		must.Eq(t, 0, hol.beat(t, false).HoldMs)
+		hol.rows = rows
+		out := make(chan bool, 1)
+		go func() {
+			_, done := hol.cli.Revoke(t.Context(), []*controlpb.ShardRef{refOf(rows[0])})
+			out <- done
+		}()
+		synctest.Wait()
+		must.Eq(t, 0, len(out))
+		must.Len(t, 1, hol.beat(t, false).Holds)
+		must.True(t, hol.cli.Held(rows[1]))
+		must.Eq(t, 0, len(out))
+		hol.beat(t, false)
+		must.True(t, <-out)
+		must.MapLen(t, 1, hol.held)
+	})
+}
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -56,6 +56,8 @@
 	Voters         uint32            // with Seeds: number of voters that the group restores by itself, 0 for the default
 	Lease          time.Duration     // of an agent, 0 for the default
 	Smoothing      time.Duration     // of load figures, 0 for the default; balancing reacts within a few of it
+	BalanceFrom    uint32            // percent of its slots that an upstream must use before balancing takes keys from it
+	FillShare      uint32            // percent of its share that a joining upstream gets at once, 0 for the default of 100
 	BySpeed        bool              // upstreams get keys by how fast they work
 	Settle         time.Duration     // wait for further upstreams before the first grants of a service
 	StopTimeout    time.Duration
@@ -135,6 +137,8 @@
 			source.Duration("lease", &set.Lease, time.Second, time.Minute),
 			source.Duration("smoothing", &set.Smoothing, 0, time.Minute),
 			source.Flag("by_speed", &set.BySpeed),
+			source.Whole("balance_from_percent", &set.BalanceFrom, 0, 100),
+			source.Whole("fill_share_percent", &set.FillShare, 1, 100),
 			source.Duration("settle", &set.Settle, 0, time.Minute),
 			source.Duration("stop_timeout", &set.StopTimeout, 0, maxStop),
 		)...,
--- a/internal/control/assign/balance.go
+++ b/internal/control/assign/balance.go
@@ -18,7 +18,7 @@
 		return
 	}
 	for moves := 0; moves < wrk.limits.BalancePerTick && wrk.budget() > 0; {
-		dnr := wrk.highest(func(ups *upstream) bool { return ups.eligible && !ups.stale })
+		dnr := wrk.highest(wrk.donates)
 		if dnr == none || wrk.ups[dnr].score() <= wrk.limits.LowFactor*wrk.level {
 			break
 		}
@@ -32,7 +32,7 @@
 }
 
 func (wrk *work) tooHighForLong() bool {
-	dnr := wrk.highest(func(ups *upstream) bool { return ups.eligible && !ups.stale })
+	dnr := wrk.highest(wrk.donates)
 	if dnr == none || !wrk.tooHigh(&wrk.ups[dnr]) {
 		wrk.mem.high = -1
 		return false
@@ -43,29 +43,34 @@
 	return wrk.now-wrk.mem.high >= wrk.limits.HighFor
 }
 
+// donates reports whether balance may take rows from an upstream.
+func (wrk *work) donates(ups *upstream) bool {
+	return ups.eligible && !ups.stale && ups.busy >= wrk.limits.BalanceFrom
+}
+
 func (wrk *work) tooHigh(ups *upstream) bool {
 	fair := wrk.level * ups.weight
 	noise := noiseFactor * math.Sqrt(fair/wrk.limits.Window.Seconds())
 	return ups.load > wrk.limits.HighFactor*fair+noise
 }
 
-// relieve moves the row with the best gain from an upstream to the lowest one.
+// relieve moves the row with the best gain from an upstream to the one that takes it best.
 func (wrk *work) relieve(dnr int32) bool {
-	tgt := wrk.lowest(dnr)
-	if tgt == none {
-		return false
-	}
-	don, rcv := &wrk.ups[dnr], &wrk.ups[tgt]
+	don := &wrk.ups[dnr]
 	var best *row
-	gain := leastGain * wrk.level
+	tgt, gain := none, leastGain*wrk.level
 	for _, pos := range wrk.rowsOf(dnr) {
 		rwo := &wrk.rows[pos]
 		if !wrk.movable(rwo, dnr) {
 			continue
 		}
-		aft := max((don.load-rwo.load)/don.weight, (rcv.load+rwo.load)/rcv.weight)
+		rcv, aft := wrk.lowestWith(rwo.load, dnr)
+		if rcv == none {
+			return false
+		}
+		aft = max(aft, (don.load-rwo.load)/don.weight)
 		if don.score()-aft > gain {
-			best, gain = rwo, don.score()-aft
+			best, tgt, gain = rwo, rcv, don.score()-aft
 		}
 	}
 	if best == nil {
@@ -76,16 +81,17 @@
 	return true
 }
 
-func (wrk *work) lowest(but int32) int32 {
-	best := none
+// lowestWith returns the upstream whose score is lowest once it has a further load, and that score.
+func (wrk *work) lowestWith(load float64, but int32) (int32, float64) {
+	best, low := none, 0.0
 	for pos := range wrk.ups {
 		ups := &wrk.ups[pos]
 		if !ups.eligible || ups.stale || int32(pos) == but {
 			continue
 		}
-		if best == none || ups.score() < wrk.ups[best].score() {
-			best = int32(pos)
+		if scr := (ups.load + load) / ups.weight; best == none || scr < low {
+			best, low = int32(pos), scr
 		}
 	}
-	return best
+	return best, low
 }
--- a/internal/control/assign/fill.go
+++ b/internal/control/assign/fill.go
@@ -14,7 +14,7 @@
 		if !ok {
 			filling = ups.young || ups.count == 0
 		}
-		ups.joining = filling && ups.eligible && !wrk.filled(ups, ups.full/wrk.fulls)
+		ups.joining = filling && ups.eligible && !wrk.filled(ups, wrk.limits.FillShare*ups.full/wrk.fulls)
 		// An upstream that drains or has failed is filled again once it is back.
 		wrk.mem.seen[ups.session] = ups.joining || !ups.eligible
 	}
@@ -28,7 +28,7 @@
 // filled reports whether an upstream has the whole number of partitions in a share, or the load; taking no more than that keeps the moves at the least possible.
 func (wrk *work) filled(ups *upstream, share float64) bool {
 	return ups.count >= int(math.Floor(share*float64(len(wrk.svc.Partitions)))) ||
-		!ups.stale && wrk.level > 0 && ups.load >= wrk.level*ups.full
+		!ups.stale && wrk.level > 0 && ups.load >= wrk.limits.FillShare*wrk.level*ups.full
 }
 
 // fill moves rows from the fullest upstreams to joining ones, up to the share of their current weight.
@@ -45,7 +45,7 @@
 	best := none
 	for pos := range wrk.ups {
 		ups := &wrk.ups[pos]
-		if !ups.joining || wrk.filled(ups, ups.weight/wrk.weights) {
+		if !ups.joining || wrk.filled(ups, wrk.limits.FillShare*ups.weight/wrk.weights) {
 			continue
 		}
 		if best == none || ups.score() < wrk.ups[best].score() {
@@ -58,8 +58,8 @@
 // fillOne moves one row to a joining upstream from the fullest donor that has one to give.
 func (wrk *work) fillOne(tgt int32) bool {
 	ups := &wrk.ups[tgt]
-	want := math.Floor(ups.weight/wrk.weights*float64(len(wrk.svc.Partitions))) - float64(ups.count)
-	ideal := (wrk.level*ups.weight - ups.load) / max(want, 1)
+	want := math.Floor(wrk.limits.FillShare*ups.weight/wrk.weights*float64(len(wrk.svc.Partitions))) - float64(ups.count)
+	ideal := (wrk.limits.FillShare*wrk.level*ups.weight - ups.load) / max(want, 1)
 	for {
 		dnr := wrk.highest(func(cnd *upstream) bool { return !cnd.joining && cnd.eligible })
 		if dnr == none {
--- a/internal/control/assign/policy.go
+++ b/internal/control/assign/policy.go
@@ -22,6 +22,8 @@
 	ColdShare       float64       // an override under this share is retired; default 0.10
 	ColdFor         time.Duration // once it has been for this long; default 30 s
 	Settle          time.Duration // the first grants of a service wait until its newest upstream has been there for this long, so that the first one does not get everything; default 0
+	BalanceFrom     float64       // balance leaves upstreams alone that use less than this share of their slots, because a move interrupts its keys; default 0
+	FillShare       float64       // a joining upstream gets this part of its share, and more only by balance; default 1
 	BySpeed         bool          // upstreams get rows by how fast they work, beside their slots; default false
 	Window          time.Duration // over which load figures average, twice their time constant, to tell imbalance from noise; default 10 s
 }
@@ -38,6 +40,7 @@
 	lim.HotShare = cmp.Or(lim.HotShare, 0.25)
 	lim.ColdShare = cmp.Or(lim.ColdShare, 0.10)
 	lim.ColdFor = cmp.Or(lim.ColdFor, 30*time.Second)
+	lim.FillShare = cmp.Or(lim.FillShare, 1)
 	lim.Window = cmp.Or(lim.Window, 10*time.Second)
 	return lim
 }
@@ -63,6 +66,8 @@
 	seen      map[uint64]bool          // sessions, true while one is being filled
 	pace      map[uint64]*pace         // by session, with Limits.BySpeed
 	high      time.Duration            // since when the highest upstream has been too high, negative: it is not
+	planned   time.Duration            // newest plan
+	heard     map[uint64]time.Duration // by session: since when its load reports come
 	idle      bool                     // the service had too few requests to be balanced
 	spare     work                     // buffers of the previous tick
 }
@@ -86,6 +91,11 @@
 
 func (pol *Policy) planService(now time.Duration, svc *siskinrill.ServiceRows) []*controlpb.Assignment {
 	mem := pol.recall(svc)
+	if now-mem.planned > planGap {
+		// Another process has led meanwhile, so that nothing is known of what happened.
+		mem = pol.forget(svc)
+	}
+	mem.planned = now
 	wrk := &mem.spare
 	wrk.build(now, pol.limits, svc, mem)
 	if wrk.eligible == 0 || wrk.gathering() {
@@ -93,6 +103,9 @@
 	}
 	wrk.grant()
 	wrk.drain()
+	if !wrk.knowsLoads() {
+		return wrk.out
+	}
 	wrk.fill()
 	wrk.retire()
 	if !mem.idle {
@@ -102,13 +115,21 @@
 	return wrk.out
 }
 
+// planGap is the time between two plans after which the memory is void; a tick is 100 ms.
+const planGap = 2 * time.Second
+
+func (pol *Policy) forget(svc *siskinrill.ServiceRows) *memory {
+	delete(pol.memory, svc.Service.GetName())
+	return pol.recall(svc)
+}
+
 func (pol *Policy) recall(svc *siskinrill.ServiceRows) *memory {
 	name := svc.Service.GetName()
 	mem := pol.memory[name]
 	if mem == nil || len(mem.moved) != len(svc.Partitions) {
 		mem = &memory{
 			moved: make([]time.Duration, len(svc.Partitions)), movedKeys: map[string]time.Duration{},
-			cold: map[string]time.Duration{}, seen: map[uint64]bool{}, pace: map[uint64]*pace{}, high: -1,
+			cold: map[string]time.Duration{}, seen: map[uint64]bool{}, pace: map[uint64]*pace{}, heard: map[uint64]time.Duration{}, high: -1,
 		}
 		pol.memory[name] = mem
 	}
--- a/internal/control/assign/speed.go
+++ b/internal/control/assign/speed.go
@@ -30,6 +30,29 @@
 	pac.at = now
 }
 
+// knowsLoads reports whether the upstreams that own rows have reported their loads for long enough to compare them; with Limits.BySpeed rows move only then, because a new leader knows no speeds.
+func (wrk *work) knowsLoads() bool {
+	if !wrk.limits.BySpeed {
+		return true
+	}
+	known := true
+	for pos := range wrk.svc.Upstreams {
+		src := &wrk.svc.Upstreams[pos]
+		since, ok := wrk.mem.heard[src.Session]
+		switch {
+		case src.ReportAge > wrk.limits.StaleAfter:
+			delete(wrk.mem.heard, src.Session)
+			ok = false
+		case !ok:
+			wrk.mem.heard[src.Session] = wrk.now
+		}
+		if wrk.ups[pos].eligible && wrk.ups[pos].count > 0 && (!ok || wrk.now-since < wrk.limits.Window) {
+			known = false
+		}
+	}
+	return known
+}
+
 // speeds returns how fast each upstream works in multiples of their mean; one that is not known counts as the mean.
 func (wrk *work) speeds() []float64 {
 	out := make([]float64, len(wrk.svc.Upstreams))
@@ -74,6 +97,7 @@
 	for ses := range wrk.mem.pace {
 		if !live[ses] {
 			delete(wrk.mem.pace, ses)
+			delete(wrk.mem.heard, ses)
 		}
 	}
 }
--- a/internal/control/assign/work.go
+++ b/internal/control/assign/work.go
@@ -34,6 +34,7 @@
 	full     float64 // slots
 	load     float64 // of the rows planned for it
 	count    int     // partitions planned for it
+	busy     float64 // share of its slots in use by its last report
 	young    bool    // its ramp lasts
 	eligible bool    // may receive rows
 	stale    bool    // its load report is too old
@@ -99,6 +100,7 @@
 			wrk.zones[src.Zone] = zon
 		}
 		ups := upstream{session: src.Session, zone: zon, full: float64(max(src.Slots, 1)) * speeds[pos]}
+		ups.busy = src.Busy / float64(max(src.Slots, 1))
 		ups.weight = ups.full * ramp(src.Age, wrk.svc.Service.GetRampMs())
 		ups.young = ups.weight < ups.full
 		ups.eligible = src.State == controlpb.UpstreamState_UPSTREAM_STATE_SERVING
--- a/internal/control/registry/nodes.go
+++ b/internal/control/registry/nodes.go
@@ -92,11 +92,11 @@
 		nod.Upstream.SinceIndex = idx
 	}
 	reg.state.Nodes[pos] = nod
-	reg.emitNode(idx, nod)
 	if !same {
 		reg.giveUp(idx, map[uint64]bool{nod.GetSession(): true})
 	}
 	reg.succeed(idx, nod)
+	reg.emitNode(idx, nod)
 }
 
 // succeed ends the earlier sessions of a restarted agent once it has heard its backend server. The rows stay with a backend server that has not restarted meanwhile, since it is still their only holder; those of an earlier incarnation, which can hold nothing any more, are given up.
@@ -112,6 +112,7 @@
 		earlier = append(earlier, old.GetSession())
 		ups := old.GetUpstream()
 		if ups.GetId() == nod.GetUpstream().GetId() && ups.GetIncarnation() == nod.GetUpstream().GetIncarnation() && serving(nod.GetUpstream()) {
+			nod.Upstream.SinceIndex = ups.GetSinceIndex()
 			reg.inherit(idx, old.GetSession(), nod.GetSession())
 		}
 	}
--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -159,3 +159,85 @@
 		must.True(rt, !ok || len(dif.GetChanges()) == want)
 	})
 }
+
+// TestSuccession guards against keys that move because only the agent beside their server has restarted, and against an earlier incarnation's keys that stay with a server that has restarted itself.
+func TestSuccession(t *testing.T) {
+	for nam, tcs := range map[string]struct {
+		incarnation uint64
+		owned       int
+		token       uint64
+	}{
+		"agent restarted":  {incarnation: 11, owned: 16, token: 3},
+		"server restarted": {incarnation: 12},
+		"not told":         {incarnation: 0},
+	} {
+		t.Run(nam, func(t *testing.T) {
+			reg := New()
+			svc := &controlpb.Service{Name: "vitrine", Partitions: 16, KeyMode: controlpb.KeyMode_KEY_MODE_NUMBER}
+			reg.Apply(1, ApplyConfiguration("a", "", &controlpb.Configuration{Number: 1, Services: []*controlpb.Service{svc}}))
+			ups := func(inc uint64) *controlpb.Upstream {
+				return &controlpb.Upstream{Id: "v1", Service: "vitrine", State: controlpb.UpstreamState_UPSTREAM_STATE_SERVING, Incarnation: inc}
+			}
+			reg.Apply(2, RegisterNode(&controlpb.Node{Name: "host-1", Upstream: ups(11)}))
+			var asg []*controlpb.Assignment
+			for par := range uint32(16) {
+				asg = append(asg, &controlpb.Assignment{Kind: controlpb.AssignmentKind_ASSIGNMENT_KIND_GRANT, Target: 2, Shard: &controlpb.ShardRef{Service: "vitrine", Partition: par}})
+			}
+			reg.Apply(3, Assign(asg...))
+			reg.Apply(4, RegisterNode(&controlpb.Node{Name: "host-1"}))
+			must.NotNil(t, reg.node(2))
+			reg.Apply(5, SetUpstream(4, ups(tcs.incarnation)))
+			owned := 0
+			for par, own := range reg.table("vitrine").GetOwners() {
+				if own == 4 {
+					owned++
+					must.Eq(t, tcs.token, reg.table("vitrine").GetTokens()[par])
+				}
+			}
+			must.Eq(t, tcs.owned, owned)
+			must.Eq(t, tcs.incarnation == 0, reg.node(2) != nil)
+		})
+	}
+}
+
+// TestRebase guards against two changes on one base that are both accepted, numbers that are used twice or fall, and a resend that is refused.
+func TestRebase(t *testing.T) {
+	svc := &controlpb.Service{Name: "vitrine", KeyMode: controlpb.KeyMode_KEY_MODE_NONE}
+	route := func(name, host, target string) *controlpb.Route {
+		return &controlpb.Route{Name: name, Host: host, Prefix: "/a/", Service: target}
+	}
+	whole := func(num uint64, rts ...*controlpb.Route) *controlpb.Configuration {
+		return &controlpb.Configuration{Number: num, Services: []*controlpb.Service{svc}, Routes: rts}
+	}
+	patch := func(rts ...*controlpb.Route) *controlpb.ConfigurationChange {
+		return &controlpb.ConfigurationChange{SetRoutes: rts}
+	}
+	reg := New()
+	idx := uint64(0)
+	apply := func(cmd *controlpb.Command) string {
+		idx++
+		return reg.Apply(idx, cmd).Record().GetReason()
+	}
+	first := Rebase("first", "", whole(7, route("r1", "one", "vitrine")), 0, nil)
+	must.Eq(t, "", apply(first))
+	for _, stp := range []struct {
+		name, want string
+		cmd        *controlpb.Command
+	}{
+		{"second on the same base", ReasonBaseNotCurrent, Rebase("a", "", whole(9), 0, nil)},
+		{"number not above", ReasonNumberNotAbove, Rebase("b", "", whole(7), 7, nil)},
+		{"unknown service", ReasonUnknownService, Rebase("c", "", whole(9, route("r1", "one", "nowhere")), 7, nil)},
+		{"same place", ReasonSamePlace, Rebase("d", "", &controlpb.Configuration{Number: 9}, 7, patch(route("r2", "ONE", "vitrine")))},
+		{"no weight", ReasonNoWeight, Rebase("e", "", &controlpb.Configuration{Number: 9}, 7, patch(&controlpb.Route{Name: "r2", Host: "two", Prefix: "/a/", Targets: []*controlpb.WeightedTarget{{Service: "vitrine"}}}))},
+		{"patch", "", Rebase("f", "", &controlpb.Configuration{Number: 9}, 7, patch(route("r2", "two", "vitrine")))},
+		{"resend of the first", "", first},
+		{"removal", "", Rebase("g", "", &controlpb.Configuration{Number: 30}, 9, &controlpb.ConfigurationChange{RemoveRoutes: []string{"r1"}})},
+		{"partitions", ReasonPartitionsFixed, Rebase("h", "", &controlpb.Configuration{Number: 31}, 30, &controlpb.ConfigurationChange{SetServices: []*controlpb.Service{{Name: "vitrine", Partitions: 16}}})},
+	} {
+		must.Eq(t, stp.want, apply(stp.cmd), must.Sprint(stp.name))
+	}
+	cnf := reg.state.GetConfiguration()
+	must.Eq(t, 30, cnf.GetNumber())
+	must.Len(t, 1, cnf.GetRoutes())
+	must.Eq(t, "r2", cnf.GetRoutes()[0].GetName())
+}
--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -22,6 +22,9 @@
 	"github.com/siskinrill/siskinrill/internal/process/actor"
 )
 
+// percent is the whole of a setting that is a share.
+const percent = 100
+
 // adminGrace is how long requests to the admin API have to finish at a stop.
 const adminGrace = 500 * time.Millisecond
 
@@ -82,7 +85,10 @@
 
 // limits returns the limits of the policy; those of time follow the smoothing of the load figures.
 func limits(set settings.Control) assign.Limits {
-	lim := assign.Limits{Settle: set.Settle, BySpeed: set.BySpeed}
+	lim := assign.Limits{
+		Settle: set.Settle, BySpeed: set.BySpeed,
+		BalanceFrom: float64(set.BalanceFrom) / percent, FillShare: float64(set.FillShare) / percent,
+	}
 	if smo := set.Smoothing; smo > 0 {
 		lim.Window, lim.HighFor, lim.Pause = 2*smo, smo/2, 6*smo
 	}
