--- a/internal/agent/backend/hold.go
+++ b/internal/agent/backend/hold.go
@@ -127,8 +127,14 @@
 		}
 	}
 	for par, hld := range kys.held {
-		if tok, ok := rep[par]; !ok || tok != hld.token {
+		tok, ok := rep[par]
+		switch {
+		case !ok:
 			delete(kys.held, par)
+		case tok != hld.token:
+			// It has not received the renewal of the token.
+			hld.token = tok
+			kys.held[par] = hld
 		}
 	}
 	for par, tok := range rep {
@@ -138,7 +144,8 @@
 		}
 	}
 	for key, rev := range kys.revoked {
-		rev.released = rev.released || rev.left && rep[key.partition] != key.token
+		_, holds := rep[key.partition]
+		rev.released = rev.released || rev.left && !holds
 	}
 	kys.wake()
 	return rep
@@ -153,7 +160,7 @@
 }
 
 // offer returns the rows to grant with an answer, in the order of their keys. A revoked row is served until an answer leaves it out, because the server gives nothing back before.
-func (kys *keys) offer(rows []*controlpb.Shard, svc string, hold time.Duration) []*controlpb.Shard {
+func (kys *keys) offer(rows []*controlpb.Shard, svc string, hold time.Duration, most int) []*controlpb.Shard {
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
 	kys.prune(rows)
@@ -167,14 +174,33 @@
 			delete(kys.held, row.GetPartition())
 			continue
 		}
-		kys.grant(row, hold)
 		out = append(out, row)
 	}
-	kys.wake()
 	slices.SortFunc(out, func(one, two *controlpb.Shard) int { return cmp.Compare(one.GetPartition(), two.GetPartition()) })
+	if most > 0 {
+		out = firstRanges(out, most)
+	}
+	for _, row := range out {
+		kys.grant(row, hold)
+	}
+	kys.wake()
 	return out
 }
 
+// firstRanges returns the rows that make up a number of ranges at most; an answer that is too long would be dropped as a whole, and with it every key.
+func firstRanges(rows []*controlpb.Shard, most int) []*controlpb.Shard {
+	num := 0
+	for pos, row := range rows {
+		if pos == 0 || rows[pos-1].GetPartition()+1 != row.GetPartition() || rows[pos-1].GetToken() != row.GetToken() || row.GetHandover() != rows[pos-1].GetHandover() {
+			num++
+		}
+		if num > most {
+			return rows[:pos]
+		}
+	}
+	return rows
+}
+
 // prune ends the revocations of rows that this agent owns no longer; until then they stay out of the answers.
 func (kys *keys) prune(rows []*controlpb.Shard) {
 	owned := make(map[grantKey]bool, len(rows))
@@ -194,7 +220,7 @@
 	old, ok := kys.held[row.GetPartition()]
 	hld := heldKeys{token: row.GetToken(), offered: true, from: now.Add(answerTime), until: now.Add(time.Duration(float64(hold) * clockRate))}
 	switch {
-	case !ok || old.token != hld.token || !old.until.After(now):
+	case !ok || old.token > hld.token || !old.until.After(now):
 	case old.offered:
 		hld.from, hld.until = old.from, later(old.until, hld.until)
 	default:
@@ -257,7 +283,7 @@
 		return
 	}
 	std.HoldMs = uint32(hold.Milliseconds())
-	std.Holds = ranges(cli.keys.offer(rows, ann.Service, std.hold()), svc.GetPartitions(), rep)
+	std.Holds = ranges(cli.keys.offer(rows, ann.Service, std.hold(), cli.opt.MaxRanges), svc.GetPartitions(), rep)
 }
 
 // HoldsKeys reports whether the server takes its keys from the answers to its heartbeats.
@@ -285,7 +311,8 @@
 	}
 	hld, ok := kys.held[row.GetPartition()]
 	now := time.Now()
-	if !ok || !hld.offered || hld.token != row.GetToken() || !now.Before(hld.until) {
+	// A server that has not given a row back holds it under its earlier tokens too.
+	if !ok || !hld.offered || hld.token > row.GetToken() || !now.Before(hld.until) {
 		return false, time.Time{}, kys.changed
 	}
 	return !now.Before(hld.from), hld.from, kys.changed
@@ -355,7 +382,7 @@
 		key := grantKey{ref.GetPartition(), ref.GetToken()}
 		if kys.revoked[key] == nil {
 			rev := &revocation{}
-			if hld, ok := kys.held[ref.GetPartition()]; ok && hld.token == ref.GetToken() {
+			if hld, ok := kys.held[ref.GetPartition()]; ok && hld.token <= ref.GetToken() {
 				rev.until = hld.until
 			}
 			kys.revoked[key] = rev
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -83,6 +83,8 @@
 	DrainGrace time.Duration
 	// BackendIdle is the longest idle time of a connection to the backend server that is used again, 0 for the default.
 	BackendIdle time.Duration
+	// MaxRanges is the most ranges of keys that the backend server takes with one answer, 0 for any number.
+	MaxRanges uint32
 	// Unframed accepts answers of the backend server that end with their connection.
 	Unframed bool
 	Admin    Admin
@@ -179,6 +181,7 @@
 			source.Duration("freshness", &set.Freshness, 0, maxFreshness),
 			source.Duration("drain_grace", &set.DrainGrace, 0, maxStop),
 			source.Duration("backend_idle", &set.BackendIdle, 0, maxStop),
+			source.Whole("max_ranges", &set.MaxRanges, 0, 1<<16),
 			source.Flag("unframed", &set.Unframed),
 		)...,
 	)
--- a/internal/control/assign/grant.go
+++ b/internal/control/assign/grant.go
@@ -31,6 +31,10 @@
 			orphans = append(orphans, int32(pos))
 		}
 	}
+	if wrk.ranged() {
+		wrk.placeRanges(controlpb.AssignmentKind_ASSIGNMENT_KIND_GRANT, orphans)
+		return
+	}
 	wrk.sortByLoad(orphans)
 	for _, pos := range orphans[:min(len(orphans), wrk.limits.RowsPerTick)] {
 		rwo := &wrk.rows[pos]
@@ -77,6 +81,10 @@
 			rows = append(rows, int32(pos))
 		}
 	}
+	if wrk.ranged() {
+		wrk.placeRanges(controlpb.AssignmentKind_ASSIGNMENT_KIND_MOVE, rows)
+		return
+	}
 	wrk.sortByLoad(rows)
 	for _, pos := range rows[:min(len(rows), wrk.limits.RowsPerTick)] {
 		rwo := &wrk.rows[pos]
--- a/internal/control/assign/policy.go
+++ b/internal/control/assign/policy.go
@@ -66,6 +66,7 @@
 	seen      map[uint64]bool          // sessions, true while one is being filled
 	pace      map[uint64]*pace         // by session, with Limits.BySpeed
 	high      time.Duration            // since when the highest upstream has been too high, negative: it is not
+	renewed   map[uint64]time.Duration // by session: when its rows may get one token again
 	planned   time.Duration            // newest plan
 	heard     map[uint64]time.Duration // by session: since when its load reports come
 	idle      bool                     // the service had too few requests to be balanced
@@ -103,6 +104,9 @@
 	}
 	wrk.grant()
 	wrk.drain()
+	if wrk.ranged() {
+		wrk.renew()
+	}
 	if !wrk.knowsLoads() {
 		return wrk.out
 	}
@@ -129,7 +133,7 @@
 	if mem == nil || len(mem.moved) != len(svc.Partitions) {
 		mem = &memory{
 			moved: make([]time.Duration, len(svc.Partitions)), movedKeys: map[string]time.Duration{},
-			cold: map[string]time.Duration{}, seen: map[uint64]bool{}, pace: map[uint64]*pace{}, heard: map[uint64]time.Duration{}, high: -1,
+			cold: map[string]time.Duration{}, seen: map[uint64]bool{}, pace: map[uint64]*pace{}, heard: map[uint64]time.Duration{}, renewed: map[uint64]time.Duration{}, high: -1,
 		}
 		pol.memory[name] = mem
 	}
--- a/internal/control/assign/speed.go
+++ b/internal/control/assign/speed.go
@@ -98,6 +98,7 @@
 		if !live[ses] {
 			delete(wrk.mem.pace, ses)
 			delete(wrk.mem.heard, ses)
+			delete(wrk.mem.renewed, ses)
 		}
 	}
 }
--- a/internal/control/registry/shards.go
+++ b/internal/control/registry/shards.go
@@ -217,6 +217,8 @@
 		return reg.move(idx, tab, row, asg.GetTarget())
 	case controlpb.AssignmentKind_ASSIGNMENT_KIND_RETIRE:
 		return reg.retire(idx, tab, row)
+	case controlpb.AssignmentKind_ASSIGNMENT_KIND_RENEW:
+		return reg.renew(idx, tab, row, asg.GetTarget())
 	}
 	return false
 }
@@ -239,6 +241,16 @@
 	return true
 }
 
+// renew gives a row a newer token under the same owner.
+func (reg *Registry) renew(idx uint64, tab *controlpb.ServiceTable, row *controlpb.Shard, own uint64) bool {
+	if row.GetPhase() != owned || row.GetOwner() != own || row.GetKey() != "" {
+		return false
+	}
+	row.Token = idx
+	reg.put(idx, tab, row)
+	return true
+}
+
 func (reg *Registry) retire(idx uint64, tab *controlpb.ServiceTable, row *controlpb.Shard) bool {
 	if row.GetKey() == "" || row.GetPhase() == releasing {
 		return false
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -124,7 +124,7 @@
 		OnUpstream: prc.session.SetUpstream, Draining: prc.session.Draining,
 		MayStop: func() bool { return prc.owner.Idle() },
 		Owned:   prc.session.Owned, Lease: prc.session.Expires, Service: prc.session.Service,
-		Transport: opt.Transport, MaxIdle: set.BackendIdle, Unframed: set.Unframed,
+		Transport: opt.Transport, MaxIdle: set.BackendIdle, MaxRanges: int(set.MaxRanges), Unframed: set.Unframed,
 	}, prc.counters)
 	ses := guarded{held: prc.session, backend: prc.backend}
 	prc.owner = owner.New(owner.Options{Slots: prc.backend.Slots, DrainGrace: set.DrainGrace}, ses, prc.pool, prc.backend, prc.counters)
