owner: admit by the forecast end of a request

Change: run times by route, and the work that waits and runs, tell when an arriving request would end. One that meets its aim is admitted in the order of aims; one that only meets its deadline goes behind, where spare slots allow it; any other is refused at once with when to come back. Waiting ones that can no longer end in time are refused as well. The entry derives from the given deadline how long a caller has been waiting.

--- a/internal/agent/caller/call.go
+++ b/internal/agent/caller/call.go
@@ -213,6 +213,9 @@
 		Body:           cal.body.first,
 		BodyEnd:        cal.body.whole,
 		Retry:          cal.tries > 1,
+		Route:          cal.route.GetName(),
+		Priority:       cal.route.GetPriority(),
+		AimMs:          uint32(max(0, time.Until(cal.aim).Milliseconds())),
 	}
 }
 
--- a/internal/agent/caller/handler.go
+++ b/internal/agent/caller/handler.go
@@ -30,6 +30,7 @@
 	waiting     atomic.Int64
 	weights     weights
 	loads       loads
+	firsts      firsts
 	// The newest session, kept because attempt ids must stay unique while a new one is being registered.
 	entry atomic.Uint64
 }
@@ -50,6 +51,7 @@
 		budgets:     budgets{buckets: map[string]*bucket{}},
 		outstanding: outstanding{counts: map[uint64]int{}},
 		weights:     weights{routes: map[string]*shares{}},
+		firsts:      firsts{full: map[string]time.Duration{}},
 		loads:       loads{seen: map[uint64]seenLoad{}, runs: map[string]time.Duration{}},
 	}
 }
@@ -99,6 +101,7 @@
 	headers  []*peerpb.HeaderField
 	body     *body
 	deadline time.Time
+	aim      time.Time     // within which an answer is worth most, zero: not known
 	held     time.Duration // waited for an owner so far
 	pause    time.Duration // next pause without news from control
 	tries    int
@@ -159,15 +162,18 @@
 	if len(cal.idemKey) > maxIdempotencyKeyBytes {
 		return errors.Errorf("the idempotency key is longer than %d bytes", maxIdempotencyKeyBytes)
 	}
-	limit := timeout(cal.route)
+	limit, told := timeout(cal.route), time.Duration(0)
 	if txt := cal.req.Header.Get(siskinrill.HeaderTimeout); txt != "" {
 		dur, err := time.ParseDuration(txt)
 		if err != nil || dur <= 0 {
 			return errors.Errorf("%s is not a positive duration: %q", siskinrill.HeaderTimeout, txt)
 		}
-		limit = min(limit, dur)
+		limit, told = min(limit, dur), dur
 	}
 	cal.deadline = time.Now().Add(limit)
+	if tgt := cal.route.GetTargetLatencyMs(); tgt > 0 {
+		cal.aim = time.Now().Add(time.Duration(tgt)*time.Millisecond - cal.han.firsts.elapsed(cal.route.GetName(), told))
+	}
 	return nil
 }
 
--- a/internal/agent/owner/admit.go
+++ b/internal/agent/owner/admit.go
@@ -48,9 +48,13 @@
 	}
 	own.pump()
 	if own.que.Len() == 0 && own.hasSlot() {
+		_ = own.forecast(tck)
 		own.take(tck)
 		return false, nil
 	}
+	if ref := own.forecast(tck); ref != nil {
+		return false, ref
+	}
 	if own.que.Len() >= limit {
 		return false, siskinrill.NotRun(siskinrill.ReasonQueueFull).WithRetryAfter(own.retryAfter())
 	}
@@ -103,6 +107,12 @@
 			own.dismiss(first, siskinrill.ReasonBackendUnreachable)
 		case !now.Before(first.deadline):
 			own.dismiss(first, siskinrill.ReasonDeadlineInQueue)
+		case first.hopeless(now):
+			// Its run would end after its deadline and take the slot from another for nothing.
+			own.dismiss(first, siskinrill.ReasonQueueFull)
+		case first.overdue(now):
+			first.late = true
+			heap.Fix(&own.que, first.position)
 		case own.hasSlot():
 			own.que.remove(first)
 			own.take(first)
@@ -113,6 +123,16 @@
 	}
 }
 
+// hopeless reports whether a request with an aim would not end before its deadline.
+func (tck *ticket) hopeless(now time.Time) bool {
+	return tck.aimed && now.Add(tck.run).After(tck.deadline)
+}
+
+// overdue reports whether a waiting request can no longer meet its aim.
+func (tck *ticket) overdue(now time.Time) bool {
+	return tck.aimed && !tck.late && now.Add(tck.run).After(tck.aim)
+}
+
 // dismiss refuses a waiting ticket; the caller holds the mutex.
 func (own *Owner) dismiss(tck *ticket, rsn siskinrill.Reason) {
 	own.que.remove(tck)
--- a/internal/agent/owner/owner.go
+++ b/internal/agent/owner/owner.go
@@ -39,6 +39,8 @@
 	claims    map[claimKey]*claim
 	que       queue
 	lim       limiter
+	rts       runTimes
+	arr       arrivals
 	taken     int                  // slots given to tickets
 	running   map[*ticket]struct{} // handed over, or in the last check before it
 	moves     map[moveKey]*move
@@ -58,7 +60,7 @@
 	own := &Owner{
 		opt: opt, ses: ses, fwd: fwd, bck: bck, cnt: cnt, kick: make(chan struct{}, 1),
 		records: map[attemptID]*record{}, past: newPast(opt.MaxPast), whe: newWheel(),
-		claims: map[claimKey]*claim{}, running: map[*ticket]struct{}{}, moves: map[moveKey]*move{}, lds: newLoads(),
+		claims: map[claimKey]*claim{}, running: map[*ticket]struct{}{}, moves: map[moveKey]*move{}, lds: newLoads(), rts: runTimes{},
 	}
 	own.lim.ramp = defaultRamp
 	own.tld.told = map[shardID]uint64{}
--- a/internal/agent/owner/queue.go
+++ b/internal/agent/owner/queue.go
@@ -29,6 +29,10 @@
 	rec      *record
 	once     bool // non-idempotent or upload
 	deadline time.Time
+	aimed    bool          // its route has a time within which an answer is worth most
+	aim      time.Time     // end of that time
+	late     bool          // cannot be answered within it
+	run      time.Duration // expected
 	position int
 	wake     chan *siskinrill.Refusal // nil: it has a slot
 	shard    shardID                  // row under which it was admitted
@@ -50,6 +54,9 @@
 	tck := &ticket{att: att, deadline: time.Now().Add(dur), position: notQueued}
 	tck.wake = make(chan *siskinrill.Refusal, 1)
 	tck.once = att.Kind() != controlpb.RequestKind_REQUEST_KIND_IDEMPOTENT
+	if opn.GetAimMs() > 0 || opn.GetRoute() != "" && opn.GetPriority() > 0 {
+		tck.aimed, tck.aim = true, time.Now().Add(time.Duration(opn.GetAimMs())*time.Millisecond)
+	}
 	tck.rec = &record{id: idOf(opn.GetAttempt()), tck: tck}
 	if !opn.GetBodyEnd() && att.Body() != nil {
 		tck.bdy = newRequestBody(att, tck.digest())
@@ -73,14 +80,30 @@
 	return reserveIdempotent
 }
 
-// queue orders tickets by deadline, the earliest first.
+// queue orders tickets by the time at which they are due, the earliest first.
 type queue []*ticket
 
 // Len returns the number of waiting tickets.
 func (que queue) Len() int { return len(que) }
 
-// Less orders by deadline.
-func (que queue) Less(one, two int) bool { return que[one].deadline.Before(que[two].deadline) }
+// Less orders by the end of the time within which an answer is worth most; requests that have passed it come last, by their deadlines.
+func (que queue) Less(one, two int) bool { return que[one].before(que[two]) }
+
+// before reports whether a ticket goes before another.
+func (tck *ticket) before(oth *ticket) bool {
+	if tck.late != oth.late {
+		return oth.late
+	}
+	return tck.due().Before(oth.due())
+}
+
+// due returns the time by which a ticket is ordered.
+func (tck *ticket) due() time.Time {
+	if tck.aimed && !tck.late {
+		return tck.aim
+	}
+	return tck.deadline
+}
 
 // Swap exchanges two tickets.
 func (que queue) Swap(one, two int) {
--- a/internal/agent/owner/run.go
+++ b/internal/agent/owner/run.go
@@ -112,6 +112,9 @@
 	if tck.bdy == nil && (err == nil || !refusalOf(err).NotRun()) {
 		own.lim.observe(lat, own.taken)
 	}
+	if err == nil {
+		own.rts.note(tck.att.Open().GetRoute(), lat)
+	}
 }
 
 // end releases what an attempt holds and records how it ended.
