actor: end an HTTP server without dropping requests that it has read

Change: keep-alives end, connections close after their answers, and the server ends once none has a request in hand; accepted ones have half of the grace for their first request.

--- a/internal/process/actor/server.go
+++ b/internal/process/actor/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,8 +15,12 @@
 // headerTimeout bounds the reading of a request's headers, so that idle connections that send nothing are closed.
 const headerTimeout = 10 * time.Second
 
-// acceptTime is how long the first request of an accepted connection may take to arrive and be read.
-const acceptTime = 50 * time.Millisecond
+const (
+	// acceptTime is how long a connection takes from the kernel's queue to the server.
+	acceptTime = 50 * time.Millisecond
+	// shutdownPoll is the time between two looks at the connections of a server that stops.
+	shutdownPoll = 5 * time.Millisecond
+)
 
 // Server is an HTTP handler with its listener.
 type Server struct {
@@ -25,22 +30,60 @@
 
 // HTTP adds an HTTP server to a group; when the group ends, requests in flight have grace to finish.
 func HTTP(grp *run.Group, lis net.Listener, hdl http.Handler, grace time.Duration) {
-	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout}
+	con := &connections{states: map[net.Conn]http.ConnState{}}
+	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout, ConnState: con.note}
 	grp.Add(
 		func() error { return served(srv.Serve(lis)) },
-		func(error) { shutdown(srv, lis, grace) },
+		func(error) { shutdown(srv, lis, con, grace) },
 	)
 }
 
-// shutdown closes the listener some time before the server, because a server that shuts down drops the requests that it has just read.
-func shutdown(srv *http.Server, lis net.Listener, grace time.Duration) {
+// connections follow the states of a server's connections.
+type connections struct {
+	mu     sync.Mutex
+	states map[net.Conn]http.ConnState
+}
+
+func (con *connections) note(cnn net.Conn, sta http.ConnState) {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	switch sta {
+	case http.StateClosed, http.StateHijacked:
+		delete(con.states, cnn)
+	default:
+		con.states[cnn] = sta
+	}
+}
+
+// busy returns the number of connections with a request in hand, and of those whose first request has not been read yet.
+func (con *connections) busy() (active, fresh int) {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	for _, sta := range con.states {
+		switch sta {
+		case http.StateActive:
+			active++
+		case http.StateNew:
+			fresh++
+		}
+	}
+	return active, fresh
+}
+
+// shutdown ends a server without http.Server.Shutdown, which drops the requests that it has just read: connections close after their answers, and the server ends once none has a request in hand. Connections that were accepted have half of the grace to send their first request, since a loaded host may read it late.
+func shutdown(srv *http.Server, lis net.Listener, con *connections, grace time.Duration) {
 	_ = lis.Close()
+	srv.SetKeepAlivesEnabled(false)
+	begin := time.Now()
 	time.Sleep(min(acceptTime, grace))
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
-	defer cancel()
-	if srv.Shutdown(ctx) != nil {
-		_ = srv.Close()
+	for time.Since(begin) < grace {
+		active, fresh := con.busy()
+		if active == 0 && (fresh == 0 || time.Since(begin) >= grace/2) {
+			break
+		}
+		time.Sleep(shutdownPoll)
 	}
+	_ = srv.Close()
 }
 
 func served(err error) error {
