--- a/internal/agent/backend/client.go
+++ b/internal/agent/backend/client.go
@@ -24,11 +24,13 @@
 	heard     time.Time // last announcement
 	failures  uint      // failures in a row, for the hold
 	holdUntil time.Time
-	failedBy  string              // cause of the last failure
-	left      bool                // the server has announced that it is leaving
-	granted   map[string]uint64   // by fence partition
-	runs      map[*run]struct{}   // requests that have not ended
-	told      *controlpb.Upstream // last one given to OnUpstream
+	tellFrom  time.Time // when the failure may be told
+	// startUntil is when the last request that was handed over may start at the latest, by a server that checks its fence.
+	startUntil time.Time
+	left       bool                // the server has announced that it is leaving
+	granted    map[string]uint64   // by fence partition
+	runs       map[*run]struct{}   // requests that have not ended
+	told       *controlpb.Upstream // last one given to OnUpstream
 
 	keys keys // that the server holds by its heartbeats
 
@@ -100,6 +102,7 @@
 		return nil
 	}
 	rnn.upstream = cli.ann.ID
+	cli.startUntil = time.Now().Add(startTime)
 	cli.runs[rnn] = struct{}{}
 	return cli.tgt
 }
@@ -117,14 +120,19 @@
 		cli.mu.Unlock()
 		return
 	}
-	cli.state, cli.failedBy = controlpb.UpstreamState_UPSTREAM_STATE_FAILED, cause
+	cli.state = controlpb.UpstreamState_UPSTREAM_STATE_FAILED
 	if time.Since(cli.holdUntil) > failedHoldMax {
 		cli.failures = 0
 	}
 	hold := min(failedHold<<min(cli.failures, 10), failedHoldMax)
 	cli.failures++
 	cli.holdUntil = time.Now().Add(hold)
-	idt := cli.ann.ID
+	// A silent server may return and hold its keys, or start what it was given, until then; another owner before that would be a second one.
+	cli.tellFrom = time.Time{}
+	if cause != causeRefused {
+		cli.tellFrom = later(time.Now().Add(cli.keys.left()), cli.startUntil)
+	}
+	idt, tell := cli.ann.ID, cli.tellFrom
 	for rnn := range cli.runs {
 		rnn.serverFailed()
 	}
@@ -132,12 +140,10 @@
 	cli.cnt.Event("backend_failed_" + cause)
 	logrus.Warnf("backend: server %s counts as failed: %s", idt, cause)
 	tgt.close()
-	if wait := cli.keys.left(); wait > 0 && cause != causeRefused {
-		// The server may hold its keys unseen until then; another owner before that would be a second one.
+	cli.report()
+	if wait := time.Until(tell); wait > 0 {
 		time.AfterFunc(wait, cli.report)
-		return
 	}
-	cli.report()
 }
 
 // report tells the upstream and its state if it has changed.
@@ -156,7 +162,7 @@
 	if cli.ann == nil {
 		return nil, false
 	}
-	if cli.state == controlpb.UpstreamState_UPSTREAM_STATE_FAILED && cli.failedBy != causeRefused && cli.keys.left() > 0 {
+	if cli.state == controlpb.UpstreamState_UPSTREAM_STATE_FAILED && time.Now().Before(cli.tellFrom) {
 		return nil, false
 	}
 	ups := &controlpb.Upstream{
--- a/internal/agent/backend/do.go
+++ b/internal/agent/backend/do.go
@@ -35,6 +35,7 @@
 // Do runs an attempt under a grant; an error is a *siskinrill.Refusal, whose outcome is not_run only if no byte of the request was written or the server proved that it did not run.
 func (cli *Client) Do(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error) {
 	ctx, cancel := withTimeout(ctx, att.Open())
+	grt = shortened(grt)
 	rnn := &run{cli: cli, att: att, bdy: newBody(att), gat: newGate(grt.Expires()), cancel: cancel}
 	rnn.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: rnn.gotConn, WroteRequest: rnn.wrote})
 	rnn.tgt = cli.begin(rnn)
@@ -51,6 +52,14 @@
 	return ans, nil
 }
 
+// shortened bounds the time in which a request may start. A server that freezes with a request in its hands must refuse it on its return, since its keys may have another owner by then, whatever is left of the lease.
+func shortened(grt siskinrill.Grant) siskinrill.Grant {
+	if end := time.Now().Add(startTime); end.Before(grt.Expires()) {
+		return siskinrill.NewGrant(grt.Shard(), end)
+	}
+	return grt
+}
+
 // refuse counts a refusal that arose here.
 func (cli *Client) refuse(ref *siskinrill.Refusal) *siskinrill.Refusal {
 	cli.cnt.Refused(ref.Reason())
--- a/internal/agent/backend/options.go
+++ b/internal/agent/backend/options.go
@@ -12,6 +12,8 @@
 const (
 	// maxIdle is the default of Options.MaxIdle.
 	maxIdle = 200 * time.Millisecond
+	// startTime is how long after its hand-over a request may start; it covers a new connection and the server's own queue.
+	startTime = 300 * time.Millisecond
 	// dialTimeout is under the lease reserve of 200 ms, so that a slow connect cannot use up the reserve.
 	dialTimeout = 100 * time.Millisecond
 	// announceExpiry is how long an announcement stands; it is repeated every second.
