caller, owner: retry what a server declines although it has room

Change: a refusal while the server tells of free slots is backend_declined, which does not lower the limit and is retried within the budget, at another upstream where there is one.

--- a/header.go
+++ b/header.go
@@ -16,6 +16,8 @@
 	HeaderFenceExpires = "Siskinrill-Fence-Expires"
 	// HeaderNotRun with the value true in a backend server's refusal (409, 412, 429 or 503) is its proof that nothing ran.
 	HeaderNotRun = "Siskinrill-Not-Run"
+	// HeaderLoad in an answer of a backend server tells how many requests it runs and how many wait, and its slots, separated by commas.
+	HeaderLoad = "Siskinrill-Load"
 	// HeaderAttempt carries the attempt id ENTRY_SESSION-COUNTER to the backend server.
 	HeaderAttempt = "Siskinrill-Attempt"
 	// HeaderKey carries the key to the backend server, and from callers where the route does not take it from the path.
--- a/internal/agent/backend/do.go
+++ b/internal/agent/backend/do.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -169,6 +170,13 @@
 	return siskinrill.NewRefusal(rsn, peerpb.Outcome_OUTCOME_NOT_RUN, err)
 }
 
+// hasRoom reports whether a backend server tells that it has free slots.
+func hasRoom(load string) bool {
+	running, waiting, slots := 0, 0, 0
+	num, err := fmt.Sscanf(load, "%d,%d,%d", &running, &waiting, &slots)
+	return err == nil && num == 3 && waiting == 0 && running < slots
+}
+
 func isDial(err error) bool {
 	var ope *net.OpError
 	return errors.As(err, &ope) && ope.Op == "dial"
@@ -184,6 +192,9 @@
 	case http.StatusConflict, http.StatusPreconditionFailed, http.StatusMisdirectedRequest:
 		rsn = siskinrill.ReasonBackendFenced
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		if hasRoom(res.Header.Get(siskinrill.HeaderLoad)) {
+			rsn = siskinrill.ReasonBackendDeclined
+		}
 	default:
 		return nil
 	}
--- a/internal/agent/backend/request_test.go
+++ b/internal/agent/backend/request_test.go
@@ -168,12 +168,16 @@
 	tests := map[string]struct {
 		status int
 		header string
+		load   string
 		reason siskinrill.Reason
 	}{
 		"409 with proof":    {status: 409, header: "true", reason: siskinrill.ReasonBackendFenced},
 		"412 with proof":    {status: 412, header: "true", reason: siskinrill.ReasonBackendFenced},
 		"429 with proof":    {status: 429, header: "true", reason: siskinrill.ReasonBackendShed},
 		"503 with proof":    {status: 503, header: "true", reason: siskinrill.ReasonBackendShed},
+		"503 with a queue":  {status: 503, header: "true", load: "4,1,4", reason: siskinrill.ReasonBackendShed},
+		"503 with room":     {status: 503, header: "true", load: "1,0,4", reason: siskinrill.ReasonBackendDeclined},
+		"503 odd load":      {status: 503, header: "true", load: "1,0", reason: siskinrill.ReasonBackendShed},
 		"500 with proof":    {status: 500, header: "true"},
 		"200 with proof":    {status: 200, header: "true"},
 		"503 without proof": {status: 503},
@@ -183,6 +187,7 @@
 		t.Run(name, func(t *testing.T) {
 			srv := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
 				wri.Header().Set(siskinrill.HeaderNotRun, tcs.header)
+				wri.Header().Set(siskinrill.HeaderLoad, tcs.load)
 				wri.Header().Set("Retry-After", "2")
 				wri.WriteHeader(tcs.status)
 			}))
--- a/internal/agent/caller/retry.go
+++ b/internal/agent/caller/retry.go
@@ -43,6 +43,7 @@
 	siskinrill.ReasonBackendUnreachable: waiting,
 	siskinrill.ReasonNotHeld:            waiting,
 	siskinrill.ReasonBackendFenced:      arrived,
+	siskinrill.ReasonBackendDeclined:    failed,
 	siskinrill.ReasonWithdrawn:          failed,
 	siskinrill.ReasonConnectionLost:     failed,
 	siskinrill.ReasonBackendLost:        failed,
@@ -81,6 +82,12 @@
 			return over
 		}
 	case failed:
+		if cal.keyless() && ref.NotRun() {
+			cal.avoid = append(cal.avoid, tgt.shard.GetOwner())
+			if len(cal.candidates()) == 0 {
+				cal.avoid = nil
+			}
+		}
 		if over := cal.spend(ref); over != nil {
 			return over
 		}
@@ -122,9 +129,17 @@
 	return cal.await(tgt.version, ref.Reason(), true)
 }
 
+// maxTries returns how many attempts the request may have; one that no backend server has run may be asked for once more than the upstreams that it may reach.
+func (cal *call) maxTries(ref *siskinrill.Refusal) int {
+	if ref.NotRun() && !cal.ran {
+		return cal.maxAttempts() + 1
+	}
+	return cal.maxAttempts()
+}
+
 // spend takes a retry from the budget.
 func (cal *call) spend(ref *siskinrill.Refusal) *siskinrill.Refusal {
-	if cal.tries >= cal.maxAttempts() {
+	if cal.tries >= cal.maxTries(ref) {
 		return ref
 	}
 	if !cal.han.budgets.take(cal.service.GetName()) {
--- a/reason.go
+++ b/reason.go
@@ -43,6 +43,8 @@
 	ReasonBackendUnreachable Reason = "backend_unreachable"
 	// ReasonBackendShed means that the backend server refused the request without running it.
 	ReasonBackendShed Reason = "backend_shed"
+	// ReasonBackendDeclined means that the backend server refused the request without running it although it had free slots.
+	ReasonBackendDeclined Reason = "backend_declined"
 	// ReasonBackendFenced means that the backend server refused an old fencing token or a late request.
 	ReasonBackendFenced Reason = "backend_fenced"
 	// ReasonBackendLost means that the connection to the backend server broke after the request was written.
