--- a/internal/agent/owner/admit.go
+++ b/internal/agent/owner/admit.go
@@ -11,8 +11,10 @@
 	"github.com/siskinrill/siskinrill"
 )
 
-// Bounds of the advised wait after queue_full.
 const (
+	// hopelessEvery is the time between two looks at all waiting requests.
+	hopelessEvery = 10 * time.Millisecond
+	// Bounds of the advised wait after queue_full.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
 )
@@ -100,6 +102,7 @@
 // pump gives free slots to the waiting tickets with the earliest deadlines; the caller holds the mutex.
 func (own *Owner) pump() {
 	now := time.Now()
+	own.dismissHopeless(now)
 	for own.que.Len() > 0 {
 		first := own.que[0]
 		switch {
@@ -107,9 +110,6 @@
 			own.dismiss(first, siskinrill.ReasonBackendUnreachable)
 		case !now.Before(first.deadline):
 			own.dismiss(first, siskinrill.ReasonDeadlineInQueue)
-		case first.hopeless(now):
-			// Its run would end after its deadline and take the slot from another for nothing.
-			own.dismiss(first, siskinrill.ReasonQueueFull)
 		case first.overdue(now):
 			first.late = true
 			heap.Fix(&own.que, first.position)
@@ -123,6 +123,23 @@
 	}
 }
 
+// dismissHopeless refuses waiting requests whose runs would end after their deadlines: they would take slots from others for nothing, and their callers can use the time that is left. Those without an aim stay to their deadlines, which may be far off.
+func (own *Owner) dismissHopeless(now time.Time) {
+	if now.Sub(own.looked) < hopelessEvery {
+		return
+	}
+	own.looked = now
+	var over []*ticket
+	for _, tck := range own.que {
+		if tck.hopeless(now) {
+			over = append(over, tck)
+		}
+	}
+	for _, tck := range over {
+		own.dismiss(tck, siskinrill.ReasonQueueFull)
+	}
+}
+
 // hopeless reports whether a request with an aim would not end before its deadline.
 func (tck *ticket) hopeless(now time.Time) bool {
 	return tck.aimed && now.Add(tck.run).After(tck.deadline)
--- a/internal/agent/owner/owner.go
+++ b/internal/agent/owner/owner.go
@@ -47,6 +47,7 @@
 	lds       *loads
 	drainFrom time.Time // zero: does not drain
 	closed    bool      // takes no new attempts
+	looked    time.Time // when all waiting requests were last looked at
 }
 
 var (
