--- a/internal/agent/owner/admit.go
+++ b/internal/agent/owner/admit.go
@@ -55,6 +55,7 @@
 		return false, nil
 	}
 	if ref := own.forecast(tck); ref != nil {
+		own.lds.turnedAway(tck.shard)
 		return false, ref
 	}
 	if own.que.Len() >= limit {
--- a/internal/agent/owner/handle.go
+++ b/internal/agent/owner/handle.go
@@ -62,7 +62,7 @@
 		}
 	}
 	keyless := own.keyless(tck.shard.service)
-	if !keyless && !own.bck.AwaitHold(ctx, row) {
+	if !keyless && !own.awaitHold(ctx, tck, row) {
 		return nil, own.versioned(own.notHeld(row))
 	}
 	if ref := own.admit(ctx, tck); ref != nil {
@@ -77,6 +77,19 @@
 	return nil, own.copyPending(ctx, tck, row)
 }
 
+// awaitHold returns once the backend server holds the row, false if it will not in time for the run.
+func (own *Owner) awaitHold(ctx context.Context, tck *ticket, row *controlpb.Shard) bool {
+	if own.bck.Held(row) {
+		return true
+	}
+	own.mu.Lock()
+	run := own.rts.of(tck.att.Open().GetRoute())
+	own.mu.Unlock()
+	ctx, cancel := context.WithDeadline(ctx, tck.deadline.Add(-run))
+	defer cancel()
+	return own.bck.AwaitHold(ctx, row)
+}
+
 // notHeld returns why the backend server does not hold a row: it has given it back for another owner, or has not taken it yet.
 func (own *Owner) notHeld(row *controlpb.Shard) siskinrill.Reason {
 	if row.GetPhase() == controlpb.Phase_PHASE_RELEASING {
--- a/internal/agent/owner/load.go
+++ b/internal/agent/owner/load.go
@@ -49,6 +49,13 @@
 	skt.add(tck.att.Open().GetKey(), tck.shard.partition)
 }
 
+// turnedAway counts an attempt that was refused for lack of room as a request for its shard: what a busy key asks for is more than what its owner can run.
+func (lds *loads) turnedAway(shd shardID) {
+	sld := lds.shards[shd]
+	sld.requests++
+	lds.shards[shd] = sld
+}
+
 // Load returns the figures since the previous call and resets them; interval is the time between the calls.
 func (own *Owner) Load(interval time.Duration) *controlpb.LoadReport {
 	own.mu.Lock()
