agent: refuse new requests at once at the end of a stop

Change: after the time in which callers leave, the entry refuses with draining (not_run), as the owner does, and the agent ends once nothing is in hand.

--- a/internal/agent/caller/handler.go
+++ b/internal/agent/caller/handler.go
@@ -27,6 +27,7 @@
 	budgets     budgets
 	outstanding outstanding
 	attempts    atomic.Uint64
+	closed      atomic.Bool
 	waiting     atomic.Int64
 	weights     weights
 	loads       loads
@@ -56,6 +57,9 @@
 	}
 }
 
+// Close refuses all further requests with proof that they do not run; those in hand go on.
+func (han *Handler) Close() { han.closed.Store(true) }
+
 // ServeHTTP carries a request to the owner of its key and its answer back.
 func (han *Handler) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
 	cal, ref := han.accept(wri, req)
@@ -118,6 +122,9 @@
 
 // accept checks a request; a refusal proves that nothing ran.
 func (han *Handler) accept(wri http.ResponseWriter, req *http.Request) (*call, *siskinrill.Refusal) {
+	if han.closed.Load() {
+		return nil, siskinrill.NotRun(siskinrill.ReasonDraining).WithRetryAfter(leastRetryAfter)
+	}
 	if ses := han.session.Session(); ses != 0 {
 		han.entry.Store(ses)
 	}
--- a/internal/agent/caller/handler_test.go
+++ b/internal/agent/caller/handler_test.go
@@ -51,6 +51,7 @@
 		"records full":          {method: "POST", status: 503, reason: "records_full", retry: "1", change: refusing(siskinrill.ReasonRecordsFull)},
 		"idempotency key again": {method: "POST", status: 422, reason: "idempotency_key_reused", change: refusing(siskinrill.ReasonIdempotencyKeyReused)},
 		"outstanding limit":     {method: "GET", status: 429, reason: "outstanding_limit", retry: "1", change: func(fix *fixture, _ *http.Request) { fix.han.outstanding.counts[1] = defaultOutstanding }},
+		"stopping":              {method: "POST", status: 503, reason: "draining", retry: "1", change: func(fix *fixture, _ *http.Request) { fix.han.Close() }},
 		"owner is gone":         {method: "GET", status: 503, reason: "no_owner", retry: "1", change: func(fix *fixture, _ *http.Request) { delete(fix.ses.nodes, 1) }},
 		"own timeout": {method: "GET", status: 504, reason: "deadline", change: func(fix *fixture, req *http.Request) {
 			req.Header.Set(siskinrill.HeaderTimeout, "1s")
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -66,7 +66,8 @@
 	backend  *backend.Client
 	owner    *owner.Owner
 	server   *grpc.Server
-	callers  http.Handler
+	entry    *caller.Handler
+	callers  http.Handler // the entry with what goes before it
 	operator *adminhttp.Operator
 	admin    *adminhttp.Handler
 	stopping atomic.Bool
@@ -132,6 +133,7 @@
 	prc.server = grpc.NewServer(peer.ServerOptions()...)
 	peer.NewServer(prc.owner, prc.session).Register(prc.server)
 	hdl := caller.New(caller.Options{Logger: opt.Logger}, prc.session, prc.pool, prc.owner, prc.counters)
+	prc.entry = hdl
 	prc.callers = prc.closing(hdl)
 	if opt.Translate != nil {
 		prc.callers = opt.Translate(prc.callers)
@@ -298,6 +300,7 @@
 	for time.Since(begin) < leaveTime || time.Since(begin) < longestLeave && time.Since(time.Unix(0, prc.request.Load())) < quietTime {
 		time.Sleep(drainPoll)
 	}
+	prc.entry.Close()
 	prc.owner.Close()
 	for time.Now().Before(end) {
 		if lod := prc.owner.InHand(); lod.GetRunning() == 0 && lod.GetQueued() == 0 && prc.inFlight.Load() == 0 {
