--- a/internal/control/member/join_test.go
+++ b/internal/control/member/join_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/shoenig/test/must"
 
+	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
@@ -135,3 +137,15 @@
 		})
 	}
 }
+
+// TestProposeAfterStop guards against a command that was certainly not appended and counts as of unknown outcome, because it came after the end of the loop.
+func TestProposeAfterStop(tst *testing.T) {
+	clu := newCluster(tst, 1)
+	ldr := clu.leader(settle)
+	must.NoError(tst, ldr.Stop(tst.Context()))
+	_, err := ldr.Propose(tst.Context(), command("late"))
+	var nle *siskinrill.NotLeaderError
+	var uoe *UnknownOutcomeError
+	must.True(tst, errors.As(err, &nle))
+	must.False(tst, errors.As(err, &uoe))
+}
--- a/internal/control/member/propose.go
+++ b/internal/control/member/propose.go
@@ -36,7 +36,7 @@
 
 // Propose appends a command and returns the registry's result once it is applied here.
 //
-// The error is a *siskinrill.NotLeaderError or an *OverloadError when the command was not appended, an *UnknownOutcomeError when its fate is not known, or a *StoppedError.
+// The error is a *siskinrill.NotLeaderError or an *OverloadError when the command was not appended, or an *UnknownOutcomeError when its fate is not known.
 func (grp *Group) Propose(ctx context.Context, cmd *controlpb.Command) (*siskinrill.Result, error) {
 	data, err := proto.Marshal(cmd)
 	if err != nil {
@@ -46,7 +46,8 @@
 	select {
 	case grp.proposals <- prp:
 	case <-grp.stopped:
-		return nil, &StoppedError{cause: grp.failure}
+		// Nothing is appended any more, so that the caller may ask another process.
+		return nil, siskinrill.NewNotLeaderError("")
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
