--- a/cmd/siskinrill/platform.go
+++ b/cmd/siskinrill/platform.go
@@ -18,6 +18,7 @@
 func newPlatform() *cobra.Command {
 	return &cobra.Command{
 		Use: "platform", Short: "Run the process that the users' platform describes in its settings file", Args: cobra.NoArgs,
+		Example: "  siskinrill platform # as deploy/system.toml runs it",
 		RunE: action(func(cmd *cobra.Command, _ []string) error {
 			mac, err := platform.ReadSettings()
 			if err != nil {
