agent: remove the unused SocketBuffer option and loads.forget

Cause: reading the change as a whole, no caller sets backend.Options.SocketBuffer, so net/http's default of 4 KiB was in force anyway; nothing calls loads.forget.

Change: both are removed. Behaviour is as before.

Measured: build, vet, formatter, linter and the tests of agent/caller and agent/backend pass.

Conclusion: loads.seen still keeps one entry per session that is over, as it did; to drop them needs a call from the heartbeat path and a test of its own.

--- a/internal/agent/backend/options.go
+++ b/internal/agent/backend/options.go
@@ -62,8 +62,6 @@
 	Transport func(pool http.RoundTripper) http.RoundTripper
 	// MaxIdle is the longest idle time of a connection that is used again, 200 ms by default; older ones may have gone silent.
 	MaxIdle time.Duration
-	// SocketBuffer is the size in bytes of the buffers of a connection, 4 KiB by default.
-	SocketBuffer int
 	// MaxRanges is the most ranges of keys in the answer to a heartbeat, unlimited by default; further ones are left out.
 	MaxRanges int
 	// Unframed accepts answers that end with their connection; default: they are refused, since a proxy in between may cut them.
--- a/internal/agent/backend/target.go
+++ b/internal/agent/backend/target.go
@@ -32,8 +32,6 @@
 		MaxIdleConnsPerHost: int(ann.Connections),
 		IdleConnTimeout:     opt.MaxIdle,
 		DisableCompression:  true,
-		ReadBufferSize:      opt.SocketBuffer,
-		WriteBufferSize:     opt.SocketBuffer,
 	}
 	return &target{
 		base: loc, pool: pool, transport: opt.Transport(pool),
--- a/internal/agent/caller/pick.go
+++ b/internal/agent/caller/pick.go
@@ -73,17 +73,6 @@
 	lds.runs[svc] += (lat - old) / runWeight
 }
 
-// forget drops the loads of sessions that are over.
-func (lds *loads) forget(live func(ses uint64) bool) {
-	lds.mu.Lock()
-	defer lds.mu.Unlock()
-	for ses := range lds.seen {
-		if !live(ses) {
-			delete(lds.seen, ses)
-		}
-	}
-}
-
 // candidate is an upstream that may serve a request of a service without keys.
 type candidate struct {
 	session uint64
