backend: TestCancel cancels its request instead of setting a deadline

Cause: make test failed once in TestCancel: Do returned an answer, no refusal. The test ended its request by a deadline of 100 ms. The client passes a deadline to the server, rounded to the millisecond, so the server could answer at its own time limit before the client saw the deadline. The answer was whole and true.

Change: the test cancels its context after 100 ms. The assertions are the same; the server can now learn of the end only by the cancelled request.

Conclusion: a race of the test, not of the client.

--- a/internal/agent/backend/request_test.go
+++ b/internal/agent/backend/request_test.go
@@ -150,8 +150,10 @@
 // TestCancel guards against work for an idempotent request that goes on after its caller went away.
 func TestCancel(t *testing.T) {
 	pai := newPair(t, standin.Options{Median: 5 * time.Second}, backend.Options{})
-	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
+	// A deadline would also reach the server, whose own answer at that time may come first.
+	time.AfterFunc(100*time.Millisecond, cancel)
 	att := attempt(1)
 	att.Open().Kind = uint32(controlpb.RequestKind_REQUEST_KIND_IDEMPOTENT)
 	att.Open().TimeoutMs = 10_000
