raft: repeat a campaign after a few ticks, and yield to the higher id

Cause: TestLeaderKilled took 1.17 s once. A simulation with tick phases and message delays shows why: with three of five members left, every vote counts. A pre-vote that one member refuses because it heard the leader a moment later, or votes that split, cost another whole election timeout of 5 to 10 ticks, sometimes twice. Change: a member that campaigns tries again after 2 to 5 ticks; one that is granted a pre-vote holds back the grantor's own campaign for 2 ticks, and ends it if the other id is higher. TestBrokenVariants now asks that the named check catches the variant in some run, whatever another check finds in earlier ones: with other election times, "empty disk keeps identity" broke leader completeness first.

--- a/internal/control/raft/election.go
+++ b/internal/control/raft/election.go
@@ -2,6 +2,13 @@
 
 import "github.com/siskinrill/siskinrill/internal/wire/controlpb"
 
+const (
+	// campaignTicks is the shortest time between two attempts of a member that campaigns; votes travel and are synced within it.
+	campaignTicks = 2
+	// campaignSpread is the number of ticks over which attempts are spread, so that members that collided do not collide again.
+	campaignSpread = 4
+)
+
 func (rft *Raft) becomeFollower(trm, ldr uint64) {
 	if trm > rft.term {
 		rft.term, rft.vote = trm, 0
@@ -17,12 +24,18 @@
 	rft.timeout = rft.opt.ElectionTicks + rft.rnd.IntN(rft.opt.ElectionTicks+1)
 }
 
+// resetCampaign draws the time until the next attempt of a member that campaigns. It is shorter than an election timeout: no leader is disturbed any more, and votes that split, or that a member refused because it had heard the leader a moment later, are repeated at once.
+func (rft *Raft) resetCampaign() {
+	rft.elapsed = 0
+	rft.timeout = min(campaignTicks+rft.rnd.IntN(campaignSpread), rft.opt.ElectionTicks)
+}
+
 // campaign asks for pre-votes, or at once for votes when the leader handed over.
 func (rft *Raft) campaign(transfer bool) {
 	if !rft.mayCampaign() {
 		return
 	}
-	rft.resetTimeout()
+	rft.resetCampaign()
 	if transfer || rft.flw.noPreVote {
 		rft.becomeCandidate(transfer)
 		return
@@ -50,7 +63,7 @@
 	rft.term++
 	rft.vote = rft.opt.ID
 	rft.votes = map[uint64]bool{rft.opt.ID: true}
-	rft.resetTimeout()
+	rft.resetCampaign()
 	if rft.won() {
 		rft.becomeLeader()
 		return
@@ -79,10 +92,20 @@
 	ans := &controlpb.RaftMessage{Kind: controlpb.RaftKind_RAFT_KIND_PRE_VOTE_ANSWER, To: msg.GetFrom(), Term: msg.GetTerm()}
 	if msg.GetTerm() <= rft.term || rft.sticky() || !rft.log.upToDate(msg.GetLogIndex(), msg.GetLogTerm()) {
 		ans.Term, ans.Reject = rft.term, true
+	} else {
+		rft.yieldTo(msg.GetFrom())
 	}
 	rft.send(ans)
 }
 
+// yieldTo postpones the own campaign behind that of a member which is granted a pre-vote, and ends one at the same stage if the other id is higher, since two candidates of one term would split the votes.
+func (rft *Raft) yieldTo(mid uint64) {
+	rft.timeout = max(rft.timeout, rft.elapsed+campaignTicks)
+	if rft.role == PreCandidate && mid > rft.opt.ID {
+		rft.role, rft.votes = Follower, nil
+	}
+}
+
 func (rft *Raft) stepVote(msg *controlpb.RaftMessage) {
 	free := rft.vote == 0 || rft.vote == msg.GetFrom()
 	grant := free && rft.leader == 0 && rft.log.upToDate(msg.GetLogIndex(), msg.GetLogTerm())
--- /dev/null
+++ b/internal/control/raft/election_test.go
@@ -0,0 +1,132 @@
+package raft
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	// stepsPerTick is how finely a tick is divided for the phases of the members and the delays of messages.
+	stepsPerTick = 25
+	// electionTrials is the number of elections with different phases and timeouts.
+	electionTrials = 2_000
+)
+
+// timedMessage is a message that arrives at a step.
+type timedMessage struct {
+	at  int
+	msg *controlpb.RaftMessage
+}
+
+// timedGroup is a group whose members tick at different moments and whose messages take time.
+type timedGroup struct {
+	rnd     *rand.Rand
+	members map[uint64]*Raft
+	phases  map[uint64]int
+	network []timedMessage
+	step    int
+	delay   int // longest time of a message and of a sync in steps
+}
+
+func newTimedGroup(seed uint64, size, delay int) *timedGroup {
+	tgr := &timedGroup{rnd: rand.New(rand.NewPCG(seed, 7)), members: map[uint64]*Raft{}, phases: map[uint64]int{}, delay: delay}
+	mbs := &controlpb.Members{ClusterId: "timed"}
+	for num := range size {
+		mbs.Members = append(mbs.Members, &controlpb.Member{Id: uint64(num) + 1})
+	}
+	for num := range size {
+		mid := uint64(num) + 1
+		tgr.members[mid] = New(Options{ID: mid, Seed: seed}, Initial{HardState: &controlpb.HardState{Term: 1}, Members: mbs})
+		tgr.phases[mid] = tgr.rnd.IntN(stepsPerTick)
+	}
+	return tgr
+}
+
+// advance plays one step.
+func (tgr *timedGroup) advance() {
+	tgr.step++
+	for mid := uint64(1); mid <= 5; mid++ {
+		if rft := tgr.members[mid]; rft != nil && tgr.step%stepsPerTick == tgr.phases[mid] {
+			rft.Tick()
+		}
+	}
+	var rest []timedMessage
+	for _, tms := range tgr.network {
+		if tms.at > tgr.step {
+			rest = append(rest, tms)
+			continue
+		}
+		if rft := tgr.members[tms.msg.GetTo()]; rft != nil {
+			rft.Step(tms.msg)
+		}
+	}
+	tgr.network = rest
+	for mid := uint64(1); mid <= 5; mid++ {
+		tgr.flush(mid)
+	}
+}
+
+func (tgr *timedGroup) flush(mid uint64) {
+	rft := tgr.members[mid]
+	for rft != nil {
+		rdy := rft.Ready()
+		if rdy.Empty() {
+			return
+		}
+		for _, msg := range slices.Concat(rdy.Early, rdy.Messages) {
+			tgr.network = append(tgr.network, timedMessage{at: tgr.step + 1 + tgr.rnd.IntN(tgr.delay), msg: msg})
+		}
+		rft.Advance(rdy)
+	}
+}
+
+// leader returns the member that leads with a committed entry of its term, 0 if none does.
+func (tgr *timedGroup) leader() uint64 {
+	for mid, rft := range tgr.members {
+		if rft.Role() == Leader && rft.Commit() >= rft.TermStart() {
+			return mid
+		}
+	}
+	return 0
+}
+
+// elect returns the ticks until a member leads.
+func (tgr *timedGroup) elect() int {
+	began := tgr.step
+	for tgr.leader() == 0 {
+		tgr.advance()
+	}
+	return (tgr.step - began) / stepsPerTick
+}
+
+// TestElectionTime guards against elections that split again and again, or that wait for a whole timeout because one member had heard the leader a moment later. A key must be served again within 2 s of a loss, of which 1 s, 20 ticks, is for the election.
+func TestElectionTime(t *testing.T) {
+	const bound = 20
+	for name, delay := range map[string]int{"idle hosts": 4, "busy hosts": 15} {
+		t.Run(name, func(t *testing.T) {
+			worst, late := 0, 0
+			for seed := range uint64(electionTrials) {
+				tgr := newTimedGroup(seed, 5, delay)
+				tgr.elect()
+				for range 2 {
+					for range 2*stepsPerTick + tgr.rnd.IntN(2*stepsPerTick) {
+						tgr.advance()
+					}
+					delete(tgr.members, tgr.leader())
+					took := tgr.elect()
+					worst = max(worst, took)
+					if took > bound {
+						late++
+					}
+				}
+			}
+			t.Logf("worst of %d elections: %d ticks, %d over %d", 2*electionTrials, worst, late, bound)
+			must.Eq(t, 0, late)
+		})
+	}
+}
--- a/internal/control/raft/property_test.go
+++ b/internal/control/raft/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -60,7 +61,7 @@
 		runs, elections, committed, changes, promotions, reads, restored)
 }
 
-// Guards against checks that would not notice a missing rule: each variant leaves one out and must be caught by the named check.
+// Guards against checks that would not notice a missing rule: each variant leaves one out and must be caught by the named check, whatever other checks it breaks in earlier runs.
 func TestBrokenVariants(tst *testing.T) {
 	type variant struct {
 		flt    faults
@@ -82,13 +83,17 @@
 			vrt.adjust(&vrt.flt)
 			var err error
 			run := uint64(0)
-			for ; err == nil && run < limit; run++ {
+			for ; !caughtBy(err, vrt.caught) && run < limit; run++ {
 				sim := newSimulation(vrt.flt, 3, run*3)
 				err = play(sim, 400, func(num int) uint64 { return run<<32 + uint64(num) })
 			}
-			must.Error(tst, err)
-			must.StrContains(tst, err.Error(), vrt.caught)
+			must.True(tst, caughtBy(err, vrt.caught), must.Sprintf("last violation: %v", err))
 			tst.Logf("caught in run %d: %v", run, err)
 		})
 	}
 }
+
+// caughtBy reports whether a violation was found by a check.
+func caughtBy(err error, check string) bool {
+	return err != nil && strings.Contains(err.Error(), check)
+}
