backend: tell a silent server that checks nothing as failed only once it has ended

A server that does not check tokens starts what it has in hand whenever it returns from a freeze. Change: the failure of such a server is told when its port refuses connections, which proves that it has ended. Servers that check tokens or hold their keys by heartbeats, and services without owners of keys, are as before. An operator's drain moves the keys of a server that hangs for good. TestFrozenServer fails without the change.

--- a/internal/agent/backend/backend_test.go
+++ b/internal/agent/backend/backend_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,3 +73,25 @@
 	must.Len(t, 1, rows)
 	must.Eq(t, []any{"9-1", uint64(71), int64(4), "o1"}, []any{rows[0].Attempt, rows[0].FenceToken, rows[0].BodyBytes, rows[0].Key})
 }
+
+// TestFrozenServer guards against a second owner of the keys of a frozen server that starts what it has in hand on its return, and against keys kept for one that has ended or that checks tokens.
+func TestFrozenServer(t *testing.T) {
+	for name, checks := range map[string]bool{"checks tokens": true, "checks nothing": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var told atomic.Int32
+			bop := backend.Options{OnUpstream: func(ups *controlpb.Upstream) { told.Store(int32(ups.GetState())) }}
+			pai := newPair(t, standin.Options{CheckFence: checks}, bop)
+			must.NoError(t, pai.srv.SetFaults(standin.Faults{Frozen: true}))
+			go func() { _, _ = pai.cli.Do(t.Context(), attempt(1), grant()) }()
+			failed := int32(controlpb.UpstreamState_UPSTREAM_STATE_FAILED)
+			pai.await(t, controlpb.UpstreamState_UPSTREAM_STATE_FAILED, 8*time.Second)
+			time.Sleep(time.Second)
+			must.Eq(t, checks, told.Load() == failed)
+			pai.srv.Close()
+			for end := time.Now().Add(time.Second); told.Load() != failed; time.Sleep(5 * time.Millisecond) {
+				must.True(t, time.Now().Before(end), must.Sprint("the end of the server was not told"))
+			}
+		})
+	}
+}
--- a/internal/agent/backend/client.go
+++ b/internal/agent/backend/client.go
@@ -25,6 +25,7 @@
 	failures  uint      // failures in a row, for the hold
 	holdUntil time.Time
 	tellFrom  time.Time // when the failure may be told
+	untilEnd  bool      // the failure may be told only once the server has ended
 	// startUntil is when the last request that was handed over may start at the latest, by a server that checks its fence.
 	startUntil time.Time
 	left       bool                // the server has announced that it is leaving
@@ -129,6 +130,7 @@
 	cli.holdUntil = time.Now().Add(hold)
 	// A silent server may return and hold its keys, or start what it was given, until then; another owner before that would be a second one.
 	cli.tellFrom = time.Time{}
+	cli.untilEnd = cause != causeRefused && cli.startsLate()
 	if cause != causeRefused {
 		cli.tellFrom = later(time.Now().Add(cli.keys.left()), cli.startUntil)
 	}
@@ -146,6 +148,14 @@
 	}
 }
 
+// startsLate reports whether the server may start a request whose key has another owner by then: it neither checks tokens nor holds its keys for a limited time. The caller holds the mutex.
+func (cli *Client) startsLate() bool {
+	if cli.ann.ChecksFence || cli.ann.HoldsKeys {
+		return false
+	}
+	return cli.opt.Service == nil || cli.opt.Service(cli.ann.Service).GetKeyMode() != controlpb.KeyMode_KEY_MODE_NONE
+}
+
 // report tells the upstream and its state if it has changed.
 func (cli *Client) report() {
 	cli.tellMu.Lock()
@@ -162,7 +172,7 @@
 	if cli.ann == nil {
 		return nil, false
 	}
-	if cli.state == controlpb.UpstreamState_UPSTREAM_STATE_FAILED && time.Now().Before(cli.tellFrom) {
+	if cli.state == controlpb.UpstreamState_UPSTREAM_STATE_FAILED && (cli.untilEnd || time.Now().Before(cli.tellFrom)) {
 		return nil, false
 	}
 	ups := &controlpb.Upstream{
--- a/internal/agent/backend/watch.go
+++ b/internal/agent/backend/watch.go
@@ -3,14 +3,22 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"syscall"
 	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
 // watch checks the age of the announcement and whether requests are answered.
 func (cli *Client) watch(ctx context.Context) {
 	tgt := cli.current()
 	if tgt == nil {
+		cli.watchEnd(ctx)
 		return
 	}
 	if cli.expired() {
@@ -33,6 +41,33 @@
 	}
 }
 
+// watchEnd tells the failure of a server that does not check tokens once its port refuses connections. A frozen one starts what it has in hand whenever it returns, so its keys may not have another owner before it has ended.
+func (cli *Client) watchEnd(ctx context.Context) {
+	cli.mu.Lock()
+	tgt, waits := cli.tgt, cli.untilEnd && cli.state == controlpb.UpstreamState_UPSTREAM_STATE_FAILED
+	cli.mu.Unlock()
+	if !waits || !refuses(ctx, tgt.base.Host) {
+		return
+	}
+	cli.mu.Lock()
+	if cli.tgt == tgt {
+		cli.untilEnd, cli.tellFrom = false, time.Time{}
+	}
+	cli.mu.Unlock()
+	logrus.Info("backend: the failed server has ended")
+	cli.report()
+}
+
+// refuses reports whether nothing listens at an address; a time-out proves nothing.
+func refuses(ctx context.Context, addr string) bool {
+	dia := &net.Dialer{Timeout: dialTimeout}
+	con, err := dia.DialContext(ctx, "tcp", addr)
+	if err == nil {
+		_ = con.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // beats reports whether a server that takes its keys by heartbeats has sent one of late, which shows that it lives although its requests take long.
 func (cli *Client) beats() bool {
 	cli.mu.Lock()
