backend: answers to heartbeats wait for keys that are on their way

Cause: a row that moves is given back within 100 ms of the heartbeat that leaves it out, but its next holder takes it only with its own next heartbeat, up to 1.5 s later. Change: while rows are on their way to an agent, or rows of its service have no owner, it holds back the answer to a heartbeat for 600 ms at most, unless the server is to give keys back, leaves, or has under 1.5 s of its hold left. The hold is counted from the arrival of the heartbeat. Tests: TestAnswerWaitsForKeys, TestIncoming; TestHoldProperty with waits.

--- a/internal/agent/backend/announce.go
+++ b/internal/agent/backend/announce.go
@@ -47,6 +47,7 @@
 
 // Announce takes an announcement over and returns the answer to it; an error is an *AnnouncementError.
 func (cli *Client) Announce(ctx context.Context, ann *Announcement) (Standing, error) {
+	arrived := time.Now()
 	if ann.Connections == 0 && cli.opt.Service != nil {
 		ann.Connections = cmp.Or(cli.opt.Service(ann.Service).GetConnections(), ann.Slots*connectionsPerSlot)
 	}
@@ -68,7 +69,10 @@
 		logrus.Infof("backend: server %s is leaving", ann.ID)
 		cli.opt.OnDrain()
 	}
-	return cli.standing(ann, rep), nil
+	if !cli.awaitKeys(ctx, ann) {
+		return Standing{Accepted: true}, nil
+	}
+	return cli.standing(ann, rep, arrived), nil
 }
 
 // Leave takes over that a server is gone or about to be, without an announcement of its own before; it is served no longer than one that announced that it leaves.
@@ -98,14 +102,14 @@
 	_ = json.NewEncoder(wri).Encode(ans)
 }
 
-func (cli *Client) standing(ann *Announcement, rep map[uint32]uint64) Standing {
+func (cli *Client) standing(ann *Announcement, rep map[uint32]uint64, arrived time.Time) Standing {
 	std := Standing{Accepted: true, Draining: ann.Leaving}
 	if cli.opt.Draining != nil {
 		std.Draining = std.Draining || cli.opt.Draining()
 	}
 	std.MayStop = ann.Leaving && cli.opt.MayStop != nil && cli.opt.MayStop()
 	if ann.HoldsKeys {
-		cli.grantHolds(ann, rep, &std)
+		cli.grantHolds(ann, rep, &std, arrived)
 	}
 	return std
 }
--- a/internal/agent/backend/hold.go
+++ b/internal/agent/backend/hold.go
@@ -22,6 +22,12 @@
 	leastHold = 100 * time.Millisecond
 	// answerTime is how long the server may take to read the answer to its heartbeat; a request before that would find keys that it does not hold yet.
 	answerTime = 3 * time.Millisecond
+	// answerWait is how long the answer to a heartbeat may wait for keys that are on their way; the server gives it up after 1 s, and sends the next heartbeat 0.8 s after this one at the earliest.
+	answerWait = 600 * time.Millisecond
+	// answerPoll is the time between two looks at those keys.
+	answerPoll = 20 * time.Millisecond
+	// spareHold must be left of a hold for its renewal to wait; one more heartbeat may then be lost.
+	spareHold = 1500 * time.Millisecond
 	// causeRefused is the cause of a failure that proves that the server has ended.
 	causeRefused = "refused"
 )
@@ -160,7 +166,7 @@
 }
 
 // offer returns the rows to grant with an answer, in the order of their keys. A revoked row is served until an answer leaves it out, because the server gives nothing back before.
-func (kys *keys) offer(rows []*controlpb.Shard, svc string, hold time.Duration, most int) []*controlpb.Shard {
+func (kys *keys) offer(rows []*controlpb.Shard, svc string, until time.Time, most int) []*controlpb.Shard {
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
 	kys.prune(rows)
@@ -181,7 +187,7 @@
 		out = firstRanges(out, most)
 	}
 	for _, row := range out {
-		kys.grant(row, hold)
+		kys.grant(row, until)
 	}
 	kys.wake()
 	return out
@@ -214,11 +220,11 @@
 	}
 }
 
-// grant notes that an answer grants a row; the caller holds the mutex.
-func (kys *keys) grant(row *controlpb.Shard, hold time.Duration) {
+// grant notes that an answer grants a row until a time by the slowest clock; the caller holds the mutex.
+func (kys *keys) grant(row *controlpb.Shard, until time.Time) {
 	now := time.Now()
 	old, ok := kys.held[row.GetPartition()]
-	hld := heldKeys{token: row.GetToken(), offered: true, from: now.Add(answerTime), until: now.Add(time.Duration(float64(hold) * clockRate))}
+	hld := heldKeys{token: row.GetToken(), offered: true, from: now.Add(answerTime), until: until}
 	switch {
 	case !ok || old.token > hld.token || !old.until.After(now):
 	case old.offered:
@@ -262,8 +268,35 @@
 	return cli.keys.take(ann, cli.opt.Service(ann.Service).GetPartitions())
 }
 
-// grantHolds fills in the keys that the server is to hold, as long as the agent's lease and the server's clock allow; rep is what it holds.
-func (cli *Client) grantHolds(ann *Announcement, rep map[uint32]uint64, std *Standing) {
+// awaitKeys holds back the answer to a heartbeat while keys are on their way, since the server could take them only with its next heartbeat. A server that is to give keys back, that leaves, or whose hold is short is answered at once. It returns false if a newer heartbeat has arrived meanwhile, whose answer counts then.
+func (cli *Client) awaitKeys(ctx context.Context, ann *Announcement) bool {
+	if !ann.HoldsKeys || ann.Leaving || cli.opt.Incoming == nil {
+		return true
+	}
+	if left := cli.keys.left(); left > 0 && left < spareHold {
+		return true
+	}
+	tck := time.NewTicker(answerPoll)
+	defer tck.Stop()
+	for end := time.Now().Add(answerWait); time.Now().Before(end) && cli.opt.Incoming(ann.Service) && !cli.keys.revokes(); {
+		select {
+		case <-ctx.Done():
+			return cli.newest(ann)
+		case <-tck.C:
+		}
+	}
+	return cli.newest(ann)
+}
+
+// newest reports whether no other announcement has been taken over since.
+func (cli *Client) newest(ann *Announcement) bool {
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	return cli.ann == ann
+}
+
+// grantHolds fills in the keys that the server is to hold, as long as the agent's lease and the server's clock allow; rep is what it holds. The hold counts from the sending of the heartbeat, which was before its arrival.
+func (cli *Client) grantHolds(ann *Announcement, rep map[uint32]uint64, std *Standing, arrived time.Time) {
 	if cli.opt.Service == nil || cli.opt.Lease == nil || cli.opt.Owned == nil {
 		return
 	}
@@ -274,7 +307,7 @@
 	// The rows are read before the lease: rows of a session that ends in between are covered by its lease.
 	rows := cli.opt.Owned()
 	exp, valid := cli.opt.Lease()
-	hold := min(time.Duration(float64(time.Until(exp))/clockRate)-holdReserve, maxHold)
+	hold := min(time.Duration(float64(exp.Sub(arrived))/clockRate)-holdReserve, maxHold)
 	if !valid || hold < leastHold {
 		return
 	}
@@ -283,7 +316,7 @@
 		return
 	}
 	std.HoldMs = uint32(hold.Milliseconds())
-	std.Holds = ranges(cli.keys.offer(rows, ann.Service, std.hold(), cli.opt.MaxRanges), svc.GetPartitions(), rep)
+	std.Holds = ranges(cli.keys.offer(rows, ann.Service, arrived.Add(time.Duration(float64(std.hold())*clockRate)), cli.opt.MaxRanges), svc.GetPartitions(), rep)
 }
 
 // HoldsKeys reports whether the server takes its keys from the answers to its heartbeats.
--- a/internal/agent/backend/hold_test.go
+++ b/internal/agent/backend/hold_test.go
@@ -25,6 +25,7 @@
 	working  map[uint32]bool // partitions whose keys are still being worked on
 	released []ReleasedRange
 	until    time.Time // of the newest answer
+	incoming time.Time // until when rows are on their way
 
 	mu   sync.Mutex // of told, which timers write
 	told []*controlpb.Upstream
@@ -73,6 +74,7 @@
 		Owned:      func() []*controlpb.Shard { return hol.rows },
 		Lease:      func() (time.Time, bool) { return hol.leaseEnd, time.Now().Before(hol.leaseEnd) },
 		Service:    func(string) *controlpb.Service { return svc },
+		Incoming:   func(string) bool { return time.Now().Before(hol.incoming) },
 		OnUpstream: hol.tell,
 	}, siskinrill.NewCounters())
 	return hol
@@ -280,7 +282,7 @@
 	}
 	done := make(chan *controlpb.ShardRef, heldPartitions)
 	for range 60 {
-		switch rnd.Intn(6) {
+		switch rnd.Intn(7) {
 		case 0:
 			time.Sleep(time.Duration(rnd.Intn(1500)) * time.Millisecond)
 		case 1:
@@ -295,6 +297,8 @@
 			}()
 		case 3:
 			hol.leaseEnd = time.Now().Add(3 * time.Second)
+		case 4:
+			hol.incoming = time.Now().Add(time.Duration(rnd.Intn(1000)) * time.Millisecond)
 		default:
 			hol.beat(t, rnd.Intn(4) == 0)
 		}
@@ -337,3 +341,41 @@
 		must.MapLen(t, 1, hol.held)
 	})
 }
+
+// TestAnswerWaitsForKeys guards against keys without a holder from their release by one server until the next heartbeat of another (on a calm day 112 requests were refused, since that takes up to 1.5 s), and against an answer that waits where it must not.
+func TestAnswerWaitsForKeys(t *testing.T) {
+	const lease = 3500 * time.Millisecond
+	for nam, tcs := range map[string]struct {
+		after  time.Duration // until the rows have arrived
+		before func(t *testing.T, hol *holder)
+		waits  time.Duration
+	}{
+		"nothing on its way": {},
+		"rows on their way":  {after: 310 * time.Millisecond, waits: 320 * time.Millisecond},
+		"rows far away":      {after: 5 * time.Second, waits: answerWait},
+		"rows to give back": {after: time.Second, before: func(t *testing.T, hol *holder) {
+			go func() { _, _ = hol.cli.Revoke(t.Context(), []*controlpb.ShardRef{refOf(hol.rows[0])}) }()
+			synctest.Wait()
+		}},
+		"hold nearly over": {after: time.Second, before: func(_ *testing.T, hol *holder) {
+			time.Sleep(lease - time.Second)
+			hol.leaseEnd = time.Now().Add(lease)
+		}},
+	} {
+		t.Run(nam, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				hol := newHolder(lease)
+				hol.rows = []*controlpb.Shard{row(1, 5)}
+				hol.beat(t, false)
+				if tcs.before != nil {
+					tcs.before(t, hol)
+				}
+				hol.incoming = time.Now().Add(tcs.after)
+				began := time.Now()
+				std := hol.beat(t, false)
+				must.Eq(t, tcs.waits, time.Since(began))
+				must.LessEq(t, hol.leaseEnd.UnixNano(), began.Add(std.hold()).UnixNano())
+			})
+		})
+	}
+}
--- a/internal/agent/backend/options.go
+++ b/internal/agent/backend/options.go
@@ -56,6 +56,8 @@
 	Owned func() []*controlpb.Shard
 	// Lease returns the end of the agent's lease and whether it lies ahead; default: none.
 	Lease func() (time.Time, bool)
+	// Incoming reports whether rows of a service are on their way to this agent; answers to heartbeats wait for them a while; default: never.
+	Incoming func(service string) bool
 	// Service returns a service of the configuration, nil if there is none; default: none.
 	Service func(name string) *controlpb.Service
 	// Transport wraps the connections for requests, to translate headers; default: none.
--- a/internal/agent/control/session.go
+++ b/internal/agent/control/session.go
@@ -112,6 +112,9 @@
 // Owned returns copies of the rows whose owner is this session.
 func (ses *Session) Owned() []*controlpb.Shard { return ses.table.owned(ses.lease.number()) }
 
+// Incoming reports whether rows of a service are on their way to this agent, or have no owner and may be.
+func (ses *Session) Incoming(svc string) bool { return ses.table.incoming(svc, ses.lease.number()) }
+
 // Release tells control that the shards are free; it is repeated on new connections until the table shows it.
 func (ses *Session) Release(refs []*controlpb.ShardRef) {
 	ses.mu.Lock()
--- a/internal/agent/control/table.go
+++ b/internal/agent/control/table.go
@@ -204,6 +204,22 @@
 	return shds
 }
 
+// incoming reports whether rows of a service are on their way to a session, or have no owner and may be.
+func (tbl *table) incoming(svc string, ses uint64) bool {
+	tbl.mu.RLock()
+	defer tbl.mu.RUnlock()
+	row := tbl.rows[svc]
+	if row == nil || ses == 0 {
+		return false
+	}
+	for _, shd := range row.moving {
+		if shd.GetTarget() == ses {
+			return true
+		}
+	}
+	return slices.Contains(row.owners, 0)
+}
+
 // holds reports whether a session still owns a shard at the token of the reference.
 func (tbl *table) holds(ses uint64, ref *controlpb.ShardRef) bool {
 	tbl.mu.RLock()
--- a/internal/agent/control/table_test.go
+++ b/internal/agent/control/table_test.go
@@ -145,3 +145,25 @@
 		}
 	}
 }
+
+// Guards against an answer to a heartbeat that does not wait for rows on their way, or that waits for those of others.
+func TestIncoming(tst *testing.T) {
+	for name, tcs := range map[string]struct {
+		row  *controlpb.Shard
+		want bool
+	}{
+		"owned":              {row: &controlpb.Shard{Service: "s", Owner: 7, Token: 3, Phase: controlpb.Phase_PHASE_OWNED}},
+		"moves here":         {row: &controlpb.Shard{Service: "s", Owner: 8, Token: 3, Phase: controlpb.Phase_PHASE_RELEASING, Target: 7}, want: true},
+		"moves to another":   {row: &controlpb.Shard{Service: "s", Owner: 7, Token: 3, Phase: controlpb.Phase_PHASE_RELEASING, Target: 8}},
+		"without an owner":   {row: &controlpb.Shard{Service: "s", Phase: controlpb.Phase_PHASE_ORPHAN}, want: true},
+		"of another service": {row: &controlpb.Shard{Service: "t", Phase: controlpb.Phase_PHASE_ORPHAN}},
+	} {
+		tst.Run(name, func(tst *testing.T) {
+			tbl := newTable()
+			tbl.rows["s"], tbl.rows["t"] = newRows(1), newRows(1)
+			tbl.rows["s"].owners[0] = 8
+			tbl.rows[tcs.row.GetService()].set(tcs.row)
+			must.Eq(tst, tcs.want, tbl.incoming("s", 7))
+		})
+	}
+}
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -124,7 +124,7 @@
 	prc.backend = backend.New(backend.Options{
 		OnUpstream: prc.session.SetUpstream, Draining: prc.session.Draining,
 		MayStop: func() bool { return prc.owner.Idle() },
-		Owned:   prc.session.Owned, Lease: prc.session.Expires, Service: prc.session.Service,
+		Owned:   prc.session.Owned, Lease: prc.session.Expires, Service: prc.session.Service, Incoming: prc.session.Incoming,
 		Transport: opt.Transport, MaxIdle: set.BackendIdle, MaxRanges: int(set.MaxRanges), Unframed: set.Unframed,
 	}, prc.counters)
 	ses := guarded{held: prc.session, backend: prc.backend}
