--- a/internal/agent/owner/owner.go
+++ b/internal/agent/owner/owner.go
@@ -61,7 +61,7 @@
 	own := &Owner{
 		opt: opt, ses: ses, fwd: fwd, bck: bck, cnt: cnt, kick: make(chan struct{}, 1),
 		records: map[attemptID]*record{}, past: newPast(opt.MaxPast), whe: newWheel(),
-		claims: map[claimKey]*claim{}, running: map[*ticket]struct{}{}, moves: map[moveKey]*move{}, lds: newLoads(), rts: runTimes{},
+		claims: map[claimKey]*claim{}, running: map[*ticket]struct{}{}, moves: map[moveKey]*move{}, lds: newLoads(), rts: runTimes{}, arr: arrivals{},
 	}
 	own.lim.ramp = defaultRamp
 	own.tld.told = map[shardID]uint64{}
