owner: ramp up for as long as the backend server says that it is cold

Cause: an agent that restarts beside a warm server held it to a quarter of its slots at first and to all only after 3 s, which costs most of the capacity after rolling restarts and after all processes were killed. Change: an announcement may tell for how long the server stays slow (warmup_ms); the ramp ends then, and there is none for a warm server. Servers that do not tell are as before. Tests: TestWarmUp, TestHeartbeat.

--- a/internal/agent/backend/announcement.go
+++ b/internal/agent/backend/announcement.go
@@ -24,6 +24,8 @@
 	Sequence uint64 `json:"sequence,omitempty"`
 	// HoldsKeys tells that the server takes its keys from the answers to its heartbeats.
 	HoldsKeys bool `json:"holds_keys,omitempty"`
+	// WarmupMs is for how long it stays slow after its start, in milliseconds; nil: not told.
+	WarmupMs *uint32 `json:"warmup_ms,omitempty"`
 	// Holds are the keys that it holds or still works on.
 	Holds []HeldRange `json:"holds,omitempty"`
 	// Released are the keys that it has given back since its last answered heartbeat.
--- a/internal/agent/backend/client.go
+++ b/internal/agent/backend/client.go
@@ -66,6 +66,16 @@
 	return cli.state
 }
 
+// Warmup returns for how long the backend server stays slow after its start, false if it does not tell.
+func (cli *Client) Warmup() (time.Duration, bool) {
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	if cli.ann == nil || cli.ann.WarmupMs == nil {
+		return 0, false
+	}
+	return time.Duration(*cli.ann.WarmupMs)*time.Millisecond - time.Since(cli.heard), true
+}
+
 // Run watches over the announcements and the answers until the context ends.
 func (cli *Client) Run(ctx context.Context) error {
 	tck := time.NewTicker(tickInterval)
--- a/internal/agent/owner/admit.go
+++ b/internal/agent/owner/admit.go
@@ -36,12 +36,16 @@
 // enqueue gives the ticket a slot or a place in the queue.
 func (own *Owner) enqueue(tck *ticket) (queued bool, ref *siskinrill.Refusal) {
 	slots := own.slots()
+	left, told := own.warmup()
 	svc := own.ses.Service(tck.shard.service)
 	limit := cmp.Or(int(svc.GetQueueLimit()), defaultQueue)
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	own.lim.ramp = durationOr(svc.GetRampMs(), time.Millisecond, defaultRamp)
 	own.lim.setSlots(slots)
+	if told {
+		own.lim.warm(left)
+	}
 	if tck.rec.withdrawn {
 		return false, siskinrill.NotRun(siskinrill.ReasonWithdrawn)
 	}
@@ -65,6 +69,14 @@
 	return true, nil
 }
 
+// warmup returns for how long the backend server stays slow after its start, false if that is not known.
+func (own *Owner) warmup() (time.Duration, bool) {
+	if own.opt.Warmup == nil {
+		return 0, false
+	}
+	return own.opt.Warmup()
+}
+
 // take gives a slot to the ticket, which keeps it until its end; the caller holds the mutex.
 func (own *Owner) take(tck *ticket) {
 	tck.holds = true
--- a/internal/agent/owner/admit_test.go
+++ b/internal/agent/owner/admit_test.go
@@ -216,6 +216,33 @@
 	})
 }
 
+// TestWarmUp guards against a warm server that is held to a quarter of its slots for seconds because its agent has restarted, and against a cold one that gets all at once.
+func TestWarmUp(t *testing.T) {
+	for nam, tcs := range map[string]struct {
+		left        time.Duration
+		first, half int
+	}{
+		"warm": {first: 16, half: 16},
+		"cold": {left: 2 * time.Second, first: 4, half: 10},
+	} {
+		t.Run(nam, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				lim := &limiter{ramp: 5 * time.Second}
+				end := time.Now().Add(tcs.left)
+				lim.setSlots(16)
+				lim.warm(time.Until(end))
+				must.Eq(t, tcs.first, lim.current())
+				time.Sleep(time.Second)
+				lim.warm(time.Until(end))
+				must.Eq(t, tcs.half, lim.current())
+				time.Sleep(time.Second)
+				lim.warm(time.Until(end))
+				must.Eq(t, 16, lim.current())
+			})
+		})
+	}
+}
+
 // TestLoad guards against load figures that miss requests or report a cold key as hot.
 func TestLoad(t *testing.T) {
 	bubble(t, 4, func(t *testing.T, bnc *bench) {
--- a/internal/agent/owner/limit.go
+++ b/internal/agent/owner/limit.go
@@ -56,6 +56,14 @@
 	}
 }
 
+// warm makes the ramp end with the warm-up that the backend server tells, so that one that is warm is not held back because its agent has restarted.
+func (lim *limiter) warm(left time.Duration) {
+	lim.ramp = 0
+	if left > 0 {
+		lim.ramp = time.Since(lim.since) + left
+	}
+}
+
 func (lim *limiter) floor() float64 { return max(1, math.Ceil(startShare*float64(lim.slots))) }
 
 // ceiling returns what the ramp allows now.
--- a/internal/agent/owner/loop.go
+++ b/internal/agent/owner/loop.go
@@ -78,10 +78,14 @@
 // refresh follows slots and drain, and lets waiting attempts use a limit that has grown.
 func (own *Owner) refresh() {
 	slots := own.slots()
+	left, told := own.warmup()
 	draining := own.ses.Draining()
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	own.lim.setSlots(slots)
+	if told {
+		own.lim.warm(left)
+	}
 	own.pump()
 	switch {
 	case !draining:
--- a/internal/agent/owner/options.go
+++ b/internal/agent/owner/options.go
@@ -41,6 +41,8 @@
 type Options struct {
 	// Slots returns how many requests the backend server can run at once, 0 while it cannot be used; default: the slots of this session's upstream.
 	Slots func() int
+	// Warmup returns for how long the backend server stays slow after its start, false if that is not known; it replaces the ramp of the service; default: not known.
+	Warmup func() (time.Duration, bool)
 	// DrainGrace is how long an upstream that drains still serves; default 2.5 s.
 	DrainGrace time.Duration
 	// MaxRecords bounds the attempt records of requests that run or ran at most once; default 131,072, enough for 2,100 such requests a second and about 33 MB.
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -128,7 +128,7 @@
 		Transport: opt.Transport, MaxIdle: set.BackendIdle, MaxRanges: int(set.MaxRanges), Unframed: set.Unframed,
 	}, prc.counters)
 	ses := guarded{held: prc.session, backend: prc.backend}
-	prc.owner = owner.New(owner.Options{Slots: prc.backend.Slots, DrainGrace: set.DrainGrace}, ses, prc.pool, prc.backend, prc.counters)
+	prc.owner = owner.New(owner.Options{Slots: prc.backend.Slots, Warmup: prc.backend.Warmup, DrainGrace: set.DrainGrace}, ses, prc.pool, prc.backend, prc.counters)
 	prc.session.SetLoadSource(prc.owner)
 	prc.server = grpc.NewServer(peer.ServerOptions()...)
 	peer.NewServer(prc.owner, prc.session).Register(prc.server)
