backend: count handovers in the length of an answer, and put held rows first

When several servers leave at once, an answer grants over 100 ranges, each with a handover; it was longer than the 4 KiB that servers read, and was dropped with every key in it, again and again. Change: a handover counts as a further range in the limit of an answer; rows that the server holds go first, others follow with the next answer.

--- a/internal/agent/backend/hold.go
+++ b/internal/agent/backend/hold.go
@@ -28,6 +28,8 @@
 	answerPoll = 20 * time.Millisecond
 	// spareHold must be left of a hold for its renewal to wait; one more heartbeat may then be lost.
 	spareHold = 1500 * time.Millisecond
+	// rangeBytes is the length of a range in an answer; a longer handover counts as further ranges.
+	rangeBytes = 24
 	// causeRefused is the cause of a failure that proves that the server has ended.
 	causeRefused = "refused"
 )
@@ -165,8 +167,8 @@
 	}
 }
 
-// offer returns the rows to grant with an answer, in the order of their keys. A revoked row is served until an answer leaves it out, because the server gives nothing back before.
-func (kys *keys) offer(rows []*controlpb.Shard, svc string, until time.Time, most int) []*controlpb.Shard {
+// offer returns the rows to grant with an answer, in the order of their keys; rep is what the server holds. A revoked row is served until an answer leaves it out, because the server gives nothing back before.
+func (kys *keys) offer(rows []*controlpb.Shard, rep map[uint32]uint64, svc string, until time.Time, most int) []*controlpb.Shard {
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
 	kys.prune(rows)
@@ -184,7 +186,7 @@
 	}
 	slices.SortFunc(out, func(one, two *controlpb.Shard) int { return cmp.Compare(one.GetPartition(), two.GetPartition()) })
 	if most > 0 {
-		out = firstRanges(out, most)
+		out = fit(out, rep, most)
 	}
 	for _, row := range out {
 		kys.grant(row, until)
@@ -193,18 +195,41 @@
 	return out
 }
 
-// firstRanges returns the rows that make up a number of ranges at most; an answer that is too long would be dropped as a whole, and with it every key.
-func firstRanges(rows []*controlpb.Shard, most int) []*controlpb.Shard {
-	num := 0
-	for pos, row := range rows {
-		if pos == 0 || rows[pos-1].GetPartition()+1 != row.GetPartition() || rows[pos-1].GetToken() != row.GetToken() || row.GetHandover() != rows[pos-1].GetHandover() {
-			num++
+// fit returns the rows whose ranges an answer can carry; one that is too long would be dropped as a whole, and with it every key. Rows that the server holds come first, because it gives back what is left out; further ones can follow with the next answer, when those of this one need no handover any more.
+func fit(rows []*controlpb.Shard, rep map[uint32]uint64, most int) []*controlpb.Shard {
+	kept := make([]bool, len(rows))
+	used := 0
+	for _, held := range []bool{true, false} {
+		prev := -1
+		for pos, row := range rows {
+			if (rep[row.GetPartition()] == row.GetToken()) != held {
+				continue
+			}
+			if prev < 0 || !joins(rows[prev], row, held) {
+				cost := 1
+				if !held {
+					cost += (len(row.GetHandover()) + rangeBytes - 1) / rangeBytes
+				}
+				if used+cost > most {
+					break
+				}
+				used += cost
+			}
+			kept[pos], prev = true, pos
 		}
-		if num > most {
-			return rows[:pos]
+	}
+	var out []*controlpb.Shard
+	for pos, row := range rows {
+		if kept[pos] {
+			out = append(out, row)
 		}
 	}
-	return rows
+	return out
+}
+
+// joins reports whether a row continues the range of the one before; for rows that the server holds no handover is told.
+func joins(prev, row *controlpb.Shard, held bool) bool {
+	return prev.GetPartition()+1 == row.GetPartition() && prev.GetToken() == row.GetToken() && (held || prev.GetHandover() == row.GetHandover())
 }
 
 // prune ends the revocations of rows that this agent owns no longer; until then they stay out of the answers.
@@ -316,7 +341,7 @@
 		return
 	}
 	std.HoldMs = uint32(hold.Milliseconds())
-	std.Holds = ranges(cli.keys.offer(rows, ann.Service, arrived.Add(time.Duration(float64(std.hold())*clockRate)), cli.opt.MaxRanges), svc.GetPartitions(), rep)
+	std.Holds = ranges(cli.keys.offer(rows, rep, ann.Service, arrived.Add(time.Duration(float64(std.hold())*clockRate)), cli.opt.MaxRanges), svc.GetPartitions(), rep)
 }
 
 // HoldsKeys reports whether the server takes its keys from the answers to its heartbeats.
--- a/internal/agent/backend/hold_test.go
+++ b/internal/agent/backend/hold_test.go
@@ -379,3 +379,32 @@
 		})
 	}
 }
+
+// TestLongAnswers guards against answers that are too long for the server, which drops them with all of its keys (when several servers left at once, 12,998 requests came to servers that had lost theirs so), and against held rows that are left out for new ones.
+func TestLongAnswers(t *testing.T) {
+	moved := func(par uint32) *controlpb.Shard {
+		rwo := row(par, uint64(par)+100)
+		rwo.Handover = "5c0e7a21d94b36f8"
+		return rwo
+	}
+	for nam, tcs := range map[string]struct {
+		rows []*controlpb.Shard
+		rep  map[uint32]uint64
+		want []uint32
+	}{
+		"all fit":               {rows: []*controlpb.Shard{row(1, 5), row(2, 5), row(4, 5)}, want: []uint32{1, 2, 4}},
+		"neighbours are one":    {rows: []*controlpb.Shard{row(1, 5), row(2, 5), row(3, 5), row(4, 5), row(5, 5)}, want: []uint32{1, 2, 3, 4, 5}},
+		"handovers count":       {rows: []*controlpb.Shard{moved(1), moved(3), moved(5)}, want: []uint32{1, 3}},
+		"held rows come first":  {rows: []*controlpb.Shard{moved(1), moved(3), row(6, 5), row(8, 5)}, rep: map[uint32]uint64{6: 5, 8: 5}, want: []uint32{1, 6, 8}},
+		"held ones need none":   {rows: []*controlpb.Shard{moved(1), moved(3), moved(5)}, rep: map[uint32]uint64{1: 101, 3: 103}, want: []uint32{1, 3, 5}},
+		"held under others too": {rows: []*controlpb.Shard{moved(1), moved(3), moved(5)}, rep: map[uint32]uint64{1: 7, 3: 7}, want: []uint32{1, 3}},
+	} {
+		t.Run(nam, func(t *testing.T) {
+			var got []uint32
+			for _, rwo := range fit(tcs.rows, tcs.rep, 4) {
+				got = append(got, rwo.GetPartition())
+			}
+			must.Eq(t, tcs.want, got)
+		})
+	}
+}
--- a/internal/agent/backend/options.go
+++ b/internal/agent/backend/options.go
@@ -64,7 +64,7 @@
 	Transport func(pool http.RoundTripper) http.RoundTripper
 	// MaxIdle is the longest idle time of a connection that is used again, 200 ms by default; older ones may have gone silent.
 	MaxIdle time.Duration
-	// MaxRanges is the most ranges of keys in the answer to a heartbeat, unlimited by default; further ones are left out.
+	// MaxRanges is the most ranges of keys in the answer to a heartbeat, unlimited by default; further ones are left out. A handover of up to 24 bytes counts as a range.
 	MaxRanges int
 	// Unframed accepts answers that end with their connection; default: they are refused, since a proxy in between may cut them.
 	Unframed bool
