backend: a restarted agent does not trust its first heartbeat about what the server holds

An agent that has restarted took the first heartbeat that it heard for all that the server holds. A heartbeat may be seconds late, though, and sent before the server took a row from the earlier process; such a row was reported as released at once when it had to move. Change: for the longest hold after its first heartbeat, a restarted agent releases a row whose grant it does not know only once the server has named it no longer after an answer left it out. A server that restarts ends this. Measured: TestLateHeartbeatAfterRestart fails without the change.

--- a/internal/agent/backend/hold.go
+++ b/internal/agent/backend/hold.go
@@ -18,6 +18,8 @@
 	holdReserve = 20 * time.Millisecond
 	// maxHold is the longest hold that backend servers accept.
 	maxHold = 10 * time.Second
+	// longestHold is how long a backend server may hold a key whose grant is not known here.
+	longestHold = time.Duration(float64(maxHold) * clockRate)
 	// leastHold is the shortest hold worth granting: the next heartbeat could not come in time.
 	leastHold = 100 * time.Millisecond
 	// answerTime is how long the server may take to read the answer to its heartbeat; a request before that would find keys that it does not hold yet.
@@ -63,6 +65,8 @@
 	held    map[uint32]heldKeys
 	revoked map[grantKey]*revocation
 	changed chan struct{}
+	// unknown is until when the server may hold keys that an earlier process beside it has granted, zero before the first heartbeat.
+	unknown time.Time
 }
 
 func newKeys() keys {
@@ -80,6 +84,9 @@
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
 	clear(kys.held)
+	if kys.active {
+		kys.unknown = time.Now()
+	}
 	kys.wake()
 }
 
@@ -129,6 +136,9 @@
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
 	kys.active = true
+	if kys.unknown.IsZero() {
+		kys.unknown = time.Now().Add(longestHold)
+	}
 	for _, rng := range ann.Released {
 		for _, par := range covered(rng.First, rng.Last, partitions) {
 			kys.noteReleased(par, rng.Handover)
@@ -148,7 +158,7 @@
 	for par, tok := range rep {
 		if _, ok := kys.held[par]; !ok {
 			// An earlier process beside the server has granted it, for a time that is not known here.
-			kys.held[par] = heldKeys{token: tok, until: time.Now().Add(time.Duration(float64(maxHold) * clockRate))}
+			kys.held[par] = heldKeys{token: tok, until: time.Now().Add(longestHold)}
 		}
 	}
 	for key, rev := range kys.revoked {
@@ -439,7 +449,8 @@
 	for _, ref := range refs {
 		key := grantKey{ref.GetPartition(), ref.GetToken()}
 		if kys.revoked[key] == nil {
-			rev := &revocation{}
+			// A heartbeat may be seconds late, so the first one that this process hears need not name all that the server holds.
+			rev := &revocation{until: kys.unknown}
 			if hld, ok := kys.held[ref.GetPartition()]; ok && hld.token <= ref.GetToken() {
 				rev.until = hld.until
 			}
--- a/internal/agent/backend/hold_test.go
+++ b/internal/agent/backend/hold_test.go
@@ -342,6 +342,34 @@
 	})
 }
 
+// TestLateHeartbeatAfterRestart guards against a row that a restarted agent gives up because the first heartbeat that it hears was sent before the server took the row from the earlier process.
+func TestLateHeartbeatAfterRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hol := newHolder(3 * time.Second)
+		hol.rows = []*controlpb.Shard{row(1, 5)}
+		late := hol.announcement()
+		hol.beat(t, false)
+		must.MapLen(t, 1, hol.held)
+		hol.cli = New(hol.cli.opt, siskinrill.NewCounters())
+		hol.leaseEnd = time.Now().Add(-time.Second)
+		_, err := hol.cli.Announce(t.Context(), late)
+		must.NoError(t, err)
+		out := make(chan bool, 1)
+		go func() {
+			_, done := hol.cli.Revoke(t.Context(), []*controlpb.ShardRef{refOf(hol.rows[0])})
+			out <- done
+		}()
+		time.Sleep(time.Second)
+		must.Eq(t, 0, len(out))
+		hol.leaseEnd = time.Now().Add(3 * time.Second)
+		hol.beat(t, false)
+		must.Eq(t, 0, len(out))
+		hol.beat(t, false)
+		must.True(t, <-out)
+		must.MapLen(t, 0, hol.held)
+	})
+}
+
 // TestAnswerWaitsForKeys guards against keys without a holder from their release by one server until the next heartbeat of another (on a calm day 112 requests were refused, since that takes up to 1.5 s), and against an answer that waits where it must not.
 func TestAnswerWaitsForKeys(t *testing.T) {
 	const lease = 3500 * time.Millisecond
