--- a/internal/agent/backend/hold.go
+++ b/internal/agent/backend/hold.go
@@ -30,8 +30,6 @@
 	answerPoll = 20 * time.Millisecond
 	// spareHold must be left of a hold for its renewal to wait; one more heartbeat may then be lost.
 	spareHold = 1500 * time.Millisecond
-	// rangeBytes is the length of a range in an answer; a longer handover counts as further ranges.
-	rangeBytes = 24
 	// causeRefused is the cause of a failure that proves that the server has ended.
 	causeRefused = "refused"
 )
@@ -50,14 +48,6 @@
 	token     uint64
 }
 
-// revocation is a partition that the server is to give back.
-type revocation struct {
-	handover string
-	left     bool // an answer has left it out, so that the server gives it back once it has finished its work
-	released bool
-	until    time.Time // end of the hold, if the server gives nothing back
-}
-
 // keys are the partitions that the server holds by its heartbeats, and those that it is to give back.
 type keys struct {
 	mu      sync.Mutex
@@ -205,56 +195,6 @@
 	return out
 }
 
-// fit returns the rows whose ranges an answer can carry; one that is too long would be dropped as a whole, and with it every key. Rows that the server holds come first, because it gives back what is left out; further ones can follow with the next answer, when those of this one need no handover any more.
-func fit(rows []*controlpb.Shard, rep map[uint32]uint64, most int) []*controlpb.Shard {
-	kept := make([]bool, len(rows))
-	used := 0
-	for _, held := range []bool{true, false} {
-		prev := -1
-		for pos, row := range rows {
-			if (rep[row.GetPartition()] == row.GetToken()) != held {
-				continue
-			}
-			if prev < 0 || !joins(rows[prev], row, held) {
-				cost := 1
-				if !held {
-					cost += (len(row.GetHandover()) + rangeBytes - 1) / rangeBytes
-				}
-				if used+cost > most {
-					break
-				}
-				used += cost
-			}
-			kept[pos], prev = true, pos
-		}
-	}
-	var out []*controlpb.Shard
-	for pos, row := range rows {
-		if kept[pos] {
-			out = append(out, row)
-		}
-	}
-	return out
-}
-
-// joins reports whether a row continues the range of the one before; for rows that the server holds no handover is told.
-func joins(prev, row *controlpb.Shard, held bool) bool {
-	return prev.GetPartition()+1 == row.GetPartition() && prev.GetToken() == row.GetToken() && (held || prev.GetHandover() == row.GetHandover())
-}
-
-// prune ends the revocations of rows that this agent owns no longer; until then they stay out of the answers.
-func (kys *keys) prune(rows []*controlpb.Shard) {
-	owned := make(map[grantKey]bool, len(rows))
-	for _, row := range rows {
-		owned[grantKey{row.GetPartition(), row.GetToken()}] = true
-	}
-	for key := range kys.revoked {
-		if !owned[key] {
-			delete(kys.revoked, key)
-		}
-	}
-}
-
 // grant notes that an answer grants a row until a time by the slowest clock; the caller holds the mutex.
 func (kys *keys) grant(row *controlpb.Shard, until time.Time) {
 	now := time.Now()
@@ -277,24 +217,6 @@
 	return two
 }
 
-// ranges joins neighbouring partitions under one token; what an earlier owner left is told only for keys that the server does not hold yet.
-func ranges(rows []*controlpb.Shard, partitions uint32, rep map[uint32]uint64) []GrantedRange {
-	var out []GrantedRange
-	for _, row := range rows {
-		fst, lst := siskinrill.KeyRange(row.GetPartition(), partitions)
-		rng := GrantedRange{First: fst, Last: lst, Token: row.GetToken(), Handover: row.GetHandover()}
-		if rep[row.GetPartition()] == row.GetToken() {
-			rng.Handover = ""
-		}
-		if num := len(out) - 1; num >= 0 && out[num].Last+1 == fst && out[num].Token == rng.Token && out[num].Handover == rng.Handover {
-			out[num].Last = lst
-			continue
-		}
-		out = append(out, rng)
-	}
-	return out
-}
-
 // takeHolds takes in what the server holds; it comes before control is told of the server, because rows that it held beside an earlier process come back then.
 func (cli *Client) takeHolds(ann *Announcement) map[uint32]uint64 {
 	if !ann.HoldsKeys || cli.opt.Service == nil {
@@ -415,81 +337,3 @@
 	}
 	return true
 }
-
-// Revoke leaves rows out of the answers to heartbeats, and returns them with what the server left for their next owner once it has given them back or cannot hold them any more; false if the context ended first.
-func (cli *Client) Revoke(ctx context.Context, refs []*controlpb.ShardRef) ([]*controlpb.ShardRef, bool) {
-	kys := &cli.keys
-	if !kys.revoke(refs) {
-		return refs, true
-	}
-	for {
-		at, changed := kys.pending(refs)
-		if changed == nil {
-			return kys.handedOver(refs), true
-		}
-		if !await(ctx, changed, at) {
-			return nil, false
-		}
-	}
-}
-
-func (kys *keys) revokes() bool {
-	kys.mu.Lock()
-	defer kys.mu.Unlock()
-	return len(kys.revoked) > 0
-}
-
-// revoke begins a revocation, false for a server that does not take its keys by heartbeats.
-func (kys *keys) revoke(refs []*controlpb.ShardRef) bool {
-	kys.mu.Lock()
-	defer kys.mu.Unlock()
-	if !kys.active {
-		return false
-	}
-	for _, ref := range refs {
-		key := grantKey{ref.GetPartition(), ref.GetToken()}
-		if kys.revoked[key] == nil {
-			// A heartbeat may be seconds late, so the first one that this process hears need not name all that the server holds.
-			rev := &revocation{until: kys.unknown}
-			if hld, ok := kys.held[ref.GetPartition()]; ok && hld.token <= ref.GetToken() {
-				rev.until = hld.until
-			}
-			kys.revoked[key] = rev
-		}
-	}
-	return true
-}
-
-// pending returns when the last row that is not given back ends by itself, and a channel for changes; that is nil once none is left. What the server never held is given back once an answer has left it out.
-func (kys *keys) pending(refs []*controlpb.ShardRef) (time.Time, <-chan struct{}) {
-	kys.mu.Lock()
-	defer kys.mu.Unlock()
-	var last time.Time
-	waits := false
-	for _, ref := range refs {
-		rev := kys.revoked[grantKey{ref.GetPartition(), ref.GetToken()}]
-		if rev == nil || rev.released || !time.Now().Before(rev.until) {
-			continue
-		}
-		waits = true
-		last = later(last, rev.until)
-	}
-	if !waits {
-		return last, nil
-	}
-	return last, kys.changed
-}
-
-func (kys *keys) handedOver(refs []*controlpb.ShardRef) []*controlpb.ShardRef {
-	kys.mu.Lock()
-	defer kys.mu.Unlock()
-	out := make([]*controlpb.ShardRef, 0, len(refs))
-	for _, ref := range refs {
-		cpy := &controlpb.ShardRef{Service: ref.GetService(), Partition: ref.GetPartition(), Key: ref.GetKey(), Token: ref.GetToken()}
-		if rev := kys.revoked[grantKey{ref.GetPartition(), ref.GetToken()}]; rev != nil {
-			cpy.Handover = rev.handover
-		}
-		out = append(out, cpy)
-	}
-	return out
-}
--- a/internal/agent/backend/hold_test.go
+++ b/internal/agent/backend/hold_test.go
@@ -37,9 +37,10 @@
 	hol.told = append(hol.told, ups)
 }
 
-// awaitState waits until control is told a state.
-func (hol *holder) awaitState(want controlpb.UpstreamState) {
-	for {
+// awaitState waits until control is told a state, for as long as any hold can last.
+func (hol *holder) awaitState(t *testing.T, want controlpb.UpstreamState) {
+	t.Helper()
+	for end := time.Now().Add(2 * longestHold); ; {
 		hol.mu.Lock()
 		num := len(hol.told)
 		reached := num > 0 && hol.told[num-1].GetState() == want
@@ -47,6 +48,7 @@
 		if reached {
 			return
 		}
+		must.True(t, time.Now().Before(end), must.Sprintf("%v was not told", want))
 		time.Sleep(10 * time.Millisecond)
 	}
 }
@@ -256,7 +258,7 @@
 				hol.beat(t, false)
 				begin := time.Now()
 				hol.cli.fail(hol.cli.current(), tcs.cause)
-				hol.awaitState(controlpb.UpstreamState_UPSTREAM_STATE_FAILED)
+				hol.awaitState(t, controlpb.UpstreamState_UPSTREAM_STATE_FAILED)
 				if tcs.after > 0 {
 					must.False(t, time.Now().Before(hol.until))
 				}
--- /dev/null
+++ b/internal/agent/backend/ranges.go
@@ -0,0 +1,64 @@
+package backend
+
+import (
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// rangeBytes is the length in bytes of a range in an answer; a handover counts as further ranges by its length.
+const rangeBytes = 24
+
+// fit returns the rows whose ranges an answer can carry; one that is too long would be dropped as a whole, and with it every key. Rows that the server holds come first, because it gives back what is left out; further ones can follow with the next answer, when those of this one need no handover any more.
+func fit(rows []*controlpb.Shard, rep map[uint32]uint64, most int) []*controlpb.Shard {
+	kept := make([]bool, len(rows))
+	used := 0
+	for _, held := range []bool{true, false} {
+		prev := -1
+		for pos, row := range rows {
+			if (rep[row.GetPartition()] == row.GetToken()) != held {
+				continue
+			}
+			if prev < 0 || !joins(rows[prev], row, held) {
+				cost := 1
+				if !held {
+					cost += (len(row.GetHandover()) + rangeBytes - 1) / rangeBytes
+				}
+				if used+cost > most {
+					break
+				}
+				used += cost
+			}
+			kept[pos], prev = true, pos
+		}
+	}
+	var out []*controlpb.Shard
+	for pos, row := range rows {
+		if kept[pos] {
+			out = append(out, row)
+		}
+	}
+	return out
+}
+
+// joins reports whether a row continues the range of the one before; for rows that the server holds no handover is told.
+func joins(prev, row *controlpb.Shard, held bool) bool {
+	return prev.GetPartition()+1 == row.GetPartition() && prev.GetToken() == row.GetToken() && (held || prev.GetHandover() == row.GetHandover())
+}
+
+// ranges joins neighbouring partitions under one token; what an earlier owner left is told only for keys that the server does not hold yet.
+func ranges(rows []*controlpb.Shard, partitions uint32, rep map[uint32]uint64) []GrantedRange {
+	var out []GrantedRange
+	for _, row := range rows {
+		fst, lst := siskinrill.KeyRange(row.GetPartition(), partitions)
+		rng := GrantedRange{First: fst, Last: lst, Token: row.GetToken(), Handover: row.GetHandover()}
+		if rep[row.GetPartition()] == row.GetToken() {
+			rng.Handover = ""
+		}
+		if num := len(out) - 1; num >= 0 && out[num].Last+1 == fst && out[num].Token == rng.Token && out[num].Handover == rng.Handover {
+			out[num].Last = lst
+			continue
+		}
+		out = append(out, rng)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/agent/backend/revoke.go
@@ -0,0 +1,107 @@
+package backend
+
+import (
+	"context"
+	"time"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// revocation is a partition that the server is to give back.
+type revocation struct {
+	handover string
+	left     bool // an answer has left it out, so that the server gives it back once it has finished its work
+	released bool
+	until    time.Time // end of the hold, if the server gives nothing back
+}
+
+// prune ends the revocations of rows that this agent owns no longer; until then they stay out of the answers.
+func (kys *keys) prune(rows []*controlpb.Shard) {
+	owned := make(map[grantKey]bool, len(rows))
+	for _, row := range rows {
+		owned[grantKey{row.GetPartition(), row.GetToken()}] = true
+	}
+	for key := range kys.revoked {
+		if !owned[key] {
+			delete(kys.revoked, key)
+		}
+	}
+}
+
+// Revoke leaves rows out of the answers to heartbeats, and returns them with what the server left for their next owner once it has given them back or cannot hold them any more; false if the context ended first.
+func (cli *Client) Revoke(ctx context.Context, refs []*controlpb.ShardRef) ([]*controlpb.ShardRef, bool) {
+	kys := &cli.keys
+	if !kys.revoke(refs) {
+		return refs, true
+	}
+	for {
+		at, changed := kys.pending(refs)
+		if changed == nil {
+			return kys.handedOver(refs), true
+		}
+		if !await(ctx, changed, at) {
+			return nil, false
+		}
+	}
+}
+
+func (kys *keys) revokes() bool {
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	return len(kys.revoked) > 0
+}
+
+// revoke begins a revocation, false for a server that does not take its keys by heartbeats.
+func (kys *keys) revoke(refs []*controlpb.ShardRef) bool {
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	if !kys.active {
+		return false
+	}
+	for _, ref := range refs {
+		key := grantKey{ref.GetPartition(), ref.GetToken()}
+		if kys.revoked[key] == nil {
+			// A heartbeat may be seconds late, so the first one that this process hears need not name all that the server holds.
+			rev := &revocation{until: kys.unknown}
+			if hld, ok := kys.held[ref.GetPartition()]; ok && hld.token <= ref.GetToken() {
+				rev.until = hld.until
+			}
+			kys.revoked[key] = rev
+		}
+	}
+	return true
+}
+
+// pending returns when the last row that is not given back ends by itself, and a channel for changes; that is nil once none is left. What the server never held is given back once an answer has left it out.
+func (kys *keys) pending(refs []*controlpb.ShardRef) (time.Time, <-chan struct{}) {
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	var last time.Time
+	waits := false
+	for _, ref := range refs {
+		rev := kys.revoked[grantKey{ref.GetPartition(), ref.GetToken()}]
+		if rev == nil || rev.released || !time.Now().Before(rev.until) {
+			continue
+		}
+		waits = true
+		last = later(last, rev.until)
+	}
+	if !waits {
+		return last, nil
+	}
+	return last, kys.changed
+}
+
+func (kys *keys) handedOver(refs []*controlpb.ShardRef) []*controlpb.ShardRef {
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	out := make([]*controlpb.ShardRef, 0, len(refs))
+	for _, ref := range refs {
+		cpy := &controlpb.ShardRef{Service: ref.GetService(), Partition: ref.GetPartition(), Key: ref.GetKey(), Token: ref.GetToken()}
+		if rev := kys.revoked[grantKey{ref.GetPartition(), ref.GetToken()}]; rev != nil {
+			cpy.Handover = rev.handover
+		}
+		out = append(out, cpy)
+	}
+	return out
+}
