--- a/internal/process/actor/server.go
+++ b/internal/process/actor/server.go
@@ -18,6 +18,8 @@
 const (
 	// acceptTime is how long a connection takes from the kernel's queue to the server.
 	acceptTime = 50 * time.Millisecond
+	// spareConnections is a quarter of 4,096 descriptors, which hosts allow a process at least; the rest is for requests in hand and for other processes.
+	spareConnections = 1024
 	// shutdownPoll is the time between two looks at the connections of a server that stops.
 	shutdownPoll = 5 * time.Millisecond
 )
@@ -30,8 +32,8 @@
 
 // HTTP adds an HTTP server to a group; when the group ends, requests in flight have grace to finish.
 func HTTP(grp *run.Group, lis net.Listener, hdl http.Handler, grace time.Duration) {
-	con := &connections{states: map[net.Conn]http.ConnState{}}
-	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout, ConnState: con.note}
+	con := &connections{states: map[net.Conn]http.ConnState{}, spare: spareConnections}
+	srv := &http.Server{Handler: con.closing(hdl), ReadHeaderTimeout: headerTimeout, ConnState: con.note}
 	grp.Add(
 		func() error { return served(srv.Serve(lis)) },
 		func(error) { shutdown(srv, lis, con, grace) },
@@ -42,6 +44,23 @@
 type connections struct {
 	mu     sync.Mutex
 	states map[net.Conn]http.ConnState
+	spare  int // open connections over which answers close theirs
+}
+
+// closing asks callers to close their connections while there are many. Callers that are refused open another one for each try and leave the old one idle, until the process has no descriptor left and reads new requests seconds late.
+func (con *connections) closing(hdl http.Handler) http.Handler {
+	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if con.open() > con.spare {
+			wri.Header().Set("Connection", "close")
+		}
+		hdl.ServeHTTP(wri, req)
+	})
+}
+
+func (con *connections) open() int {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	return len(con.states)
 }
 
 func (con *connections) note(cnn net.Conn, sta http.ConnState) {
