control: an agent without a configuration answers that it is not ready, not that there is no route

One way to it: an agent that has a session but no configuration yet, after all hosts lost power, found no route and answered 404, which callers take for final. Change: without a configuration the match fails with no_lease, 503. Measured: TestMatchWithoutConfiguration fails without the change.

--- a/internal/agent/control/table.go
+++ b/internal/agent/control/table.go
@@ -60,10 +60,14 @@
 	}
 }
 
+// match returns the route of a request with its key, or the reason why there is none; without a configuration it is not known whether there is one.
 func (tbl *table) match(host, method, path string) (*controlpb.Route, string, siskinrill.Reason) {
 	tbl.mu.RLock()
-	idx := tbl.index
+	idx, number := tbl.index, tbl.number
 	tbl.mu.RUnlock()
+	if number == 0 {
+		return nil, "", siskinrill.ReasonNoLease
+	}
 	return idx.match(host, method, path)
 }
 
--- a/internal/agent/control/table_test.go
+++ b/internal/agent/control/table_test.go
@@ -167,3 +167,13 @@
 		})
 	}
 }
+
+// Guards against a 404 of an agent that has no configuration yet, which callers take for final.
+func TestMatchWithoutConfiguration(tst *testing.T) {
+	tbl := newTable()
+	_, _, rsn := tbl.match("h", "GET", "/p/1")
+	must.Eq(tst, siskinrill.ReasonNoLease, rsn)
+	tbl.number = 1
+	_, _, rsn = tbl.match("h", "GET", "/p/1")
+	must.Eq(tst, siskinrill.ReasonNoRoute, rsn)
+}
