--- a/internal/agent/owner/forecast_test.go
+++ b/internal/agent/owner/forecast_test.go
@@ -188,7 +188,7 @@
 	return vdt
 }
 
-// TestUnevenRuns replays an overload of requests whose runs differ by half; it guards against a queue that is filled to the brim, in which every run that lasts longer than the mean ends late.
+// TestUnevenRuns replays an overload of requests whose runs differ by half; it guards against a forecast without a margin, under which a request ends late whenever a run before it lasts longer than the mean.
 func TestUnevenRuns(t *testing.T) {
 	knd := kind{run: 160 * time.Millisecond, aim: 500 * time.Millisecond, deadline: 1200 * time.Millisecond, factor: 1.5, spread: 0.5}
 	out := load{slots: 18, kinds: []kind{knd}}.replay(judged)[0]
