peer: send the body of a request after the owner has admitted it

Cause: an entry puts up to 64 KB of a body into the first message of an attempt, before the owner decides on admission.

Change: a body over 8 KB follows the first message once the owner asks for it with Continue. The held part stays with the attempt, so that a further attempt sends it again. Length, end and fingerprint are those of the whole body.

Before: TestRefusedBody fails with 65,770 and 65,768 bytes at the owner's link for a refused upload of 64 KB and 192 KB, 8,388 for one of 8 KB + 1 (limit of the test: 4,096); TestRepeatedBody fails as the body comes with the first message. After: both pass. go test -race ./internal/agent/... ./platform/... passes.

--- a/internal/agent/peer/body.go
+++ b/internal/agent/peer/body.go
@@ -10,7 +10,9 @@
 )
 
 const (
-	// A body up to this length travels in the first message.
+	// A request's body up to this length travels in the first message; a longer one waits for the owner's admission, so that a refusal costs the owner's link little.
+	eagerBody = 8 << 10
+	// An answer's body up to this length travels in the first message.
 	smallBody = 64 << 10
 	// Longer bodies are cut into chunks, so that others on the same connection get their turn.
 	chunkSize = 32 << 10
--- a/internal/agent/peer/forward.go
+++ b/internal/agent/peer/forward.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"sync/atomic"
@@ -26,7 +27,7 @@
 	stream   grpc.ClientStream
 	writes   uint64 // of the link before the attempt
 	ended    atomic.Bool
-	proceeds bool // the rest of the body is being sent
+	proceeds bool // what follows the first message is being sent
 }
 
 // An attempt whose whole body is in the first message needs no further frame to end its side.
@@ -41,6 +42,7 @@
 	if err != nil {
 		return nil, unsent(ctx, err)
 	}
+	att = deferred(att)
 	sctx, cancel := context.WithCancel(untimed{ctx})
 	fwd := &forward{pool: poo, link: lnk, att: att, ctx: ctx, cancel: cancel, writes: lnk.socket.writes.Load()}
 	ans, err := fwd.run(sctx, att)
@@ -54,6 +56,20 @@
 	return ans, nil
 }
 
+// deferred returns an attempt whose body, unless it is short, follows the first message once the owner asks for it.
+func deferred(att *siskinrill.Attempt) *siskinrill.Attempt {
+	opn := att.Open()
+	held := opn.GetBody()
+	if len(held) <= eagerBody {
+		return att
+	}
+	fst := bytes.NewReader(held)
+	if opn.GetBodyEnd() || att.Body() == nil {
+		return att.WithBody(nil, fst, int64(len(held)))
+	}
+	return att.WithBody(nil, io.MultiReader(fst, att.Body()), opn.GetBodyLength())
+}
+
 // untimed hides the deadline of a context, though not its end: the first message carries the deadline, and a second one for gRPC would cost a timer and a header.
 type untimed struct{ context.Context }
 
@@ -118,7 +134,7 @@
 	}
 }
 
-// proceed starts to send the rest of the body.
+// proceed starts to send what follows the first message.
 func (fwd *forward) proceed() {
 	if fwd.att.Body() != nil && !fwd.proceeds {
 		fwd.proceeds = true
@@ -126,7 +142,7 @@
 	}
 }
 
-// upload sends the rest of the body; a failure to read it ends the attempt, so that the owner sees a cut body.
+// upload sends what follows the first message; a failure to read it ends the attempt, so that the owner sees a cut body.
 func (fwd *forward) upload(att *siskinrill.Attempt) {
 	err := inChunks(att.Body(), int64(len(att.Open().GetBody())), func(dat *peerpb.Data) error {
 		return fwd.stream.SendMsg(&peerpb.EntryMessage{Kind: &peerpb.EntryMessage_Data{Data: dat}})
--- a/internal/agent/peer/relay_test.go
+++ b/internal/agent/peer/relay_test.go
@@ -23,7 +23,8 @@
 	epoch  *relayEpoch
 	conns  []net.Conn
 	refuse atomic.Bool
-	frozen atomic.Bool // new connections are silent as well
+	frozen atomic.Bool  // new connections are silent as well
+	sent   atomic.Int64 // bytes that callers have sent
 }
 
 // relayEpoch holds the state of the connections that were accepted since the last silence.
@@ -62,11 +63,23 @@
 			epo.silent.Store(true)
 		}
 		rel.mu.Unlock()
-		go pipe(epo, inn, out)
+		go pipe(epo, &countedReader{Conn: inn, sum: &rel.sent}, out)
 		go pipe(epo, out, inn)
 	}
 }
 
+// countedReader adds what it reads to a sum.
+type countedReader struct {
+	net.Conn
+	sum *atomic.Int64
+}
+
+func (crd *countedReader) Read(buf []byte) (int, error) {
+	num, err := crd.Conn.Read(buf)
+	crd.sum.Add(int64(num))
+	return num, err
+}
+
 func pipe(epo *relayEpoch, from, to net.Conn) {
 	buf := make([]byte, 32<<10)
 	for {
--- a/path.go
+++ b/path.go
@@ -5,6 +5,8 @@
 	"io"
 	"time"
 
+	"google.golang.org/protobuf/reflect/protoreflect"
+
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
@@ -26,6 +28,23 @@
 // Body returns the reader of what follows Open().Body, nil when nothing does.
 func (att *Attempt) Body() io.Reader { return att.body }
 
+// WithBody returns the attempt with its body divided anew: first is what the first message holds, and rest, nil for none, yields what follows; length counts all of it, -1 if not known.
+func (att *Attempt) WithBody(first []byte, rest io.Reader, length int64) *Attempt {
+	opn := shallowCopy(att.open)
+	opn.Body, opn.BodyEnd, opn.BodyLength = first, rest == nil, length
+	return &Attempt{open: opn, body: rest}
+}
+
+// shallowCopy returns a message whose fields share their values with those of another one.
+func shallowCopy(opn *peerpb.Open) *peerpb.Open {
+	out := &peerpb.Open{}
+	opn.ProtoReflect().Range(func(fld protoreflect.FieldDescriptor, val protoreflect.Value) bool {
+		out.ProtoReflect().Set(fld, val)
+		return true
+	})
+	return out
+}
+
 // Kind returns how the request may be treated.
 func (att *Attempt) Kind() controlpb.RequestKind { return controlpb.RequestKind(att.open.GetKind()) }
 
