owner: receive bodies a few at a time, before the request takes its slot

Cause: the owner read the body of an admitted request while it held a slot of the backend server, for all slots at once.

Change: an admitted request first gets its body, up to 256 KB; what follows streams as before. A further body is asked for when fewer than 48 KB are on their way, in the order of the queue. A body counts for 500 ms at most and no longer once nothing of it has come for 100 ms. Requests that wait for bodies count as queued. A body that is cut, too long, withdrawn or past its deadline before the run is refused with proof that nothing ran. The measured run time of a route no longer holds the transfer.

TestBodyDivided passes before as well. The plans of TestGuarantees have slow, stalled and cut bodies now, and no byte may stay counted at their end.

--- a/internal/agent/owner/admit.go
+++ b/internal/agent/owner/admit.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"container/heap"
 	"context"
+	"iter"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -33,40 +35,90 @@
 	}
 }
 
+// state is what an owner must read of its session before it admits a ticket.
+type state struct {
+	slots int
+	ramp  time.Duration
+	limit int // of the waiting requests
+	warm  time.Duration
+	told  bool // the backend server tells how long it stays slow
+}
+
+func (own *Owner) state(tck *ticket) state {
+	svc := own.ses.Service(tck.shard.service)
+	ste := state{
+		slots: own.slots(),
+		ramp:  durationOr(svc.GetRampMs(), time.Millisecond, defaultRamp),
+		limit: cmp.Or(int(svc.GetQueueLimit()), defaultQueue),
+	}
+	ste.warm, ste.told = own.warmup()
+	return ste
+}
+
 // enqueue gives the ticket a slot or a place in the queue.
 func (own *Owner) enqueue(tck *ticket) (queued bool, ref *siskinrill.Refusal) {
-	slots := own.slots()
-	left, told := own.warmup()
-	svc := own.ses.Service(tck.shard.service)
-	limit := cmp.Or(int(svc.GetQueueLimit()), defaultQueue)
+	ste := own.state(tck)
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	own.lim.ramp = durationOr(svc.GetRampMs(), time.Millisecond, defaultRamp)
-	own.lim.setSlots(slots)
-	if told {
-		own.lim.warm(left)
+	if ref := own.accept(tck, ste); ref != nil {
+		return false, ref
+	}
+	own.inf.forget(tck)
+	if own.idle() {
+		own.take(tck)
+		return false, nil
+	}
+	heap.Push(&own.que, tck)
+	return true, nil
+}
+
+// accept decides by the forecast whether a ticket is served; the caller holds the mutex. A ticket that was accepted for its body is not judged again for its slot.
+func (own *Owner) accept(tck *ticket, ste state) *siskinrill.Refusal {
+	own.lim.ramp = ste.ramp
+	own.lim.setSlots(ste.slots)
+	if ste.told {
+		own.lim.warm(ste.warm)
 	}
 	if tck.rec.withdrawn {
-		return false, siskinrill.NotRun(siskinrill.ReasonWithdrawn)
+		return siskinrill.NotRun(siskinrill.ReasonWithdrawn)
 	}
-	if slots == 0 {
-		return false, siskinrill.NotRun(siskinrill.ReasonBackendUnreachable)
+	if ste.slots == 0 {
+		return siskinrill.NotRun(siskinrill.ReasonBackendUnreachable)
 	}
 	own.pump()
-	if own.que.Len() == 0 && own.hasSlot() {
-		_ = own.forecast(tck)
-		own.take(tck)
-		return false, nil
+	if tck.accepted {
+		return nil
 	}
-	if ref := own.forecast(tck); ref != nil {
+	tck.accepted = true
+	ref := own.forecast(tck)
+	if ref != nil {
 		own.lds.turnedAway(tck.shard)
-		return false, ref
+		return ref
 	}
-	if own.que.Len() >= limit {
-		return false, siskinrill.NotRun(siskinrill.ReasonQueueFull).WithRetryAfter(own.retryAfter())
+	if own.idle() && !tck.comes() {
+		return nil
+	}
+	if own.waiting() >= ste.limit {
+		return siskinrill.NotRun(siskinrill.ReasonQueueFull).WithRetryAfter(own.retryAfter())
+	}
+	return nil
+}
+
+// idle reports whether a request could run at once; the caller holds the mutex.
+func (own *Owner) idle() bool { return own.que.Len() == 0 && own.hasSlot() }
+
+// waiting returns the number of requests that wait for their bodies or slots; the caller holds the mutex.
+func (own *Owner) waiting() int { return own.que.Len() + own.inf.size() }
+
+// queued yields the requests that wait in a queue; the caller holds the mutex.
+func (own *Owner) queued() iter.Seq[*ticket] {
+	return func(yield func(*ticket) bool) {
+		for _, tck := range slices.Concat(own.que, own.inf.queue) {
+			if !yield(tck) {
+				return
+			}
+		}
 	}
-	heap.Push(&own.que, tck)
-	return true, nil
 }
 
 // warmup returns for how long the backend server stays slow after its start, false if that is not known.
@@ -94,7 +146,7 @@
 func (own *Owner) giveUp(ctx context.Context, tck *ticket) *siskinrill.Refusal {
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	if !own.que.remove(tck) {
+	if !tck.leave() {
 		if ref := <-tck.wake; ref != nil {
 			return ref
 		}
@@ -116,6 +168,7 @@
 func (own *Owner) pump() {
 	now := time.Now()
 	own.dismissHopeless(now)
+	own.pumpBodies(now)
 	for own.que.Len() > 0 {
 		first := own.que[0]
 		switch {
@@ -127,7 +180,7 @@
 			first.late = true
 			heap.Fix(&own.que, first.position)
 		case own.hasSlot():
-			own.que.remove(first)
+			first.leave()
 			own.take(first)
 			first.signal(nil)
 		default:
@@ -143,7 +196,7 @@
 	}
 	own.looked = now
 	var over []*ticket
-	for _, tck := range own.que {
+	for tck := range own.queued() {
 		if tck.hopeless(now) {
 			over = append(over, tck)
 		}
@@ -165,6 +218,6 @@
 
 // dismiss refuses a waiting ticket; the caller holds the mutex.
 func (own *Owner) dismiss(tck *ticket, rsn siskinrill.Reason) {
-	own.que.remove(tck)
+	tck.leave()
 	tck.signal(siskinrill.NotRun(rsn))
 }
--- a/internal/agent/owner/body.go
+++ b/internal/agent/owner/body.go
@@ -78,12 +78,28 @@
 
 // attempt returns what is handed to the backend server.
 func (tck *ticket) attempt() *siskinrill.Attempt {
-	if tck.bdy == nil {
+	switch {
+	case tck.held != nil:
+		return tck.held
+	case tck.bdy == nil:
 		return tck.att
 	}
 	return siskinrill.NewAttempt(tck.att.Open(), tck.bdy)
 }
 
+// comes reports whether a part of the body is still to come from the caller.
+func (tck *ticket) comes() bool { return tck.bdy != nil && !tck.bdy.ended() }
+
+// remaining returns how much of the body is to come, negative if that is not known.
+func (rbd *requestBody) remaining() int64 {
+	rbd.mu.Lock()
+	defer rbd.mu.Unlock()
+	if rbd.whole {
+		return 0
+	}
+	return rbd.left
+}
+
 // ended reports whether nothing of the body is to come from the caller.
 func (rbd *requestBody) ended() bool {
 	rbd.mu.Lock()
--- a/internal/agent/owner/handle.go
+++ b/internal/agent/owner/handle.go
@@ -65,6 +65,9 @@
 	if !keyless && !own.awaitHold(ctx, tck, row) {
 		return nil, own.versioned(own.notHeld(row))
 	}
+	if ref := own.receive(ctx, tck); ref != nil {
+		return nil, ref
+	}
 	if ref := own.admit(ctx, tck); ref != nil {
 		return nil, ref
 	}
--- /dev/null
+++ b/internal/agent/owner/inflow_test.go
@@ -0,0 +1,273 @@
+package owner
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
+)
+
+const (
+	// linkRate is the speed of the host's link in the tests, in bytes a second (9.9 Mbit/s).
+	linkRate = 1_237_500
+	// linkTrip is the time between the first read of a body and its first byte on an empty link.
+	linkTrip = 4 * time.Millisecond
+	// linkChunk is the length of the parts in which a body comes.
+	linkChunk = 32 << 10
+)
+
+// fakeLink delivers bodies in the order in which they were asked for.
+type fakeLink struct {
+	mu      sync.Mutex
+	free    time.Time     // when all that was sent has arrived
+	longest time.Duration // that a short message would have waited behind bodies
+	bytes   int
+}
+
+// send returns the times at which the parts of a body arrive.
+func (lnk *fakeLink) send(size int) []time.Time {
+	lnk.mu.Lock()
+	defer lnk.mu.Unlock()
+	now := time.Now().Add(linkTrip)
+	if lnk.free.Before(now) {
+		lnk.free = now
+	}
+	var ats []time.Time
+	for sent := 0; sent < size; sent += linkChunk {
+		num := min(linkChunk, size-sent)
+		lnk.free = lnk.free.Add(time.Duration(num) * time.Second / linkRate)
+		ats = append(ats, lnk.free)
+	}
+	lnk.bytes += size
+	lnk.longest = max(lnk.longest, lnk.free.Sub(now))
+	return ats
+}
+
+// linkBody is a body that comes over a link from the first read on.
+type linkBody struct {
+	ctx   context.Context
+	link  *fakeLink
+	text  []byte
+	part  []byte // of the text, has arrived
+	stall int    // bytes left after which nothing comes any more, 0: none
+	cut   error  // in place of the end
+	ats   []time.Time
+	asked bool
+}
+
+func (bdy *linkBody) Read(buf []byte) (int, error) {
+	if !bdy.asked {
+		bdy.asked = true
+		bdy.ats = bdy.link.send(len(bdy.text))
+	}
+	if len(bdy.part) == 0 {
+		if err := bdy.next(); err != nil {
+			return 0, err
+		}
+	}
+	num := copy(buf, bdy.part)
+	bdy.part = bdy.part[num:]
+	return num, nil
+}
+
+// next waits for the next part.
+func (bdy *linkBody) next() error {
+	if len(bdy.ats) == 0 {
+		return cmp.Or(bdy.cut, io.EOF)
+	}
+	wait := time.Until(bdy.ats[0])
+	if bdy.stall > 0 && len(bdy.text) <= bdy.stall {
+		wait = time.Hour
+	}
+	select {
+	case <-time.After(wait):
+	case <-bdy.ctx.Done():
+		return bdy.ctx.Err()
+	}
+	num := min(linkChunk, len(bdy.text))
+	bdy.part, bdy.text, bdy.ats = bdy.text[:num], bdy.text[num:], bdy.ats[1:]
+	return nil
+}
+
+// upload sends an upload whose body comes over a link; edit may change it first.
+func (bnc *bench) upload(ctx context.Context, num uint64, lnk *fakeLink, size int, edit func(opn *peerpb.Open, bdy *linkBody)) <-chan error {
+	opn := open(num, "ab")
+	opn.Kind, opn.BodyEnd, opn.BodyLength = uint32(controlpb.RequestKind_REQUEST_KIND_UPLOAD), false, int64(size)
+	ctx, cancel := context.WithCancel(ctx)
+	bdy := &linkBody{ctx: ctx, link: lnk, text: bytes.Repeat([]byte("x"), size)}
+	if edit != nil {
+		edit(opn, bdy)
+	}
+	out := make(chan error, 1)
+	go func() {
+		// As between agents, the end of the attempt ends its stream.
+		defer cancel()
+		_, err := bnc.own.Handle(ctx, siskinrill.NewAttempt(opn, bdy))
+		out <- err
+	}()
+	synctest.Wait()
+	return out
+}
+
+// readAll is a backend server that reads the whole body and then runs for a time.
+func readAll(run time.Duration, runs *atomic.Int32) func(context.Context, *siskinrill.Attempt, siskinrill.Grant) (*siskinrill.Answer, error) {
+	return func(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error) {
+		runs.Add(1)
+		got := len(att.Open().GetBody())
+		if att.Body() != nil {
+			rst, err := io.ReadAll(att.Body())
+			if err != nil {
+				return nil, siskinrill.Unknown(siskinrill.ReasonCallerGone, err)
+			}
+			got += len(rst)
+		}
+		if lng := att.Open().GetBodyLength(); lng >= 0 && lng != int64(got) {
+			return nil, siskinrill.Unknown(siskinrill.ReasonBackendLost, io.ErrUnexpectedEOF)
+		}
+		time.Sleep(run)
+		return answerOK(ctx, att, grt)
+	}
+}
+
+// TestBodyBeforeSlot guards against slots that wait for the bodies of slow callers.
+func TestBodyBeforeSlot(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, bnc *bench) {
+		var runs atomic.Int32
+		bnc.bck.do = readAll(20*time.Millisecond, &runs)
+		slow := bnc.upload(t.Context(), 1, &fakeLink{}, 200<<10, nil)
+		beg := time.Now()
+		must.NoError(t, <-bnc.start(t.Context(), open(2, "ab")))
+		must.Less(t, 30*time.Millisecond, time.Since(beg))
+		must.NoError(t, <-slow)
+	})
+}
+
+// TestLinkQueue guards against bodies that fill the host's link with seconds of bytes, and against a link that idles while bodies wait.
+func TestLinkQueue(t *testing.T) {
+	const (
+		uploads  = 150
+		size     = 60_000
+		interval = 40 * time.Millisecond // a fifth more than the link carries
+		longest  = 150 * time.Millisecond
+	)
+	bubble(t, 18, func(t *testing.T, bnc *bench) {
+		bnc.ses.svc.QueueLimit = uploads
+		var runs atomic.Int32
+		bnc.bck.do = readAll(460*time.Millisecond, &runs)
+		lnk := &fakeLink{}
+		beg := time.Now()
+		outs := make([]<-chan error, 0, uploads)
+		for num := range uint64(uploads) {
+			outs = append(outs, bnc.upload(t.Context(), num+1, lnk, size, func(opn *peerpb.Open, _ *linkBody) { opn.TimeoutMs = 12_000 }))
+			time.Sleep(interval)
+		}
+		for _, out := range outs {
+			must.NoError(t, <-out)
+		}
+		must.Less(t, longest, lnk.longest)
+		least := time.Duration(uploads*size) * time.Second / linkRate
+		must.Less(t, least+least/20, lnk.free.Sub(beg))
+	})
+}
+
+// TestStalledBody guards against one caller that holds up the bodies of others, and against a request that waits for its body past its deadline.
+func TestStalledBody(t *testing.T) {
+	tests := map[string]int{"from the first byte": 200 << 10, "in the middle": 100 << 10}
+	for name, stall := range tests {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 1, func(t *testing.T, bnc *bench) {
+				var runs atomic.Int32
+				bnc.bck.do = readAll(20*time.Millisecond, &runs)
+				beg := time.Now()
+				stalled := bnc.upload(t.Context(), 1, &fakeLink{}, 200<<10, func(opn *peerpb.Open, bdy *linkBody) { bdy.stall, opn.TimeoutMs = stall, 900 })
+				must.NoError(t, <-bnc.upload(t.Context(), 2, &fakeLink{}, 60_000, nil))
+				must.Less(t, 500*time.Millisecond, time.Since(beg))
+				ref := refusalOf(<-stalled)
+				must.True(t, ref.NotRun())
+				must.Eq(t, siskinrill.ReasonDeadlineInQueue, ref.Reason())
+				must.Eq(t, 900*time.Millisecond, time.Since(beg))
+				must.Eq(t, 1, runs.Load())
+				must.Eq(t, "0", bnc.own.Vars()["owner_body_bytes_pending"].String())
+				must.Eq(t, "0", bnc.own.Vars()["owner_queued"].String())
+			})
+		})
+	}
+}
+
+// TestBodyNotReceived guards against a run, or an outcome without proof, of a request whose body never came as a whole.
+func TestBodyNotReceived(t *testing.T) {
+	tests := map[string]struct {
+		edit   func(opn *peerpb.Open, bdy *linkBody)
+		then   func(t *testing.T, bnc *bench, cancel func())
+		reason siskinrill.Reason
+	}{
+		"cut":         {edit: func(_ *peerpb.Open, bdy *linkBody) { bdy.cut = io.ErrUnexpectedEOF }, reason: siskinrill.ReasonCallerGone},
+		"longer":      {edit: func(opn *peerpb.Open, _ *linkBody) { opn.BodyLength-- }, reason: siskinrill.ReasonCallerGone},
+		"caller gone": {then: func(_ *testing.T, _ *bench, cancel func()) { cancel() }, reason: siskinrill.ReasonCallerGone},
+		"withdrawn": {
+			then: func(t *testing.T, bnc *bench, _ func()) {
+				ans, err := bnc.own.Withdraw(t.Context(), withdrawal(1, 0))
+				must.NoError(t, err)
+				must.Eq(t, peerpb.WithdrawResult_WITHDRAW_RESULT_WITHDRAWN, ans.GetResult())
+			},
+			reason: siskinrill.ReasonWithdrawn,
+		},
+	}
+	for name, tcs := range tests {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 1, func(t *testing.T, bnc *bench) {
+				var runs atomic.Int32
+				bnc.bck.do = readAll(0, &runs)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				out := bnc.upload(ctx, 1, &fakeLink{}, 100<<10, tcs.edit)
+				if tcs.then != nil {
+					time.Sleep(30 * time.Millisecond)
+					tcs.then(t, bnc, cancel)
+				}
+				ref := refusalOf(<-out)
+				must.Eq(t, tcs.reason, ref.Reason())
+				must.True(t, ref.NotRun())
+				must.Eq(t, 0, runs.Load())
+				must.NoError(t, <-bnc.upload(t.Context(), 2, &fakeLink{}, 60_000, nil), must.Sprint("the next body"))
+			})
+		})
+	}
+}
+
+// TestBodyDivided guards against a body or a fingerprint that depends on how the body was divided on its way.
+func TestBodyDivided(t *testing.T) {
+	for name, size := range map[string]int{"received": 60_000, "as long as the buffer": 256 << 10, "longer": 300_000} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 2, func(t *testing.T, bnc *bench) {
+				var runs atomic.Int32
+				bnc.bck.do = readAll(0, &runs)
+				keyed := func(first int, known bool) func(opn *peerpb.Open, bdy *linkBody) {
+					return func(opn *peerpb.Open, bdy *linkBody) {
+						opn.IdempotencyKey = "photo"
+						opn.Body, bdy.text = bdy.text[:first], bdy.text[first:]
+						if !known {
+							opn.BodyLength = -1
+						}
+					}
+				}
+				for num, edit := range []func(opn *peerpb.Open, bdy *linkBody){keyed(0, true), keyed(1000, true), keyed(0, false), keyed(size, false)} {
+					must.NoError(t, <-bnc.upload(t.Context(), uint64(num+1), &fakeLink{}, size, edit))
+				}
+				must.Eq(t, 1, runs.Load())
+				must.Eq(t, "3", counter(bnc.cnt, "events", "idempotency_repeated"))
+			})
+		})
+	}
+}
--- a/internal/agent/owner/load.go
+++ b/internal/agent/owner/load.go
@@ -63,7 +63,7 @@
 	lds := own.lds
 	rep := &controlpb.LoadReport{
 		IntervalMs: millis(interval), Requests: lds.requests, BusyMs: millis(lds.busy),
-		InFlight: uint32(own.taken), Queued: uint32(own.que.Len()), Limit: uint32(own.lim.current()),
+		InFlight: uint32(own.taken), Queued: uint32(own.waiting()), Limit: uint32(own.lim.current()),
 		Refusals: lds.refusals, HotKeys: lds.hot(),
 	}
 	for shd, sld := range lds.shards {
--- a/internal/agent/owner/model_test.go
+++ b/internal/agent/owner/model_test.go
@@ -25,8 +25,9 @@
 	idem    int // 0: none
 	timeout int
 	outcome peerpb.Outcome
-	stream  bool // the answer is streamed
-	early   bool // the caller does not read it
+	stream  bool   // the answer is streamed
+	early   bool   // the caller does not read it
+	arrival string // how the body of an upload comes
 }
 
 var (
@@ -44,6 +45,7 @@
 			outcome: peerpb.Outcome(rapid.SampledFrom([]int{0, 0, 0, 1, 2}).Draw(rt, "outcome")),
 			stream:  rapid.Bool().Draw(rt, "stream"),
 			early:   rapid.Bool().Draw(rt, "early"),
+			arrival: rapid.SampledFrom(strings.Fields("whole whole slow stalled cut")).Draw(rt, "arrival"),
 		}
 	})
 	planGen = rapid.SliceOfN(opGen, 5, 50)
@@ -168,10 +170,13 @@
 	att := siskinrill.NewAttempt(opn, nil)
 	if stp.request == controlpb.RequestKind_REQUEST_KIND_UPLOAD {
 		opn.BodyEnd, opn.BodyLength = false, -1
-		att = siskinrill.NewAttempt(opn, strings.NewReader("photo"))
 	}
 	ctx, cancel := context.WithCancel(context.WithValue(ctx, stepKey{}, stp))
 	mdl.cancels[stp.id] = cancel
+	if !opn.BodyEnd {
+		att = siskinrill.NewAttempt(opn, &uploadBody{ctx: ctx, arrival: stp.arrival})
+		mdl.locked(func() { mdl.gone[stp.id] = mdl.gone[stp.id] || stp.arrival == "cut" })
+	}
 	mdl.callers.Go(func() {
 		defer cancel()
 		ans, err := mdl.own.Handle(ctx, att)
@@ -186,6 +191,37 @@
 	})
 }
 
+// uploadBody is a body in five parts.
+type uploadBody struct {
+	ctx     context.Context
+	arrival string
+	part    int
+}
+
+func (bdy *uploadBody) Read(buf []byte) (int, error) {
+	wait := time.Duration(0)
+	switch {
+	case bdy.arrival == "slow":
+		wait = 30 * time.Millisecond
+	case bdy.arrival == "stalled" && bdy.part == 2:
+		wait = time.Hour
+	case bdy.arrival == "cut" && bdy.part == 2:
+		return 0, io.ErrUnexpectedEOF
+	case bdy.part == 5:
+		return 0, io.EOF
+	}
+	select {
+	case <-time.After(wait):
+	case <-bdy.ctx.Done():
+		return 0, bdy.ctx.Err()
+	}
+	bdy.part++
+	if bdy.part > 5 {
+		return 0, io.EOF
+	}
+	return copy(buf, "photo"), nil
+}
+
 // stepKey carries the step to the fake backend server.
 type stepKey struct{}
 
@@ -293,7 +329,7 @@
 func (mdl *model) checkEnd() {
 	mdl.own.mu.Lock()
 	defer mdl.own.mu.Unlock()
-	mdl.check(mdl.own.taken != 0 || len(mdl.own.running) != 0 || mdl.own.que.Len() != 0, "end: %d slots, %d running, %d queued", mdl.own.taken, len(mdl.own.running), mdl.own.que.Len())
+	mdl.check(mdl.own.taken != 0 || len(mdl.own.running) != 0 || mdl.own.waiting() != 0 || mdl.own.inf.pending != 0, "end: %d slots, %d running, %d waiting, %d bytes pending", mdl.own.taken, len(mdl.own.running), mdl.own.waiting(), mdl.own.inf.pending)
 	for idt, rec := range mdl.own.records {
 		mdl.check(rec.phase != phaseDone || rec.tck != nil, "end: %v in phase %d", idt, rec.phase)
 	}
--- a/internal/agent/owner/owner.go
+++ b/internal/agent/owner/owner.go
@@ -37,7 +37,8 @@
 	whe       *wheel
 	keptBytes int
 	claims    map[claimKey]*claim
-	que       queue
+	que       queue // requests that wait for slots
+	inf       inflow
 	lim       limiter
 	rts       runTimes
 	arr       arrivals
@@ -78,7 +79,7 @@
 	}
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	return own.taken == 0 && own.que.Len() == 0 && len(own.moves) == 0
+	return own.taken == 0 && own.waiting() == 0 && len(own.moves) == 0
 }
 
 // Close refuses all further attempts with proof that they do not run; those that wait or run go on.
@@ -93,7 +94,7 @@
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	return &peerpb.OwnerLoad{
-		Running: uint32(own.taken), Queued: uint32(own.que.Len()),
+		Running: uint32(own.taken), Queued: uint32(own.waiting()),
 		Limit: uint32(own.lim.current()), LatencyMs: uint32(own.lim.latency().Milliseconds()),
 	}
 }
--- a/internal/agent/owner/queue.go
+++ b/internal/agent/owner/queue.go
@@ -33,15 +33,21 @@
 	aim      time.Time     // end of that time
 	late     bool          // cannot be answered within it
 	run      time.Duration // expected
+	queue    *queue        // in which it waits, nil for none
 	position int
+	accepted bool                     // has passed the forecast
 	wake     chan *siskinrill.Refusal // nil: it has a slot
 	shard    shardID                  // row under which it was admitted
 	started  time.Time
-	holds    bool          // has a slot
-	claim    *claim        // of its Idempotency-Key
-	copies   *copies       // of its idempotency record on other agents, nil while none was sent
-	bdy      *requestBody  // nil when the first message holds the whole body
-	ttl      time.Duration // of its idempotency record
+	holds    bool                // has a slot
+	claim    *claim              // of its Idempotency-Key
+	copies   *copies             // of its idempotency record on other agents, nil while none was sent
+	bdy      *requestBody        // nil when the first message holds the whole body
+	held     *siskinrill.Attempt // with what was received of its body, nil while nothing was
+	asked    bool                // its body was asked for
+	expected int64               // bytes of its body that count as on their way
+	moved    time.Time           // when the last part of its body came
+	ttl      time.Duration       // of its idempotency record
 	cancel   context.CancelFunc
 }
 
@@ -116,6 +122,7 @@
 func (que *queue) Push(itm any) {
 	tck := itm.(*ticket)
 	tck.position = len(*que)
+	tck.queue = que
 	*que = append(*que, tck)
 }
 
@@ -127,14 +134,15 @@
 	old[last] = nil
 	*que = old[:last]
 	tck.position = notQueued
+	tck.queue = nil
 	return tck
 }
 
-// remove takes a ticket out and reports whether it was waiting.
-func (que *queue) remove(tck *ticket) bool {
-	if tck.position == notQueued {
+// leave takes the ticket out of its queue and reports whether it was waiting in one.
+func (tck *ticket) leave() bool {
+	if tck.queue == nil {
 		return false
 	}
-	heap.Remove(que, tck.position)
+	heap.Remove(tck.queue, tck.position)
 	return true
 }
--- a/internal/agent/owner/release.go
+++ b/internal/agent/owner/release.go
@@ -82,7 +82,7 @@
 // refuseQueued refuses the waiting attempts of a row.
 func (own *Owner) refuseQueued(row *controlpb.Shard) {
 	var tcks []*ticket
-	for _, tck := range own.que {
+	for tck := range own.queued() {
 		if covers(row, tck) {
 			tcks = append(tcks, tck)
 		}
--- a/internal/agent/owner/run.go
+++ b/internal/agent/owner/run.go
@@ -109,7 +109,7 @@
 		own.lim.shed()
 		return
 	}
-	if tck.bdy == nil && (err == nil || !refusalOf(err).NotRun()) {
+	if tck.attempt().Body() == nil && (err == nil || !refusalOf(err).NotRun()) {
 		own.lim.observe(lat, own.taken)
 	}
 	if err == nil {
@@ -128,6 +128,7 @@
 		tck.holds = false
 		own.taken--
 	}
+	own.inf.forget(tck)
 	own.resolve(tck, how)
 	own.settle(tck, how.outcome, how.response)
 	own.pump()
--- a/internal/agent/owner/withdraw.go
+++ b/internal/agent/owner/withdraw.go
@@ -73,7 +73,7 @@
 	if rec.repeats {
 		ref = siskinrill.Unknown(siskinrill.ReasonWithdrawn, nil)
 	}
-	own.que.remove(rec.tck)
+	rec.tck.leave()
 	rec.tck.signal(ref)
 	if rec.repeats {
 		return withdrawAnswer(peerpb.WithdrawResult_WITHDRAW_RESULT_UNKNOWN)
