owner: forecast the transfer of a body by the measured pace of the link

Cause: the forecast of an arriving request knew the slots only. Where the link is the bottleneck, uploads beyond what it carries were admitted up to the length of the queue, and all of them then ended just after their aim.

Change: the pace of bodies is measured while others wait for theirs. The wait for the body, in the order of the queue, is part of the forecast: a request that cannot meet its aim goes behind the others if the pace leaves room for it, or is refused at its arrival with the time after which it could be served. Nothing is forecast while no body waits or the pace is not known.

--- a/internal/agent/owner/admit.go
+++ b/internal/agent/owner/admit.go
@@ -208,12 +208,12 @@
 
 // hopeless reports whether a request with an aim would not end before its deadline.
 func (tck *ticket) hopeless(now time.Time) bool {
-	return tck.aimed && now.Add(tck.run).After(tck.deadline)
+	return tck.aimed && now.Add(tck.transfer+tck.run).After(tck.deadline)
 }
 
 // overdue reports whether a waiting request can no longer meet its aim.
 func (tck *ticket) overdue(now time.Time) bool {
-	return tck.aimed && !tck.late && now.Add(tck.run).After(tck.aim)
+	return tck.aimed && !tck.late && now.Add(tck.transfer+tck.run).After(tck.aim)
 }
 
 // dismiss refuses a waiting ticket; the caller holds the mutex.
--- a/internal/agent/owner/forecast.go
+++ b/internal/agent/owner/forecast.go
@@ -28,6 +28,7 @@
 
 // demand is what an arriving request asks of the owner.
 type demand struct {
+	body     transfer
 	run      time.Duration // expected
 	aim      time.Duration // rest of the time within which the answer is worth most, 0: over or not known
 	deadline time.Duration // rest of the time within which it is worth anything
@@ -59,6 +60,12 @@
 	return time.Duration(float64(wait) / max(1-blg.short, leastSpare))
 }
 
+// lateStart returns when a slot is free for a request that goes behind all work with an aim.
+func (blg backlog) lateStart() time.Duration {
+	spare := max(1-blg.load, leastSpare)
+	return time.Duration(float64(blg.rest()+blg.all) / float64(blg.slots) / spare)
+}
+
 // earliest returns the position of the least time.
 func earliest(times []time.Duration) int {
 	best := 0
@@ -93,18 +100,20 @@
 	if blg.slots == 0 {
 		return refused, leastReturn
 	}
-	if len(blg.rests) < blg.slots && blg.all == 0 {
+	free := len(blg.rests) < blg.slots && blg.all == 0
+	if free && dmd.body.last == 0 {
 		if dmd.aim >= dmd.run {
 			return timely, 0
 		}
 		return late, 0
 	}
-	wait := blg.start()
+	wait, lateWait := dmd.body.inTurn, dmd.body.last
+	if !free {
+		wait, lateWait = max(wait, blg.start()), max(lateWait, blg.lateStart())
+	}
 	if wait+dmd.run+dmd.run/runMargin <= dmd.aim {
 		return timely, 0
 	}
-	spare := max(1-blg.load, leastSpare)
-	lateWait := time.Duration(float64(blg.rest()+blg.all) / float64(blg.slots) / spare)
 	if lateWait <= time.Duration(lateShare*float64(dmd.deadline-dmd.run)) {
 		return late, 0
 	}
@@ -202,7 +211,7 @@
 	if !tck.aimed {
 		return nil
 	}
-	dmd := demand{run: tck.run, aim: tck.aim.Sub(now), deadline: tck.deadline.Sub(now)}
+	dmd := demand{run: tck.run, aim: tck.aim.Sub(now), deadline: tck.deadline.Sub(now), body: own.inf.forecast(tck, now)}
 	vdt, wait := judge(dmd, own.backlog(tck, now))
 	tck.late = vdt != timely
 	if vdt == refused {
@@ -210,6 +219,7 @@
 	}
 	if !tck.late {
 		own.arr.note(tck.att.Open().GetRoute(), dmd.aim, tck.run, now)
+		own.inf.pace.accept(tck.bodyBytes(), now)
 	}
 	return nil
 }
--- a/internal/agent/owner/inflow.go
+++ b/internal/agent/owner/inflow.go
@@ -31,6 +31,7 @@
 	queue     queue // bodies that have not been asked for
 	receiving int   // bodies that have been asked for, until their requests have slots or wait for them
 	pending   int64 // bytes of these that are on their way
+	pace      pace
 }
 
 // size returns the number of requests that wait for their bodies.
@@ -57,7 +58,7 @@
 	if !tck.asked {
 		return
 	}
-	tck.asked = false
+	tck.asked, tck.transfer = false, 0
 	inf.receiving--
 	inf.yield(tck)
 }
@@ -144,7 +145,7 @@
 	for len(buf) < cap(buf) {
 		num, err := tck.bdy.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+num]
-		own.progress(tck)
+		own.progress(tck, num)
 		if err == io.EOF {
 			tck.hold(buf)
 			return nil
@@ -178,11 +179,12 @@
 	tck.held = tck.att.WithBody(buf, tck.bdy, tck.att.Open().GetBodyLength())
 }
 
-// progress notes that a part of a body has come, and asks for further ones.
-func (own *Owner) progress(tck *ticket) {
+// progress notes that num bytes of a body have come, and asks for further bodies.
+func (own *Owner) progress(tck *ticket, num int) {
 	now := time.Now()
 	own.mu.Lock()
 	defer own.mu.Unlock()
+	own.inf.pace.note(num, own.inf.queue.Len() > 0, now)
 	if tck.expected == 0 {
 		return
 	}
--- a/internal/agent/owner/inflow_test.go
+++ b/internal/agent/owner/inflow_test.go
@@ -181,6 +181,48 @@
 	})
 }
 
+// TestLinkForecast guards against uploads beyond what the link carries that are refused late, and that make all others late.
+func TestLinkForecast(t *testing.T) {
+	const (
+		uploads  = 300
+		size     = 60_000
+		interval = 32 * time.Millisecond // half as much again as the link carries
+		aim      = 1500 * time.Millisecond
+		soon     = 50 * time.Millisecond // in which a refusal must come
+		least    = 0.85                  // share of the link's capacity that answers in time must use
+	)
+	bubble(t, 18, func(t *testing.T, bnc *bench) {
+		bnc.ses.svc.QueueLimit = 100
+		var runs, timely, unfair atomic.Int32
+		bnc.bck.do = readAll(460*time.Millisecond, &runs)
+		lnk := &fakeLink{}
+		edit := func(opn *peerpb.Open, _ *linkBody) {
+			opn.TimeoutMs, opn.AimMs, opn.Route = 12_000, uint32(aim.Milliseconds()), "print-upload"
+		}
+		var callers sync.WaitGroup
+		beg := time.Now()
+		for num := range uint64(uploads) {
+			out := bnc.upload(t.Context(), num+1, lnk, size, edit)
+			callers.Go(func() {
+				came := time.Now()
+				err := <-out
+				if err == nil && time.Since(came) <= aim {
+					timely.Add(1)
+				}
+				if err != nil && (refusalOf(err).RetryAfter() == 0 || time.Since(came) > soon) {
+					unfair.Add(1)
+				}
+			})
+			time.Sleep(interval)
+		}
+		capacity := time.Since(beg).Seconds() * linkRate / size
+		callers.Wait()
+		t.Logf("%d runs, %d timely, %d refused late or without advice, capacity %.0f", runs.Load(), timely.Load(), unfair.Load(), capacity)
+		must.Less(t, 0.05*uploads, float64(unfair.Load()))
+		must.Greater(t, least*capacity, float64(timely.Load()))
+	})
+}
+
 // TestStalledBody guards against one caller that holds up the bodies of others, and against a request that waits for its body past its deadline.
 func TestStalledBody(t *testing.T) {
 	tests := map[string]int{"from the first byte": 200 << 10, "in the middle": 100 << 10}
