owner: a body that waits behind others on the link does not stall

Cause: each body that got no byte for 100 ms stopped to count as on its way.

Change: bodies stop to count only when nothing at all has come for 100 ms, or after 1 s each. 32 KB may be on their way in place of 48, and chunks are 16 KB in place of 32, so that progress is seen on slower links.

--- a/internal/agent/owner/inflow.go
+++ b/internal/agent/owner/inflow.go
@@ -17,20 +17,21 @@
 	// receivedBody is how much of a body is received before the request gets its slot, in bytes; what follows streams to the backend server.
 	receivedBody = 256 << 10
 	// pendingBytes is how much may be on its way before a further body is asked for: more would only lengthen the queue on this host's link, in which short messages wait, and less would leave the link idle between two bodies.
-	pendingBytes = 48 << 10
+	pendingBytes = 32 << 10
 	// streamBytes is the most that one body can have on its way; it is the flow control window of a stream between agents.
 	streamBytes = 128 << 10
-	// stallCheck is the time within which a body must make progress to count as on its way.
+	// stallCheck is the time without a byte of any body after which those that are awaited no longer count as on their way.
 	stallCheck = 100 * time.Millisecond
 	// longestHold is how long one body counts as on its way at most, so that a slow caller does not hold up the others.
-	longestHold = 500 * time.Millisecond
+	longestHold = time.Second
 )
 
 // inflow holds the requests whose bodies come to this agent before they get slots; the owner's mutex guards it.
 type inflow struct {
-	queue     queue // bodies that have not been asked for
-	receiving int   // bodies that have been asked for, until their requests have slots or wait for them
-	pending   int64 // bytes of these that are on their way
+	queue     queue     // bodies that have not been asked for
+	receiving int       // bodies that have been asked for, until their requests have slots or wait for them
+	pending   int64     // bytes of these that are on their way
+	moved     time.Time // when the last part of any body came
 	pace      pace
 }
 
@@ -39,7 +40,8 @@
 
 // expect counts the body of a ticket as on its way.
 func (inf *inflow) expect(tck *ticket) {
-	tck.asked, tck.moved = true, time.Now()
+	tck.asked = true
+	inf.moved = time.Now()
 	tck.expected = onTheWay(tck.bdy.remaining())
 	inf.pending += tck.expected
 	inf.receiving++
@@ -184,11 +186,11 @@
 	now := time.Now()
 	own.mu.Lock()
 	defer own.mu.Unlock()
+	own.inf.moved = now
 	own.inf.pace.note(num, own.inf.queue.Len() > 0, now)
 	if tck.expected == 0 {
 		return
 	}
-	tck.moved = now
 	left := min(tck.expected, onTheWay(tck.bdy.remaining()))
 	own.inf.pending -= tck.expected - left
 	tck.expected = left
@@ -217,11 +219,11 @@
 	}
 }
 
-// checkStall lets others go on while a body makes no progress or takes long.
+// checkStall lets others go on when nothing comes or a body takes long. A body that waits behind others on the link does not stall.
 func (own *Owner) checkStall(tck *ticket, beg, now time.Time) {
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	if tck.expected == 0 || now.Sub(tck.moved) < stallCheck && now.Sub(beg) < longestHold {
+	if tck.expected == 0 || now.Sub(own.inf.moved) < stallCheck && now.Sub(beg) < longestHold {
 		return
 	}
 	own.cnt.Event("body_stalled")
--- a/internal/agent/owner/queue.go
+++ b/internal/agent/owner/queue.go
@@ -46,7 +46,6 @@
 	held     *siskinrill.Attempt // with what was received of its body, nil while nothing was
 	asked    bool                // its body was asked for
 	expected int64               // bytes of its body that count as on their way
-	moved    time.Time           // when the last part of its body came
 	transfer time.Duration       // of its body, expected, 0 once it is here
 	ttl      time.Duration       // of its idempotency record
 	cancel   context.CancelFunc
--- a/internal/agent/peer/body.go
+++ b/internal/agent/peer/body.go
@@ -15,7 +15,7 @@
 	// An answer's body up to this length travels in the first message.
 	smallBody = 64 << 10
 	// Longer bodies are cut into chunks, so that others on the same connection get their turn.
-	chunkSize = 32 << 10
+	chunkSize = 16 << 10
 )
 
 var chunks = sync.Pool{New: func() any {
