caller: log the requests that have no answer when a stop ends

The log now has one line for each (at most 50) with the caller's request id, route, service, stage (locate, attempt, settle, answer), owner, tries, age and time left, and the counts of the agent at that time. No logic changes.

--- a/internal/agent/caller/call.go
+++ b/internal/agent/caller/call.go
@@ -105,6 +105,7 @@
 		left = min(left, cal.pause)
 		cal.pause = min(2*cal.pause, 16*cal.han.opt.Poll)
 	}
+	cal.position.enter(stageLocate)
 	beg := time.Now()
 	ctx, cancel := context.WithTimeout(cal.req.Context(), left)
 	defer cancel()
@@ -145,6 +146,9 @@
 		return nil, siskinrill.NotRun(siskinrill.ReasonCallerGone)
 	}
 	cal.tries++
+	cal.position.enter(stageAttempt)
+	cal.position.owner.Store(tgt.shard.GetOwner())
+	cal.position.tries.Add(1)
 	cal.began = time.Now()
 	if cal.atMostOnce() {
 		return cal.tryOnce(tgt)
--- a/internal/agent/caller/handler.go
+++ b/internal/agent/caller/handler.go
@@ -32,6 +32,7 @@
 	weights     *weights
 	loads       loads
 	firsts      firsts
+	inHand      inHand
 	// The newest session, kept because attempt ids must stay unique while a new one is being registered.
 	entry atomic.Uint64
 }
@@ -53,6 +54,7 @@
 		outstanding: outstanding{counts: map[uint64]int{}},
 		weights:     newWeights(),
 		firsts:      firsts{full: map[string]time.Duration{}},
+		inHand:      inHand{calls: map[*call]struct{}{}},
 		loads:       loads{seen: map[uint64]seenLoad{}, runs: map[string]time.Duration{}},
 	}
 }
@@ -67,8 +69,11 @@
 		han.refuse(wri, req, ref)
 		return
 	}
+	han.inHand.add(cal)
+	defer han.inHand.remove(cal)
 	defer cal.finish()
 	ans, ref := cal.serve()
+	cal.position.enter(stageAnswer)
 	if cal.body.unread() {
 		// The rest of a body must never be taken for the next request.
 		wri.Header().Set("Connection", "close")
@@ -105,7 +110,9 @@
 	headers  []*peerpb.HeaderField
 	body     *body
 	deadline time.Time
-	aim      time.Time     // within which an answer is worth most, zero: not known
+	aim      time.Time // within which an answer is worth most, zero: not known
+	arrived  time.Time
+	position position
 	held     time.Duration // waited for an owner so far
 	pause    time.Duration // next pause without news from control
 	tries    int
@@ -135,7 +142,7 @@
 	if rte == nil {
 		return nil, siskinrill.NotRun(rsn)
 	}
-	cal := &call{han: han, req: req, route: rte, key: key, pause: han.opt.Poll}
+	cal := &call{han: han, req: req, route: rte, key: key, pause: han.opt.Poll, arrived: time.Now()}
 	cal.service = han.session.Service(han.weights.choose(rte))
 	if cal.service == nil {
 		return nil, siskinrill.NotRun(siskinrill.ReasonNoRoute)
--- a/internal/agent/caller/options.go
+++ b/internal/agent/caller/options.go
@@ -13,6 +13,8 @@
 type Options struct {
 	// Logger is logrus's standard logger when nil.
 	Logger *logrus.Logger
+	// RequestIDHeader names the header with the caller's id of a request, which the log tells, X-Request-Id by default.
+	RequestIDHeader string
 	// Grace is how long past its deadline a request that must not run twice waits for proof of what became of it, 100 ms by default.
 	Grace time.Duration
 	// Poll is the first pause before an owner that could not serve is asked again without news from control, 25 ms by default; it doubles up to 16 times itself.
@@ -22,6 +24,7 @@
 }
 
 func (opt Options) withDefaults() Options {
+	opt.RequestIDHeader = cmp.Or(opt.RequestIDHeader, "X-Request-Id")
 	opt.Grace = cmp.Or(opt.Grace, 100*time.Millisecond)
 	opt.Poll = cmp.Or(opt.Poll, 25*time.Millisecond)
 	if opt.MaxWaiting <= 0 {
--- a/internal/agent/caller/withdraw.go
+++ b/internal/agent/caller/withdraw.go
@@ -14,6 +14,7 @@
 // settle asks the owner what became of an attempt whose answer was lost, until it knows or the time is up.
 func (cal *call) settle(ctx context.Context, tgt target, aid *peerpb.AttemptId, ref *siskinrill.Refusal) (*siskinrill.Answer, *siskinrill.Refusal) {
 	cal.han.counters.Event("withdraw")
+	cal.position.enter(stageSettle)
 	ctx, cancel := context.WithDeadline(ctx, cal.deadline.Add(cal.han.opt.Grace))
 	defer cancel()
 	pause := cal.han.opt.Poll
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -50,6 +50,8 @@
 	Backend  net.Listener // for announcements, opened at Settings.BackendListen when nil
 	Admin    net.Listener // for the admin API, opened at Settings.Admin.Listen when nil
 	Logger   *logrus.Logger
+	// RequestIDHeader names the header with the caller's id of a request, X-Request-Id by default.
+	RequestIDHeader string
 	// Callers' requests and those to the backend server pass these when set, to translate headers.
 	Translate func(next http.Handler) http.Handler
 	Transport func(pool http.RoundTripper) http.RoundTripper
@@ -132,7 +134,7 @@
 	prc.session.SetLoadSource(prc.owner)
 	prc.server = grpc.NewServer(peer.ServerOptions()...)
 	peer.NewServer(prc.owner, prc.session).Register(prc.server)
-	hdl := caller.New(caller.Options{Logger: opt.Logger}, prc.session, prc.pool, prc.owner, prc.counters)
+	hdl := caller.New(caller.Options{Logger: opt.Logger, RequestIDHeader: opt.RequestIDHeader}, prc.session, prc.pool, prc.owner, prc.counters)
 	prc.entry = hdl
 	prc.callers = prc.closing(hdl)
 	if opt.Translate != nil {
@@ -309,7 +311,9 @@
 		}
 		time.Sleep(drainPoll)
 	}
-	log.Warn("agent: Requests still run at the stop.")
+	lod := prc.owner.InHand()
+	log.WithFields(logrus.Fields{"callers": prc.inFlight.Load(), "running": lod.GetRunning(), "queued": lod.GetQueued()}).Warn("agent: Requests still run at the stop.")
+	prc.entry.LogInHand("A request has no answer at the stop.")
 }
 
 // linger gives callers time to close their connections.
