--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	$(GO) build $(PACKAGES)
 
 # Tests that run whole deployments as separate processes have bounds in time, so they run one after the other and after all others.
-PROCESS_TESTS = ./examples ./internal/bench/deployment ./internal/bench/scale
+PROCESS_TESTS = ./examples ./internal/bench/deployment ./internal/bench/scale ./internal/process/agent
 
 # KNOWN-RED.txt is printed; its tests among PROCESS_TESTS are passed over, others still run.
 KNOWN_RED = $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
@@ -17,7 +17,7 @@
 
 test:
 	@test ! -f KNOWN-RED.txt || cat KNOWN-RED.txt
-	$(GO) test -race -timeout 8m $$($(GO) list $(PACKAGES) | grep -vE '/examples$$|/bench/deployment$$|/bench/scale$$')
+	$(GO) test -race -timeout 8m $$($(GO) list $(PACKAGES) | grep -vE '/examples$$|/bench/deployment$$|/bench/scale$$|/process/agent$$')
 	$(GO) test -race -timeout 8m -p 1 $(SKIP) $(PROCESS_TESTS)
 
 fmt:
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -23,6 +23,7 @@
 	"github.com/siskinrill/siskinrill/internal/config/settings"
 	"github.com/siskinrill/siskinrill/internal/process/actor"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
 
 const (
@@ -324,3 +325,9 @@
 		}
 	}
 }
+
+// Requests returns the number of callers' requests that have no answer yet.
+func (prc *Process) Requests() int { return int(prc.inFlight.Load()) }
+
+// InHand returns what this agent runs at its backend server and queues for it.
+func (prc *Process) InHand() *peerpb.OwnerLoad { return prc.owner.InHand() }
--- /dev/null
+++ b/internal/process/agent/stop_test.go
@@ -0,0 +1,182 @@
+package agent_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/siskinrill/siskinrill"
+	adminhttp "github.com/siskinrill/siskinrill/internal/admin/http"
+	"github.com/siskinrill/siskinrill/internal/bench/standin"
+	"github.com/siskinrill/siskinrill/internal/config/settings"
+	"github.com/siskinrill/siskinrill/internal/process/actor"
+	"github.com/siskinrill/siskinrill/internal/process/agent"
+	"github.com/siskinrill/siskinrill/internal/process/control"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	// longRun is a run that lasts longer than any stop of the tests.
+	longRun = time.Minute
+	// stopMargin is what a stop may take beside its drain timeout: the wait for callers to leave, and the answers.
+	stopMargin = 4 * time.Second
+)
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	outcome string
+	err     error
+}
+
+// deployment is a control process, an agent, and a stand-in with one slot beside it.
+type deployment struct {
+	agent *agent.Process
+	url   string // for callers
+	stop  func() // ends the agent like SIGTERM
+	ended chan error
+}
+
+func quietLog() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// run runs a process until the test or the returned function ends it.
+func run(t *testing.T, fn func(ctx context.Context) error) (context.CancelFunc, chan error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	end := make(chan error, 1)
+	go func() { end <- fn(ctx) }()
+	t.Cleanup(cancel)
+	return cancel, end
+}
+
+func startControl(t *testing.T) string {
+	lis, err := actor.Listen("127.0.0.1:0")
+	must.NoError(t, err)
+	adm, err := actor.Listen("127.0.0.1:0")
+	must.NoError(t, err)
+	adr := lis.Addr().String()
+	prc, err := control.New(control.Options{
+		Settings: settings.Control{
+			Place: settings.Place{Name: "control-1", Zone: "a", Region: "r"}, Listen: adr, Data: t.TempDir(), StopTimeout: time.Second,
+			InitialMembers: map[string]string{"control-1": adr}, MemberOrder: []string{"control-1"},
+		},
+		Listener: lis, Admin: adm, Logger: quietLog(),
+	})
+	must.NoError(t, err)
+	run(t, prc.Run)
+	return adr
+}
+
+func start(t *testing.T, set settings.Agent) *deployment {
+	ctl := startControl(t)
+	set.Place = settings.Place{Name: "agent-1", Zone: "a", Region: "r"}
+	set.Control = []string{ctl}
+	set.PeerListen, set.Admin.Listen = "127.0.0.1:0", "127.0.0.1:0"
+	cal, err := actor.Listen("127.0.0.1:0")
+	must.NoError(t, err)
+	bck, err := actor.Listen("127.0.0.1:0")
+	must.NoError(t, err)
+	prc, err := agent.New(agent.Options{Settings: set, Callers: cal, Backend: bck, Logger: quietLog()})
+	must.NoError(t, err)
+	dep := &deployment{agent: prc, url: "http://" + cal.Addr().String()}
+	dep.stop, dep.ended = run(t, prc.Run)
+	srv, err := standin.New(standin.Options{ID: "orders-1", Service: "orders", Agent: bck.Addr().String(), Slots: 1, Median: longRun})
+	must.NoError(t, err)
+	t.Cleanup(srv.Close)
+	run(t, srv.Run)
+	dep.configure(t, ctl)
+	return dep
+}
+
+// configure adds a service with one backend server and one that has none.
+func (dep *deployment) configure(t *testing.T, ctl string) {
+	opr := adminhttp.NewOperator(ctl)
+	defer opr.Close()
+	cfg := &controlpb.Configuration{Number: 1}
+	for _, name := range []string{"orders", "absent"} {
+		cfg.Services = append(cfg.Services, &controlpb.Service{Name: name, Partitions: 16, QueueLimit: 8, HoldMs: uint32(longRun.Milliseconds())})
+		cfg.Routes = append(cfg.Routes, &controlpb.Route{
+			Name: name, Method: "POST", Path: "/" + name + "/{key}", Service: name,
+			Kind: controlpb.RequestKind_REQUEST_KIND_NON_IDEMPOTENT, TimeoutMs: uint32(longRun.Milliseconds()),
+		})
+	}
+	await(t, func() bool {
+		ans, err := opr.Apply(t.Context(), &controlpb.ApplyRequest{ChangeId: uuid.NewString(), Configuration: cfg, Operator: "test"})
+		return err == nil && ans.GetRecord().GetAccepted()
+	})
+	await(t, func() bool { return dep.agent.Ready() == nil && dep.agent.TakesCallers() == nil })
+}
+
+func await(t *testing.T, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !cond(); time.Sleep(20 * time.Millisecond) {
+		must.True(t, time.Now().Before(end), must.Sprint("the condition does not come true"))
+	}
+}
+
+// post sends a request in the background.
+func (dep *deployment) post(path string) <-chan answer {
+	out := make(chan answer, 1)
+	go func() {
+		res, err := http.Post(dep.url+path, "text/plain", strings.NewReader("x"))
+		if err != nil {
+			out <- answer{err: err}
+			return
+		}
+		_, err = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+		out <- answer{status: res.StatusCode, outcome: res.Header.Get(siskinrill.HeaderOutcome), err: err}
+	}()
+	return out
+}
+
+// TestStopCutsRequests guards against a stop that closes the connections of requests which last longer than it, without an answer.
+func TestStopCutsRequests(t *testing.T) {
+	for name, set := range map[string]settings.Agent{
+		"keeps its keys": {KeepKeys: true, DrainTimeout: 4 * time.Second},
+		"drains":         {DrainTimeout: time.Second},
+		"does not drain": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			dep := start(t, set)
+			running := dep.post("/orders/k1")
+			await(t, func() bool { return dep.agent.InHand().GetRunning() == 1 })
+			queued := dep.post("/orders/k2")
+			await(t, func() bool { return dep.agent.InHand().GetQueued() == 1 })
+			absent := dep.post("/absent/k3")
+			await(t, func() bool { return dep.agent.Requests() == 3 })
+			dep.stop()
+			select {
+			case err := <-dep.ended:
+				must.NoError(t, err)
+			case <-time.After(set.DrainTimeout + stopMargin):
+				t.Fatal("the stop takes too long")
+			}
+			for _, cse := range []struct {
+				name string
+				got  <-chan answer
+				want answer
+			}{
+				{"running", running, answer{status: http.StatusBadGateway, outcome: "unknown"}},
+				{"queued", queued, answer{status: http.StatusServiceUnavailable, outcome: "not_run"}},
+				{"without an owner", absent, answer{status: http.StatusServiceUnavailable, outcome: "not_run"}},
+			} {
+				got := <-cse.got
+				must.NoError(t, got.err, must.Sprint(cse.name))
+				must.Eq(t, cse.want.status, got.status, must.Sprint(cse.name))
+				must.Eq(t, cse.want.outcome, got.outcome, must.Sprint(cse.name))
+			}
+		})
+	}
+}
