--- a/internal/agent/caller/call.go
+++ b/internal/agent/caller/call.go
@@ -94,6 +94,9 @@
 	if left <= 0 {
 		return cal.expired(rsn)
 	}
+	if cal.han.ending() {
+		return siskinrill.NotRun(siskinrill.ReasonDraining).WithRetryAfter(leastRetryAfter)
+	}
 	// A call that waits is nobody's load, so that a lost owner's limit does not refuse those who come after.
 	cal.finish()
 	defer cal.han.waiting.Add(-1)
@@ -109,6 +112,7 @@
 	beg := time.Now()
 	ctx, cancel := context.WithTimeout(cal.req.Context(), left)
 	defer cancel()
+	defer context.AfterFunc(cal.han.stop.withdrawn, cancel)()
 	_ = cal.han.session.Await(ctx, ver)
 	cal.held += time.Since(beg)
 	return nil
@@ -157,13 +161,14 @@
 	if after > 0 && cal.body.whole {
 		return cal.tryHedged(tgt, after)
 	}
-	ctx, cancel := context.WithDeadline(cal.req.Context(), cal.deadline)
+	ctx, cancel := cal.han.attemptContext(cal.req.Context(), cal.deadline)
 	ans, ref := cal.send(ctx, tgt, cal.open(tgt))
 	return bound(ans, ref, cancel)
 }
 
 // send hands an attempt to the owner, which may be this agent.
 func (cal *call) send(ctx context.Context, tgt target, opn *peerpb.Open) (*siskinrill.Answer, *siskinrill.Refusal) {
+	defer context.AfterFunc(cal.han.stop.withdrawn, func() { cal.leave(context.WithoutCancel(ctx), tgt, opn.GetAttempt()) })()
 	att := siskinrill.NewAttempt(opn, cal.body.reader())
 	var ans *siskinrill.Answer
 	var err error
@@ -180,7 +185,7 @@
 	if !errors.As(err, &ref) {
 		ref = siskinrill.Unknown(siskinrill.ReasonInternal, err)
 	}
-	return nil, ref
+	return nil, cal.aborted(ref)
 }
 
 // noteLoad keeps what the owner told of its load with its answer or refusal.
--- a/internal/agent/caller/fakes_test.go
+++ b/internal/agent/caller/fakes_test.go
@@ -213,7 +213,11 @@
 	case res := <-ended:
 		return res()
 	case <-ctx.Done():
-		return nil, siskinrill.Unknown(siskinrill.ReasonDeadline, ctx.Err())
+		rsn := siskinrill.ReasonDeadline
+		if errors.Is(ctx.Err(), context.Canceled) {
+			rsn = siskinrill.ReasonCallerGone
+		}
+		return nil, siskinrill.Unknown(rsn, ctx.Err())
 	}
 }
 
--- a/internal/agent/caller/handler.go
+++ b/internal/agent/caller/handler.go
@@ -28,6 +28,7 @@
 	outstanding outstanding
 	attempts    atomic.Uint64
 	closed      atomic.Bool
+	stop        stop
 	waiting     atomic.Int64
 	weights     *weights
 	loads       loads
@@ -54,14 +55,12 @@
 		outstanding: outstanding{counts: map[uint64]int{}},
 		weights:     newWeights(),
 		firsts:      firsts{full: map[string]time.Duration{}},
+		stop:        newStop(),
 		inHand:      inHand{calls: map[*call]struct{}{}},
 		loads:       loads{seen: map[uint64]seenLoad{}, runs: map[string]time.Duration{}},
 	}
 }
 
-// Close refuses all further requests with proof that they do not run; those in hand go on.
-func (han *Handler) Close() { han.closed.Store(true) }
-
 // ServeHTTP carries a request to the owner of its key and its answer back.
 func (han *Handler) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
 	cal, ref := han.accept(wri, req)
--- a/internal/agent/caller/handler_test.go
+++ b/internal/agent/caller/handler_test.go
@@ -336,3 +336,47 @@
 	must.False(t, malformed("HEAD", siskinrill.NewAnswer(&peerpb.Response{Status: 200, BodyLength: 3, BodyEnd: true}, nil)))
 	must.False(t, malformed("GET", siskinrill.NewAnswer(&peerpb.Response{Status: 200, BodyLength: -1, Body: []byte("xy")}, bdy)))
 }
+
+// TestStopAnswersAll guards against requests that get no answer, a false one, or a further attempt while their agent stops.
+func TestStopAnswersAll(t *testing.T) {
+	const (
+		withdrawAt = time.Second
+		abortAt    = 2 * time.Second
+	)
+	cases := map[string]struct {
+		method  string
+		fault   fault
+		orphan  bool // the key has no owner
+		status  int
+		outcome string
+		runs    int
+		took    time.Duration
+	}{
+		"no owner":                    {method: "POST", orphan: true, status: 503, outcome: "not_run", took: withdrawAt},
+		"withdrawn in the queue":      {method: "POST", fault: fault{queued: 1500 * time.Millisecond}, status: 503, outcome: "not_run", took: 1500 * time.Millisecond},
+		"idempotent one in the queue": {method: "GET", fault: fault{queued: 1500 * time.Millisecond}, status: 503, outcome: "not_run", took: 1500 * time.Millisecond},
+		"ends in time":                {method: "POST", fault: fault{busy: 1500 * time.Millisecond}, status: 200, outcome: "complete", runs: 1, took: 1500 * time.Millisecond},
+		"runs on":                     {method: "POST", fault: fault{busy: 4 * time.Second}, status: 502, outcome: "unknown", runs: 1, took: abortAt},
+		"idempotent one runs on":      {method: "GET", fault: fault{busy: 4 * time.Second}, status: 502, outcome: "unknown", runs: 1, took: abortAt},
+		"upload runs on":              {method: "PUT", fault: fault{busy: 4 * time.Second}, status: 502, outcome: "unknown", runs: 1, took: abortAt},
+		"lost, owner frozen":          {method: "POST", fault: fault{lost: true, frozen: true}, status: 502, outcome: "unknown", runs: 1, took: abortAt},
+		"not to be tried again":       {method: "GET", fault: fault{lost: true, busy: 1500 * time.Millisecond}, status: 502, outcome: "unknown", runs: 1, took: 1500 * time.Millisecond},
+	}
+	for name, cse := range cases {
+		bubble(t, name, func(t *testing.T, fix *fixture) {
+			if cse.orphan {
+				fix.ses.move(0, controlpb.Phase_PHASE_ORPHAN)
+			}
+			fix.own.script["r1"] = []fault{cse.fault}
+			time.AfterFunc(withdrawAt, fix.han.WithdrawQueued)
+			time.AfterFunc(abortAt, fix.han.Abort)
+			tld := fix.ask(newRequest(cse.method, "r1", []byte("body")))
+			must.Eq(t, cse.status, tld.status)
+			must.Eq(t, cse.outcome, tld.outcome)
+			must.Eq(t, cse.took, tld.took)
+			fix.own.mu.Lock()
+			defer fix.own.mu.Unlock()
+			must.Eq(t, cse.runs, fix.own.runs["r1"])
+		})
+	}
+}
--- a/internal/agent/caller/hedge.go
+++ b/internal/agent/caller/hedge.go
@@ -53,7 +53,7 @@
 }
 
 func (rac *race) start() {
-	ctx, cancel := context.WithDeadline(rac.cal.req.Context(), rac.cal.deadline)
+	ctx, cancel := rac.cal.han.attemptContext(rac.cal.req.Context(), rac.cal.deadline)
 	num := len(rac.cancels)
 	rac.cancels = append(rac.cancels, cancel)
 	rac.left++
--- a/internal/agent/caller/retry.go
+++ b/internal/agent/caller/retry.go
@@ -61,7 +61,7 @@
 	if cal.atMostOnce() && !ref.NotRun() {
 		return ref
 	}
-	if cal.req.Context().Err() != nil || !cal.body.repeatable() {
+	if cal.req.Context().Err() != nil || cal.han.ending() || !cal.body.repeatable() {
 		return ref
 	}
 	if cal.elsewhere(tgt, ref) {
@@ -154,8 +154,11 @@
 	opn := cal.open(tgt)
 	// A request that may have started is left to finish when its caller is gone; only its queued attempt is withdrawn.
 	base := context.WithoutCancel(cal.req.Context())
-	ctx, cancel := context.WithDeadline(base, cal.sendUntil(tgt))
-	gone := context.AfterFunc(cal.req.Context(), func() { cal.leave(base, tgt, opn.GetAttempt()) })
+	ctx, cancel := cal.han.attemptContext(base, cal.sendUntil(tgt))
+	gone := context.AfterFunc(cal.req.Context(), func() {
+		cal.han.counters.Event("caller_gone")
+		cal.leave(base, tgt, opn.GetAttempt())
+	})
 	ans, ref := cal.send(ctx, tgt, opn)
 	gone()
 	if ref == nil || ref.NotRun() || !lost(ref.Reason()) {
--- /dev/null
+++ b/internal/agent/caller/stop.go
@@ -0,0 +1,59 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"github.com/siskinrill/siskinrill"
+)
+
+// stop holds the last two steps of a handler's stop; each is done once its step has begun.
+type stop struct {
+	withdrawn context.Context // no attempt begins, those that wait at their owners are withdrawn
+	withdraw  context.CancelFunc
+	aborted   context.Context // no attempt is waited for
+	abort     context.CancelFunc
+}
+
+func newStop() stop {
+	stp := stop{}
+	stp.withdrawn, stp.withdraw = context.WithCancel(context.Background())
+	stp.aborted, stp.abort = context.WithCancel(context.Background())
+	return stp
+}
+
+// Close refuses all further requests with proof that they do not run; those in hand go on.
+func (han *Handler) Close() { han.closed.Store(true) }
+
+// WithdrawQueued refuses the requests in hand that have no owner, and withdraws the attempts that have not started.
+func (han *Handler) WithdrawQueued() {
+	han.Close()
+	han.stop.withdraw()
+}
+
+// Abort ends the wait for all attempts, so that each request in hand gets its answer at once; that of one which may run tells so.
+func (han *Handler) Abort() {
+	han.WithdrawQueued()
+	han.stop.abort()
+}
+
+// ending reports whether no further attempt may begin.
+func (han *Handler) ending() bool { return han.stop.withdrawn.Err() != nil }
+
+// attemptContext returns a context that ends at a time and when the handler aborts its requests.
+func (han *Handler) attemptContext(ctx context.Context, end time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(ctx, end)
+	unbind := context.AfterFunc(han.stop.aborted, cancel)
+	return ctx, func() {
+		unbind()
+		cancel()
+	}
+}
+
+// aborted returns the refusal of an attempt that ended because the handler aborts its requests, and any other unchanged.
+func (cal *call) aborted(ref *siskinrill.Refusal) *siskinrill.Refusal {
+	if ref.Reason() != siskinrill.ReasonCallerGone || cal.req.Context().Err() != nil || cal.han.stop.aborted.Err() == nil {
+		return ref
+	}
+	return siskinrill.NewRefusal(siskinrill.ReasonDraining, ref.Outcome(), ref)
+}
--- a/internal/agent/caller/withdraw.go
+++ b/internal/agent/caller/withdraw.go
@@ -15,7 +15,7 @@
 func (cal *call) settle(ctx context.Context, tgt target, aid *peerpb.AttemptId, ref *siskinrill.Refusal) (*siskinrill.Answer, *siskinrill.Refusal) {
 	cal.han.counters.Event("withdraw")
 	cal.position.enter(stageSettle)
-	ctx, cancel := context.WithDeadline(ctx, cal.deadline.Add(cal.han.opt.Grace))
+	ctx, cancel := cal.han.attemptContext(ctx, cal.deadline.Add(cal.han.opt.Grace))
 	defer cancel()
 	pause := cal.han.opt.Poll
 	for ctx.Err() == nil {
@@ -77,11 +77,10 @@
 	return cal.han.session.Node(tgt.shard.GetOwner()) == nil
 }
 
-// leave withdraws a queued attempt of a caller that is gone; one that has started is left to finish.
+// leave withdraws a queued attempt whose caller is gone or whose agent stops; one that has started is left to finish.
 func (cal *call) leave(ctx context.Context, tgt target, aid *peerpb.AttemptId) {
 	ctx, cancel := context.WithTimeout(ctx, longestWithdraw)
 	defer cancel()
-	cal.han.counters.Event("caller_gone")
 	_, _ = cal.withdraw(ctx, tgt, aid, 0)
 }
 
--- a/internal/agent/owner/owner.go
+++ b/internal/agent/owner/owner.go
@@ -88,6 +88,15 @@
 	own.closed = true
 }
 
+// DismissQueued refuses the attempts that wait for a slot, with proof that they do not run.
+func (own *Owner) DismissQueued() {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	for own.que.Len() > 0 {
+		own.dismiss(own.que[0], siskinrill.ReasonDraining)
+	}
+}
+
 // InHand returns what this agent runs and queues now.
 func (own *Owner) InHand() *peerpb.OwnerLoad {
 	own.mu.Lock()
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -27,8 +27,12 @@
 )
 
 const (
-	// adminGrace is how long requests to the admin and backend listeners have to finish at a stop.
+	// adminGrace is how long requests to the admin and backend listeners have to finish at a stop, and at least those of callers.
 	adminGrace = 500 * time.Millisecond
+	// startedTime is how long before the end of a stop requests that have not started are refused, so that those that have can end.
+	startedTime = time.Second
+	// answerTime is how long the last answers of a stop may take.
+	answerTime = 300 * time.Millisecond
 	// drainPoll is the time between two checks of a drain.
 	drainPoll = 20 * time.Millisecond
 	// lingerTime is how long a drained agent still serves callers, whose connections it asks to close; a request sent on a connection that closes at the same moment is lost to its caller.
@@ -243,7 +247,7 @@
 	var grp run.Group
 	actor.Until(ctx, &grp, prc.drain)
 	// Interrupts run in this order, so callers' requests finish while everything that they need still runs.
-	actor.HTTP(&grp, prc.options.Callers, prc.callers, prc.callerGrace())
+	actor.HTTP(&grp, prc.options.Callers, prc.callers, adminGrace)
 	actor.HTTP(&grp, prc.options.Backend, prc.backend.Handler(), adminGrace)
 	actor.HTTP(&grp, prc.options.Admin, prc.admin, adminGrace)
 	for _, srv := range prc.extra {
@@ -258,28 +262,30 @@
 	return err
 }
 
-// callerGrace is how long requests of callers have to finish after the drain.
-func (prc *Process) callerGrace() time.Duration {
-	if prc.options.Settings.KeepKeys {
-		return adminGrace
-	}
-	return max(prc.options.Settings.DrainTimeout, adminGrace)
-}
-
-// drain waits until the agent owns nothing and has no request in flight, its lease is over, or the time is up; a drain timeout of 0 skips it.
+// drain ends the work of the agent while everything that requests need still runs: callers and keys go elsewhere, and every request in hand gets its answer.
 func (prc *Process) drain() {
 	log := prc.options.Logger.WithField("name", prc.options.Settings.Name)
 	prc.stopping.Store(true)
-	if prc.options.Settings.DrainTimeout == 0 {
-		return
-	}
-	log.Info("agent: Draining.")
-	if prc.options.Settings.KeepKeys {
-		prc.finish(log)
-		return
+	begin, limit := time.Now(), prc.options.Settings.DrainTimeout
+	switch {
+	case limit == 0:
+	case prc.options.Settings.KeepKeys:
+		log.Info("agent: Draining.")
+		prc.awaitLeave(begin)
+	default:
+		log.Info("agent: Draining.")
+		prc.release(log, begin.Add(limit))
+		// Requests that began during the drain may take as long as the drain itself.
+		begin = time.Now()
 	}
+	prc.entry.Close()
+	prc.owner.Close()
+	prc.endRequests(log, begin.Add(max(limit, adminGrace)))
+}
+
+// release waits until the agent owns nothing and has no request in flight, its lease is over, or the time is up.
+func (prc *Process) release(log *logrus.Entry, end time.Time) {
 	prc.session.Drain()
-	end := time.Now().Add(prc.options.Settings.DrainTimeout)
 	for time.Now().Before(end) {
 		if prc.owner.Idle() {
 			log.Info("agent: Drained.")
@@ -296,25 +302,45 @@
 	log.Warn("agent: The drain took too long.")
 }
 
-// finish serves callers until they have gone elsewhere, then refuses new work and waits for what runs; the keys stay with the backend server for the next process beside it.
-func (prc *Process) finish(log *logrus.Entry) {
-	begin := time.Now()
-	end := begin.Add(prc.options.Settings.DrainTimeout)
+// awaitLeave serves callers until they have gone elsewhere; the keys stay with the backend server for the next process beside it.
+func (prc *Process) awaitLeave(begin time.Time) {
 	for time.Since(begin) < leaveTime || time.Since(begin) < longestLeave && time.Since(time.Unix(0, prc.request.Load())) < quietTime {
 		time.Sleep(drainPoll)
 	}
-	prc.entry.Close()
-	prc.owner.Close()
-	for time.Now().Before(end) {
+}
+
+// endRequests returns once every request in hand has its answer, shortly after a time at the latest: some time before it those that have not started are refused, then those that still run are answered as unknown.
+func (prc *Process) endRequests(log *logrus.Entry, end time.Time) {
+	if prc.idleBy(end.Add(-startedTime)) {
+		log.Info("agent: Finished.")
+		return
+	}
+	prc.entry.WithdrawQueued()
+	prc.owner.DismissQueued()
+	if prc.idleBy(end) {
+		log.Info("agent: Finished without the requests that had not started.")
+		return
+	}
+	lod := prc.owner.InHand()
+	log.WithFields(logrus.Fields{"callers": prc.inFlight.Load(), "running": lod.GetRunning(), "queued": lod.GetQueued()}).Warn("agent: Requests still run at the stop.")
+	prc.entry.LogInHand("A request is answered as unknown at the stop.")
+	prc.entry.Abort()
+	for limit := time.Now().Add(answerTime); prc.inFlight.Load() > 0 && time.Now().Before(limit); {
+		time.Sleep(drainPoll)
+	}
+}
+
+// idleBy waits until no request is in hand, or reports false at a time.
+func (prc *Process) idleBy(end time.Time) bool {
+	for {
 		if lod := prc.owner.InHand(); lod.GetRunning() == 0 && lod.GetQueued() == 0 && prc.inFlight.Load() == 0 {
-			log.Info("agent: Finished.")
-			return
+			return true
+		}
+		if !time.Now().Before(end) {
+			return false
 		}
 		time.Sleep(drainPoll)
 	}
-	lod := prc.owner.InHand()
-	log.WithFields(logrus.Fields{"callers": prc.inFlight.Load(), "running": lod.GetRunning(), "queued": lod.GetQueued()}).Warn("agent: Requests still run at the stop.")
-	prc.entry.LogInHand("A request has no answer at the stop.")
 }
 
 // linger gives callers time to close their connections.
