process: the servers of a process stop together, and the stop of an agent has a file of its own

Cause: the HTTP servers of a process stopped one after the other, each with up to 0.5 s for its requests, after the 4.8 s for those of callers. Change: those other than the callers' stop at the same time. The drain moves to stop.go.

--- a/internal/process/actor/server.go
+++ b/internal/process/actor/server.go
@@ -30,14 +30,26 @@
 	Handler  http.Handler
 }
 
-// HTTP adds an HTTP server to a group; when the group ends, requests in flight have grace to finish.
-func HTTP(grp *run.Group, lis net.Listener, hdl http.Handler, grace time.Duration) {
-	con := &connections{states: map[net.Conn]http.ConnState{}, spare: spareConnections}
-	srv := &http.Server{Handler: con.closing(hdl), ReadHeaderTimeout: headerTimeout, ConnState: con.note}
-	grp.Add(
-		func() error { return served(srv.Serve(lis)) },
-		func(error) { shutdown(srv, lis, con, grace) },
-	)
+// HTTP adds HTTP servers to a group; when the group ends, all of them stop at the same time and requests in flight have grace to finish.
+func HTTP(grp *run.Group, grace time.Duration, srvs ...Server) {
+	stops := make([]func(), len(srvs))
+	var ended sync.WaitGroup
+	for num, itm := range srvs {
+		con := &connections{states: map[net.Conn]http.ConnState{}, spare: spareConnections}
+		srv := &http.Server{Handler: con.closing(itm.Handler), ReadHeaderTimeout: headerTimeout, ConnState: con.note}
+		stops[num] = func() { shutdown(srv, itm.Listener, con, grace) }
+		grp.Add(
+			func() error { return served(srv.Serve(itm.Listener)) },
+			func(error) {
+				if num == 0 {
+					for _, stop := range stops {
+						ended.Go(stop)
+					}
+				}
+				ended.Wait()
+			},
+		)
+	}
 }
 
 // connections follow the states of a server's connections.
--- a/internal/process/actor/server_test.go
+++ b/internal/process/actor/server_test.go
@@ -31,7 +31,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var grp run.Group
 		actor.Until(ctx, &grp, func() {})
-		actor.HTTP(&grp, lis, hdl, time.Second)
+		actor.HTTP(&grp, time.Second, actor.Server{Listener: lis, Handler: hdl})
 		end := make(chan error, 1)
 		go func() { end <- grp.Run() }()
 		var served atomic.Int64
@@ -81,3 +81,35 @@
 	actor.Loop(&grp, func(context.Context) error { return io.ErrUnexpectedEOF })
 	must.ErrorIs(t, grp.Run(), io.ErrUnexpectedEOF)
 }
+
+// TestServersStopTogether guards against servers that wait one after the other for their requests, so that the host kills the process before it has stopped (on bassma-hq-grown trouble-2 four processes were killed so).
+func TestServersStopTogether(t *testing.T) {
+	const grace = 300 * time.Millisecond
+	hang := make(chan struct{})
+	defer close(hang)
+	arrived := make(chan struct{})
+	hdl := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		arrived <- struct{}{}
+		<-hang
+	})
+	var grp run.Group
+	ctx, cancel := context.WithCancel(t.Context())
+	actor.Until(ctx, &grp, func() {})
+	var srvs []actor.Server
+	for range 3 {
+		lis, err := actor.Listen("127.0.0.1:0")
+		must.NoError(t, err)
+		srvs = append(srvs, actor.Server{Listener: lis, Handler: hdl})
+	}
+	actor.HTTP(&grp, grace, srvs...)
+	end := make(chan error, 1)
+	go func() { end <- grp.Run() }()
+	for _, srv := range srvs {
+		go func() { _, _ = http.Get("http://" + srv.Listener.Addr().String()) }()
+		<-arrived
+	}
+	begin := time.Now()
+	cancel()
+	must.NoError(t, <-end)
+	must.Less(t, 2*grace, time.Since(begin))
+}
--- /dev/null
+++ b/internal/process/agent/stop.go
@@ -0,0 +1,114 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// startedTime is how long before the end of a stop requests that have not started are refused, so that those that have can end.
+	startedTime = time.Second
+	// answerTime is how long the last answers of a stop may take.
+	answerTime = 300 * time.Millisecond
+	// drainPoll is the time between two checks of a drain.
+	drainPoll = 20 * time.Millisecond
+	// lingerTime is how long a drained agent still serves callers, whose connections it asks to close; a request sent on a connection that closes at the same moment is lost to its caller.
+	lingerTime = time.Second
+	// leaveTime is how long callers need to notice that the agent is no longer ready: they ask every second and leave after two misses.
+	leaveTime = 2200 * time.Millisecond
+	// longestLeave bounds the wait for callers that come nevertheless.
+	longestLeave = 3 * time.Second
+	// quietTime is how long no request must have arrived for an earlier end of that.
+	quietTime = 200 * time.Millisecond
+)
+
+// drain ends the work of the agent while everything that requests need still runs: callers and keys go elsewhere, and every request in hand gets its answer.
+func (prc *Process) drain() {
+	log := prc.options.Logger.WithField("name", prc.options.Settings.Name)
+	prc.stopping.Store(true)
+	begin, limit := time.Now(), prc.options.Settings.DrainTimeout
+	switch {
+	case limit == 0:
+	case prc.options.Settings.KeepKeys:
+		log.Info("agent: Draining.")
+		prc.awaitLeave(begin)
+	default:
+		log.Info("agent: Draining.")
+		prc.release(log, begin.Add(limit))
+		// Requests that began during the drain may take as long as the drain itself.
+		begin = time.Now()
+	}
+	prc.entry.Close()
+	prc.owner.Close()
+	prc.endRequests(log, begin.Add(max(limit, adminGrace)))
+}
+
+// release waits until the agent owns nothing and has no request in flight, its lease is over, or the time is up.
+func (prc *Process) release(log *logrus.Entry, end time.Time) {
+	prc.session.Drain()
+	for time.Now().Before(end) {
+		if prc.owner.Idle() {
+			log.Info("agent: Drained.")
+			prc.linger()
+			return
+		}
+		// Without a lease the agent serves nothing, and control grants its keys elsewhere.
+		if _, valid := prc.session.Expires(); !valid {
+			log.Warn("agent: The lease ended during the drain.")
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+	log.Warn("agent: The drain took too long.")
+}
+
+// awaitLeave serves callers until they have gone elsewhere; the keys stay with the backend server for the next process beside it.
+func (prc *Process) awaitLeave(begin time.Time) {
+	for time.Since(begin) < leaveTime || time.Since(begin) < longestLeave && time.Since(time.Unix(0, prc.request.Load())) < quietTime {
+		time.Sleep(drainPoll)
+	}
+}
+
+// endRequests returns once every request in hand has its answer, shortly after a time at the latest: some time before it those that have not started are refused, then those that still run are answered as unknown.
+func (prc *Process) endRequests(log *logrus.Entry, end time.Time) {
+	if prc.idleBy(end.Add(-startedTime)) {
+		log.Info("agent: Finished.")
+		return
+	}
+	prc.entry.WithdrawQueued()
+	prc.owner.DismissQueued()
+	if prc.idleBy(end) {
+		log.Info("agent: Finished without the requests that had not started.")
+		return
+	}
+	lod := prc.owner.InHand()
+	log.WithFields(logrus.Fields{"callers": prc.inFlight.Load(), "running": lod.GetRunning(), "queued": lod.GetQueued()}).Warn("agent: Requests still run at the stop.")
+	prc.entry.LogInHand("A request is answered as unknown at the stop.")
+	prc.entry.Abort()
+	for limit := time.Now().Add(answerTime); prc.inFlight.Load() > 0 && time.Now().Before(limit); {
+		time.Sleep(drainPoll)
+	}
+}
+
+// idleBy waits until no request is in hand, or reports false at a time.
+func (prc *Process) idleBy(end time.Time) bool {
+	for {
+		if lod := prc.owner.InHand(); lod.GetRunning() == 0 && lod.GetQueued() == 0 && prc.inFlight.Load() == 0 {
+			return true
+		}
+		if !time.Now().Before(end) {
+			return false
+		}
+		time.Sleep(drainPoll)
+	}
+}
+
+// linger gives callers time to close their connections.
+func (prc *Process) linger() {
+	for end := time.Now().Add(lingerTime); time.Now().Before(end); time.Sleep(drainPoll) {
+		if time.Since(time.Unix(0, prc.request.Load())) > quietTime {
+			return
+		}
+	}
+}
--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -162,10 +162,7 @@
 	}).Info("control: Started.")
 	var grp run.Group
 	actor.Until(ctx, &grp, prc.stop)
-	actor.HTTP(&grp, prc.options.Admin, prc.handler, adminGrace)
-	for _, srv := range prc.extra {
-		actor.HTTP(&grp, srv.Listener, srv.Handler, adminGrace)
-	}
+	actor.HTTP(&grp, adminGrace, append([]actor.Server{{Listener: prc.options.Admin, Handler: prc.handler}}, prc.extra...)...)
 	actor.Loop(&grp, prc.sessions.Run)
 	actor.Loop(&grp, prc.group.Run)
 	actor.GRPC(&grp, prc.options.Listener, prc.server)
