--- a/internal/process/agent/stop.go
+++ b/internal/process/agent/stop.go
@@ -17,8 +17,8 @@
 	lingerTime = time.Second
 	// leaveTime is how long callers need to notice that the agent is no longer ready: they ask every second and leave after two misses.
 	leaveTime = 2200 * time.Millisecond
-	// longestLeave bounds the wait for callers that come nevertheless.
-	longestLeave = 3 * time.Second
+	// longestLeave bounds the wait for callers that come nevertheless; what is taken later could not end before the stop.
+	longestLeave = 2800 * time.Millisecond
 	// quietTime is how long no request must have arrived for an earlier end of that.
 	quietTime = 200 * time.Millisecond
 )
