owner: a stop also dismisses requests that wait for their bodies

The change that receives bodies before slots gave requests a second queue; the stop of the agent dismissed only the first, so that these would have waited to its end. Tests of agent, process and platform pass with the race detector; no run shows callers that met this.

--- a/internal/agent/owner/owner.go
+++ b/internal/agent/owner/owner.go
@@ -89,12 +89,12 @@
 	own.closed = true
 }
 
-// DismissQueued refuses the attempts that wait for a slot, with proof that they do not run.
+// DismissQueued refuses the attempts that wait for their bodies or for slots, with proof that they do not run.
 func (own *Owner) DismissQueued() {
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	for own.que.Len() > 0 {
-		own.dismiss(own.que[0], siskinrill.ReasonDraining)
+	for _, tck := range slices.Collect(own.queued()) {
+		own.dismiss(tck, siskinrill.ReasonDraining)
 	}
 }
 
