registry: agents are not sent the texts that only operators need

Cause: each route and service keeps the text in which its operator sent it (document) and its file and line (source). The answer to a renewal waits behind the difference on the same connection, and after 400 ms the agent gives the connection up, connects again with its old version and is sent the same difference from its start: bizerte-12 did so at 22.4, 24.0 and 24.7 s and applied routes of version 93 at 24.86.

The replicated state and what operators read do not change.

Measured (go test -run TestUpdateBytes -v ./internal/control/agent, TCP payload read by one agent): a difference of 880 routes takes 211,180 bytes before, 49,269 after. For 76 agents on the leader's 170 Mbit/s that is 0.76 s before and 0.18 s after.

TestUpdateBytes (bound: all agents within 200 ms, 55,921 bytes each) and TestTextsOfOperators failed before.

Conclusion: the update fits under the wait of 400 ms with 880 routes, not yet with 1,400.

--- /dev/null
+++ b/internal/control/agent/update_test.go
@@ -0,0 +1,131 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/grpc"
+
+	agentcontrol "github.com/siskinrill/siskinrill/internal/agent/control"
+	"github.com/siskinrill/siskinrill/internal/control/assign"
+	"github.com/siskinrill/siskinrill/internal/control/registry"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// Bassma's fleet: an update must reach all agents in half of the time for which they wait for the answer to a renewal, which follows it on the same connection.
+const (
+	bassmaAgents     = 76
+	bassmaPartitions = 512
+	leaderLink       = 170_000_000 / 8 // bytes/s
+	updateTime       = 200 * time.Millisecond
+	mostUpdateBytes  = int64(leaderLink * updateTime / time.Second / bassmaAgents)
+)
+
+// countingConn counts the bytes that are read.
+type countingConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (cnc *countingConn) Read(buf []byte) (int, error) {
+	num, err := cnc.Conn.Read(buf)
+	cnc.read.Add(int64(num))
+	return num, err
+}
+
+// names returns text as the platform draws it, so that it does not compress better than real names.
+func names(rnd func() uint32) string { return fmt.Sprintf("%07x", rnd()&0xfffffff) }
+
+// platformRoutes returns routes as they come from the platform, with their original text.
+func platformRoutes(cnt int) []*controlpb.Route {
+	seed := uint32(1)
+	rnd := func() uint32 {
+		seed = seed*1664525 + 1013904223
+		return seed >> 4
+	}
+	var rts []*controlpb.Route
+	for num := range cnt {
+		rte := &controlpb.Route{
+			Name: "r-" + names(rnd), Host: names(rnd)[:4] + fmt.Sprint(num%90) + ".example", Prefix: "/" + names(rnd) + "/",
+			Kind: controlpb.RequestKind_REQUEST_KIND_IDEMPOTENT, Service: testService, TimeoutMs: 3000, TargetLatencyMs: 1000, Priority: 2, MaxAttempts: 2,
+		}
+		rte.Document = fmt.Sprintf(`{"host":%q,"kind":"idempotent","max-attempts":2,"name":%q,"path-prefix":%q,"priority":2,"service":%q,"target-latency-ms":1000,"timeout-ms":3000}`,
+			rte.Host, rte.Name, rte.Prefix, rte.Service)
+		rts = append(rts, rte)
+	}
+	return rts
+}
+
+// bassma is a leader with registered agents, one of which is a real session whose bytes are counted.
+type bassma struct {
+	leader  *process
+	read    atomic.Int64
+	session *agentcontrol.Session
+}
+
+func newBassma(t *testing.T, routes int) *bassma {
+	clu := newCluster(1, 1, hooks{})
+	clu.instant = true
+	clu.elect(0, 0)
+	bas := &bassma{leader: clu.procs[0]}
+	bas.configure(1, platformRoutes(routes))
+	for num := range bassmaAgents - 1 {
+		bas.leader.join(num)
+	}
+	ses := New(Options{}, bas.leader, bas.leader.registry, assign.New(assign.Limits{}))
+	srv := grpc.NewServer()
+	ses.Register(srv)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _ = ses.Run(ctx) }()
+	go func() { _ = srv.Serve(lis) }()
+	t.Cleanup(func() { cancel(); srv.Stop() })
+	bas.session = agentcontrol.New(agentcontrol.Options{Control: []string{lis.Addr().String()}, Node: node("one", controlpb.UpstreamState_UPSTREAM_STATE_SERVING), Dial: bas.dial})
+	go func() { _ = bas.session.Run(ctx) }()
+	return bas
+}
+
+func (bas *bassma) dial(ctx context.Context, adr string) (net.Conn, error) {
+	con, err := (&net.Dialer{}).DialContext(ctx, "tcp", adr)
+	return &countingConn{Conn: con, read: &bas.read}, err
+}
+
+func (bas *bassma) configure(num uint64, rts []*controlpb.Route) {
+	svc := &controlpb.Service{Name: testService, Partitions: bassmaPartitions, RampMs: 1}
+	bas.leader.commit(registry.ApplyConfiguration(fmt.Sprint("c", num), "", &controlpb.Configuration{Number: num, Services: []*controlpb.Service{svc}, Routes: rts}))
+}
+
+// awaitRoute returns once the newest route is in force at the agent.
+func (bas *bassma) awaitRoute(t *testing.T, rts []*controlpb.Route) {
+	lst := rts[len(rts)-1]
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if rte, _, _ := bas.session.Match(lst.GetHost(), "GET", lst.GetPrefix()); rte.GetName() == lst.GetName() {
+			return
+		}
+	}
+	t.Fatal("the newest route did not come into force")
+}
+
+// Guards against updates that are too long for the leader's link, so that agents give up their connections while the answer to a renewal waits behind one.
+func TestUpdateBytes(t *testing.T) {
+	const few = 110
+	for name, cnt := range map[string]int{"880 routes more": 880} {
+		t.Run(name, func(t *testing.T) {
+			rts := platformRoutes(few + cnt)
+			bas := newBassma(t, few)
+			bas.awaitRoute(t, rts[:few])
+			was := bas.read.Load()
+			bas.configure(2, rts)
+			bas.awaitRoute(t, rts)
+			got := bas.read.Load() - was
+			t.Logf("a difference of %d routes takes %d bytes", cnt, got)
+			must.LessEq(t, mostUpdateBytes, got)
+		})
+	}
+}
--- a/internal/control/registry/configure.go
+++ b/internal/control/registry/configure.go
@@ -170,10 +170,12 @@
 func (reg *Registry) install(idx uint64, cnf *controlpb.Configuration) {
 	old := reg.state.GetConfiguration()
 	chg := &controlpb.ConfigurationChange{Number: cnf.GetNumber()}
-	chg.SetServices, chg.RemoveServices = diffServices(old.GetServices(), cnf.GetServices())
-	chg.SetRoutes, chg.RemoveRoutes = diffRoutes(old.GetRoutes(), cnf.GetRoutes())
+	set, removed := diffServices(old.GetServices(), cnf.GetServices())
+	chg.SetServices, chg.RemoveServices = servicesForAgents(set), removed
+	setRoutes, removedRoutes := diffRoutes(old.GetRoutes(), cnf.GetRoutes())
+	chg.SetRoutes, chg.RemoveRoutes = routesForAgents(setRoutes), removedRoutes
 	chg.SetLimits = cnf.GetLimits()
-	reg.state.Configuration = cnf
+	reg.state.Configuration, reg.agents = cnf, forAgents(cnf)
 	reg.ring.add(idx, &controlpb.Change{Kind: &controlpb.Change_Configuration{Configuration: chg}})
 	for _, svc := range cnf.GetServices() {
 		reg.addTable(idx, svc, findService(old, svc.GetName()) == nil)
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -17,6 +17,7 @@
 	state   *controlpb.RegistryState
 	answers map[string]*controlpb.ChangeRecord
 	ring    ring
+	agents  *controlpb.Configuration // the current one as agents get it
 	changed chan struct{}
 }
 
@@ -27,6 +28,7 @@
 	return &Registry{
 		state:   &controlpb.RegistryState{Configuration: &controlpb.Configuration{}},
 		answers: map[string]*controlpb.ChangeRecord{},
+		agents:  &controlpb.Configuration{},
 		changed: make(chan struct{}),
 	}
 }
@@ -95,7 +97,7 @@
 	defer reg.mut.RUnlock()
 	snp := &controlpb.TableSnapshot{
 		Version:       reg.ring.newest,
-		Configuration: reg.state.GetConfiguration(),
+		Configuration: reg.agents,
 		Nodes:         append([]*controlpb.Node(nil), reg.state.GetNodes()...),
 	}
 	for _, svc := range reg.state.GetConfiguration().GetServices() {
--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
@@ -241,3 +242,37 @@
 	must.Len(t, 1, cnf.GetRoutes())
 	must.Eq(t, "r2", cnf.GetRoutes()[0].GetName())
 }
+
+// Guards against texts that agents do not need in their updates, and against the loss of these texts for operators.
+func TestTextsOfOperators(t *testing.T) {
+	reg := New()
+	svc := &controlpb.Service{Name: "orders", Partitions: 16, Document: "text of the service", Source: "a.toml:1"}
+	rou := &controlpb.Route{Name: "all", Service: "orders", Document: "text of the route", Source: "a.toml:2"}
+	reg.Apply(1, ApplyConfiguration("c1", "", &controlpb.Configuration{
+		Number: 1, Services: []*controlpb.Service{svc}, Routes: []*controlpb.Route{rou}, Document: "text of the limits",
+	}))
+	raw, err := reg.Save()
+	must.NoError(t, err)
+	restored := New()
+	must.NoError(t, restored.Restore(raw))
+	dif, ok := reg.Since(0)
+	must.True(t, ok)
+	for name, msg := range map[string]proto.Message{"difference": dif, "tables": reg.Tables(), "restored tables": restored.Tables()} {
+		t.Run(name, func(t *testing.T) {
+			sent, err := proto.Marshal(msg)
+			must.NoError(t, err)
+			must.StrContains(t, string(sent), "orders")
+			must.StrNotContains(t, string(sent), "text of")
+			must.StrNotContains(t, string(sent), "toml")
+		})
+	}
+	for name, kept := range map[string]*Registry{"applied": reg, "restored": restored} {
+		t.Run(name, func(t *testing.T) {
+			kept.View(func(stt *controlpb.RegistryState) {
+				must.Eq(t, "text of the service", stt.GetConfiguration().GetServices()[0].GetDocument())
+				must.Eq(t, "text of the route", stt.GetConfiguration().GetRoutes()[0].GetDocument())
+				must.Eq(t, "text of the limits", stt.GetConfiguration().GetDocument())
+			})
+		})
+	}
+}
