--- a/internal/control/registry/configure.go
+++ b/internal/control/registry/configure.go
@@ -175,7 +175,7 @@
 	setRoutes, removedRoutes := diffRoutes(old.GetRoutes(), cnf.GetRoutes())
 	chg.SetRoutes, chg.RemoveRoutes = routesForAgents(setRoutes), removedRoutes
 	chg.SetLimits = cnf.GetLimits()
-	reg.state.Configuration, reg.agents = cnf, forAgents(cnf)
+	reg.state.Configuration = cnf
 	reg.ring.add(idx, &controlpb.Change{Kind: &controlpb.Change_Configuration{Configuration: chg}})
 	for _, svc := range cnf.GetServices() {
 		reg.addTable(idx, svc, findService(old, svc.GetName()) == nil)
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -17,7 +17,6 @@
 	state   *controlpb.RegistryState
 	answers map[string]*controlpb.ChangeRecord
 	ring    ring
-	agents  *controlpb.Configuration // the current one as agents get it
 	changed chan struct{}
 }
 
@@ -28,7 +27,6 @@
 	return &Registry{
 		state:   &controlpb.RegistryState{Configuration: &controlpb.Configuration{}},
 		answers: map[string]*controlpb.ChangeRecord{},
-		agents:  &controlpb.Configuration{},
 		changed: make(chan struct{}),
 	}
 }
@@ -97,7 +95,7 @@
 	defer reg.mut.RUnlock()
 	snp := &controlpb.TableSnapshot{
 		Version:       reg.ring.newest,
-		Configuration: reg.agents,
+		Configuration: forAgents(reg.state.GetConfiguration()),
 		Nodes:         append([]*controlpb.Node(nil), reg.state.GetNodes()...),
 	}
 	for _, svc := range reg.state.GetConfiguration().GetServices() {
--- a/internal/control/registry/save.go
+++ b/internal/control/registry/save.go
@@ -29,7 +29,7 @@
 	}
 	reg.mut.Lock()
 	defer reg.mut.Unlock()
-	reg.state, reg.agents = stt, forAgents(stt.GetConfiguration())
+	reg.state = stt
 	reg.answers = make(map[string]*controlpb.ChangeRecord, len(stt.GetChanges()))
 	for _, rec := range stt.GetChanges() {
 		reg.answers[rec.GetChangeId()] = rec
