agent/control: a leader that is reached late or that still sends is kept

Cause: an agent gave up an attempt at a control process after 600 ms, connecting included, and a connection when a renewal was unanswered for 400 ms. A connection takes three round trips until the welcome, so that an agent whose link delays packets by 250 ms never gets a session, and one with 400 ms loses each at its first renewal.

Change: TCP connections still have 600 ms, so that a host that comes back is found soon; the welcome may take 2 s. An unanswered renewal ends a connection only after a silence of 400 ms, or of twice the time that the connection took to open, and always after 1 s, which lies within the lease of 1.4 s.

Weighed: a process that accepts connections and answers nothing is asked again after 2 s instead of 600 ms; the other addresses are tried meanwhile as before. A leader that lost its group and still sends is left after 1 s instead of 0.4 s.

TestLateLink (all that arrives is late by 300 and 400 ms; no lease within 4 s) and TestAnswerBehindUpdates (lease lost while differences arrive and answers take 800 ms) failed before; TestAnswerLimit guards the upper bound.

--- a/internal/agent/control/dial.go
+++ b/internal/agent/control/dial.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"time"
+	"net"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
@@ -55,10 +55,18 @@
 		grpc.WithInitialConnWindowSize(streamWindow),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(largestMessage), grpc.UseCompressor(gzip.Name)),
 		grpc.WithDisableServiceConfig(),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: time.Second}),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: opt.WelcomeTimeout}),
+		grpc.WithContextDialer(opt.connect),
 	}
+	return dop
+}
+
+// connect opens a TCP connection. Its timeout is short so that a host that comes back is found soon; what follows may take longer.
+func (opt Options) connect(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, opt.ConnectTimeout)
+	defer cancel()
 	if opt.Dial != nil {
-		dop = append(dop, grpc.WithContextDialer(opt.Dial))
+		return opt.Dial(ctx, addr)
 	}
-	return dop
+	return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 }
--- a/internal/agent/control/find.go
+++ b/internal/agent/control/find.go
@@ -16,6 +16,7 @@
 	address string
 	stream  stream
 	welcome *controlpb.Welcome
+	took    time.Duration // from the attempt to the welcome
 	cancel  context.CancelFunc
 	release func()
 }
@@ -187,6 +188,7 @@
 
 func (ses *Session) greet(ctx context.Context, con *connection) attempt {
 	att := attempt{address: con.address}
+	began := time.Now()
 	str, release, err := ses.dial(ctx, con.address)
 	if err != nil {
 		att.err = err
@@ -203,7 +205,7 @@
 	}
 	switch knd := msg.GetKind().(type) {
 	case *controlpb.ControlMessage_Welcome:
-		con.welcome = knd.Welcome
+		con.welcome, con.took = knd.Welcome, time.Since(began)
 		att.con = con
 	case *controlpb.ControlMessage_Redirect:
 		att.hint = knd.Redirect.GetLeaderAddress()
--- a/internal/agent/control/options.go
+++ b/internal/agent/control/options.go
@@ -26,9 +26,13 @@
 	Lease time.Duration
 	// Renew is the interval of renewals, 250 ms by default.
 	Renew time.Duration
-	// AnswerTimeout is the longest wait for the answer to a renewal before the connection is given up, 400 ms by default.
+	// AnswerTimeout is the longest silence of a leader that owes the answer to a renewal, 400 ms by default; it is longer on a connection that took long to open.
 	AnswerTimeout time.Duration
-	// WelcomeTimeout is the longest wait for the first answer of a control process, 600 ms by default.
+	// AnswerLimit is the longest wait for the answer to a renewal, 1 s by default.
+	AnswerLimit time.Duration
+	// ConnectTimeout is the longest time for a TCP connection to a control process, 600 ms by default.
+	ConnectTimeout time.Duration
+	// WelcomeTimeout is the longest wait for the first answer of a control process, 2 s by default.
 	WelcomeTimeout time.Duration
 	// Stagger is the time between the first attempts at the addresses, 30 ms by default.
 	Stagger time.Duration
@@ -56,7 +60,9 @@
 	opt.Lease = cmp.Or(opt.Lease, 1400*time.Millisecond)
 	opt.Renew = cmp.Or(opt.Renew, 250*time.Millisecond)
 	opt.AnswerTimeout = cmp.Or(opt.AnswerTimeout, 400*time.Millisecond)
-	opt.WelcomeTimeout = cmp.Or(opt.WelcomeTimeout, 600*time.Millisecond)
+	opt.AnswerLimit = cmp.Or(opt.AnswerLimit, time.Second)
+	opt.ConnectTimeout = cmp.Or(opt.ConnectTimeout, 600*time.Millisecond)
+	opt.WelcomeTimeout = cmp.Or(opt.WelcomeTimeout, 2*time.Second)
 	opt.Stagger = cmp.Or(opt.Stagger, 30*time.Millisecond)
 	opt.Retry = cmp.Or(opt.Retry, 50*time.Millisecond)
 	opt.Report = cmp.Or(opt.Report, time.Second)
--- a/internal/agent/control/serve.go
+++ b/internal/agent/control/serve.go
@@ -25,10 +25,12 @@
 	session uint64
 	lease   time.Duration
 	renew   time.Duration
+	silence time.Duration // longest one while a renewal is unanswered
 
 	mu       sync.Mutex
 	pending  []renewal // oldest first
 	sequence uint64
+	heard    boottime.Instant // of the last message
 	watchdog *time.Timer
 }
 
@@ -36,7 +38,7 @@
 func (ses *Session) serve(ctx context.Context, con *connection) error {
 	exc := ses.begin(con)
 	// A dead connection may block Send and Recv, so that only the end of its context frees them.
-	exc.watchdog = time.AfterFunc(ses.opt.AnswerTimeout, exc.abandon)
+	exc.watchdog = time.AfterFunc(exc.silence, exc.check)
 	defer exc.watchdog.Stop()
 	ended := make(chan error, 1)
 	var rcv sync.WaitGroup
@@ -48,6 +50,30 @@
 	return err
 }
 
+// check abandons the connection if its leader has been silent for too long. A leader that owes an answer but still sends is not: the answer may wait behind an update, and a new connection would have that sent again.
+func (exc *exchange) check() {
+	exc.mu.Lock()
+	rest := exc.rest()
+	if rest > 0 && len(exc.pending) > 0 {
+		exc.watchdog.Reset(rest)
+	}
+	exc.mu.Unlock()
+	if rest <= 0 {
+		exc.abandon()
+	}
+}
+
+// rest returns the time after which the leader is silent for too long if nothing arrives; the lock is held.
+func (exc *exchange) rest() time.Duration {
+	if len(exc.pending) == 0 {
+		return exc.silence
+	}
+	now := boottime.Mark()
+	waited := now.Since(exc.pending[0].sent)
+	quiet := min(waited, now.Since(exc.heard))
+	return min(exc.silence-quiet, exc.ses.opt.AnswerLimit-waited)
+}
+
 // abandon ends a connection whose leader has not answered a renewal in time.
 func (exc *exchange) abandon() {
 	exc.ses.opt.Counters.Event(eventSilent)
@@ -74,7 +100,8 @@
 	ses.mu.Unlock()
 	ses.opt.Counters.Event(eventConnected)
 	ses.opt.Logger.Infof("session: %d at leader %s", wlc.GetSession(), con.address)
-	return &exchange{ses: ses, con: con, session: wlc.GetSession(), lease: ttl, renew: renew}
+	silence := min(max(ses.opt.AnswerTimeout, 2*con.took), ses.opt.AnswerLimit)
+	return &exchange{ses: ses, con: con, session: wlc.GetSession(), lease: ttl, renew: renew, silence: silence, heard: boottime.Mark()}
 }
 
 // send sends renewals, reports and wishes until the receiver ends.
@@ -113,7 +140,7 @@
 	rnw := &controlpb.Renew{Sequence: exc.sequence, Version: ver, ConfigurationNumber: num}
 	exc.pending = append(exc.pending, renewal{sequence: exc.sequence, sent: boottime.Mark()})
 	if len(exc.pending) == 1 {
-		exc.watchdog.Reset(exc.ses.opt.AnswerTimeout)
+		exc.watchdog.Reset(exc.rest())
 	}
 	exc.mu.Unlock()
 	return exc.con.stream.Send(&controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Renew{Renew: rnw}})
@@ -136,7 +163,7 @@
 		exc.watchdog.Stop()
 		return
 	}
-	exc.watchdog.Reset(exc.ses.opt.AnswerTimeout - boottime.Mark().Since(exc.pending[0].sent))
+	exc.watchdog.Reset(exc.rest())
 }
 
 func (exc *exchange) sendLoad(interval time.Duration) error {
@@ -156,12 +183,20 @@
 	return exc.con.stream.Send(&controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Load{Load: rpt}})
 }
 
+func (exc *exchange) hear() {
+	now := boottime.Mark()
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	exc.heard = now
+}
+
 func (exc *exchange) receive() error {
 	for {
 		msg, err := exc.con.stream.Recv()
 		if err != nil {
 			return errors.Wrap(err, "receive")
 		}
+		exc.hear()
 		if err := exc.take(msg); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/agent/control/slow_test.go
@@ -0,0 +1,148 @@
+package control
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/grpc"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// lateConn delays all that arrives, as a full link does.
+type lateConn struct {
+	net.Conn
+	delay time.Duration
+	parts chan part
+	rest  []byte
+}
+
+// part is what one read returned.
+type part struct {
+	raw []byte
+	due time.Time
+	err error
+}
+
+// dialLate connects after a delay to a connection on which all arrives late.
+func dialLate(ctx context.Context, adr string, delay time.Duration) (net.Conn, error) {
+	tmr := time.NewTimer(delay)
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	con, err := (&net.Dialer{}).DialContext(ctx, "tcp", adr)
+	if err != nil {
+		return nil, err
+	}
+	lcn := &lateConn{Conn: con, delay: delay, parts: make(chan part, 1000)}
+	go lcn.pump()
+	return lcn, nil
+}
+
+func (lcn *lateConn) pump() {
+	for {
+		buf := make([]byte, 4096)
+		num, err := lcn.Conn.Read(buf)
+		lcn.parts <- part{raw: buf[:num], due: time.Now().Add(lcn.delay), err: err}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// Read returns what has arrived and is due.
+func (lcn *lateConn) Read(buf []byte) (int, error) {
+	if len(lcn.rest) == 0 {
+		prt := <-lcn.parts
+		time.Sleep(time.Until(prt.due))
+		if prt.err != nil {
+			lcn.parts <- prt
+			return 0, prt.err
+		}
+		lcn.rest = prt.raw
+	}
+	num := copy(buf, lcn.rest)
+	lcn.rest = lcn.rest[num:]
+	return num, nil
+}
+
+// Guards against agents on a full link that never reach the leader, or give up each connection before the first answer: on bassma-hq-grown such agents had no session for 6 s at a time.
+func TestLateLink(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"300 ms": 300 * time.Millisecond, "400 ms": 400 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ctl := newFakeControl()
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			srv := grpc.NewServer()
+			controlpb.RegisterSessionServiceServer(srv, &grpcControl{ctl: ctl, addr: lis.Addr().String()})
+			ctl.leader = lis.Addr().String()
+			var grp sync.WaitGroup
+			ctx, cancel := context.WithCancel(t.Context())
+			grp.Go(func() { _ = srv.Serve(lis) })
+			ses := New(Options{
+				Control: []string{ctl.leader}, Node: &controlpb.Node{Name: "a"},
+				Dial: func(ctx context.Context, adr string) (net.Conn, error) { return dialLate(ctx, adr, delay) },
+			})
+			grp.Go(func() { _ = ses.Run(ctx) })
+			for end := time.Now().Add(4 * time.Second); time.Now().Before(end) && !leased(ses); {
+				time.Sleep(10 * time.Millisecond)
+			}
+			must.True(t, leased(ses))
+			for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				must.True(t, leased(ses))
+			}
+			must.Eq(t, 1, ctl.connects())
+			cancel()
+			srv.Stop()
+			grp.Wait()
+		})
+	}
+}
+
+// connects returns how often agents have said hello.
+func (ctl *fakeControl) connects() int {
+	ctl.mu.Lock()
+	defer ctl.mu.Unlock()
+	return len(ctl.hellos)
+}
+
+func leased(ses *Session) bool {
+	_, valid := ses.Expires()
+	return valid
+}
+
+// Guards against a connection that is given up although its leader sends: the answer to a renewal waits behind an update, and a new connection would have that sent again.
+func TestAnswerBehindUpdates(t *testing.T) {
+	within(t, func(ctl *fakeControl, ses *Session) {
+		ctl.set(func() { ctl.delay = 800 * time.Millisecond })
+		for ver := range uint64(40) {
+			dif := &controlpb.Difference{From: 50 + ver, To: 51 + ver}
+			ctl.push(&controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Difference{Difference: dif}})
+			time.Sleep(100 * time.Millisecond)
+			must.True(t, leased(ses))
+		}
+		must.Eq(t, 1, ctl.connects())
+		must.Eq(t, 90, ses.Version())
+	})
+}
+
+// Guards against agents that stay with a leader which has lost its group: it may still send, but confirms no renewal.
+func TestAnswerLimit(t *testing.T) {
+	within(t, func(ctl *fakeControl, _ *Session) {
+		ctl.set(func() { ctl.delay = time.Hour })
+		for ver := range uint64(12) {
+			dif := &controlpb.Difference{From: 50 + ver, To: 51 + ver}
+			ctl.push(&controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Difference{Difference: dif}})
+			time.Sleep(100 * time.Millisecond)
+		}
+		must.Eq(t, 2, ctl.connects())
+	})
+}
