--- a/internal/control/agent/hub.go
+++ b/internal/control/agent/hub.go
@@ -15,6 +15,9 @@
 // pacePerStream is the least time between two broadcasts for each stream: 20 ms at 810 agents, a fifth of a tick, and a quarter of a millisecond at ten.
 const pacePerStream = 25 * time.Microsecond
 
+// snapshotAge is the time for which a snapshot is sent; the changes since follow it as a difference.
+const snapshotAge = 250 * time.Millisecond
+
 // message is a control message that is encoded once for all streams that need it.
 type message struct {
 	plain  *controlpb.ControlMessage
@@ -25,6 +28,9 @@
 	prep *grpc.PreparedMsg
 }
 
+// snapshots reports whether the message is a snapshot; there may be none.
+func (msg *message) snapshots() bool { return msg != nil && msg.plain.GetSnapshot() != nil }
+
 func (msg *message) sendTo(srv server) error {
 	if !msg.shared {
 		return srv.Send(msg.plain)
@@ -41,7 +47,7 @@
 	return srv.SendMsg(msg.prep)
 }
 
-// hub holds the differences and the snapshot that streams share, until the next change.
+// hub holds the differences that streams share until the next change, and their snapshot.
 type hub struct {
 	sessions *Sessions
 
@@ -49,19 +55,19 @@
 	version  uint64
 	byFrom   map[uint64]*message
 	snapshot *message
+	made     time.Time // of the snapshot
 }
 
 func newHub(ses *Sessions) *hub {
 	return &hub{sessions: ses, byFrom: map[uint64]*message{}}
 }
 
-// reset drops the shared messages after a change and returns the difference since the previous one, nil when it is not kept.
+// reset drops the shared differences after a change and returns the difference since the previous one, nil when it is not kept.
 func (hub *hub) reset() *controlpb.Difference {
 	hub.mut.Lock()
 	defer hub.mut.Unlock()
 	dif, ok := hub.sessions.registry.Since(hub.version)
 	clear(hub.byFrom)
-	hub.snapshot = nil
 	if !ok {
 		hub.version = hub.sessions.registry.Tables().GetVersion()
 		return nil
@@ -102,10 +108,12 @@
 	return msg
 }
 
+// tables returns the snapshot. One for each version would take too long when many agents join at once, each of whom makes some versions.
 func (hub *hub) tables() *message {
-	if hub.snapshot == nil {
+	if hub.snapshot == nil || time.Since(hub.made) > snapshotAge || !hub.continues(hub.snapshot.to) {
 		snp := hub.sessions.registry.Tables()
 		snp.Members = members(hub.sessions.log.Members())
+		hub.made = time.Now()
 		hub.snapshot = &message{
 			plain: &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Snapshot{Snapshot: snp}},
 			to:    snp.GetVersion(), shared: true,
@@ -114,6 +122,19 @@
 	return hub.snapshot
 }
 
+// continues reports whether the changes since a version are kept.
+func (hub *hub) continues(ver uint64) bool {
+	_, ok := hub.sessions.registry.Since(ver)
+	return ok
+}
+
+// dropSnapshot has a new snapshot made for the next agent that needs one.
+func (hub *hub) dropSnapshot() {
+	hub.mut.Lock()
+	defer hub.mut.Unlock()
+	hub.snapshot = nil
+}
+
 func members(sts []*controlpb.MemberStatus) *controlpb.Members {
 	mbs := &controlpb.Members{}
 	for _, mst := range sts {
--- a/internal/control/agent/send.go
+++ b/internal/control/agent/send.go
@@ -91,7 +91,7 @@
 	return stm.send(&message{plain: &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_RenewAnswer{RenewAnswer: ans}}}) == nil
 }
 
-// sendTables brings the agent up to date by a difference or a snapshot.
+// sendTables brings the agent up to date by a difference, or by a snapshot, which the changes since may have to follow.
 func (stm *stream) sendTables() bool {
 	msg := stm.term.hub.after(stm.version)
 	if msg != nil && stm.send(msg) != nil {
@@ -102,6 +102,10 @@
 		stm.version = msg.to
 		stm.mut.Unlock()
 	}
+	if msg.snapshots() {
+		stm.signal()
+		return true
+	}
 	select {
 	case stm.told <- struct{}{}:
 	default:
--- a/internal/control/agent/stream.go
+++ b/internal/control/agent/stream.go
@@ -130,6 +130,10 @@
 		_ = stm.server.Send(msg)
 		return false
 	}
+	if num != 0 && hel.GetVersion() == 0 {
+		// An agent that missed a change asks for a snapshot and refuses one older than its tables.
+		stm.term.hub.dropSnapshot()
+	}
 	if num == 0 {
 		num = stm.register(hel.GetNode())
 		if num == 0 {
--- a/internal/control/agent/tick.go
+++ b/internal/control/agent/tick.go
@@ -139,6 +139,7 @@
 	if old == nil || proto.Equal(old, cur) {
 		return
 	}
+	trm.hub.dropSnapshot()
 	for _, stm := range trm.streams() {
 		stm.tellMembers(cur)
 	}
--- a/internal/control/agent/update_test.go
+++ b/internal/control/agent/update_test.go
@@ -4,13 +4,16 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 	"google.golang.org/grpc"
 
+	"github.com/siskinrill/siskinrill"
 	agentcontrol "github.com/siskinrill/siskinrill/internal/agent/control"
 	"github.com/siskinrill/siskinrill/internal/control/assign"
 	"github.com/siskinrill/siskinrill/internal/control/registry"
@@ -136,3 +139,71 @@
 		must.LessEq(t, mostUpdateBytes, bas.read.Load())
 	})
 }
+
+// tablesCounter counts the snapshots that are made.
+type tablesCounter struct {
+	siskinrill.Registry
+	count atomic.Int64
+}
+
+// Tables returns a snapshot for an agent.
+func (tac *tablesCounter) Tables() *controlpb.TableSnapshot {
+	tac.count.Add(1)
+	return tac.Registry.Tables()
+}
+
+// version returns the newest one that an agent was brought to; a difference that does not continue the one before fails the test.
+func (prb *probe) version(t *testing.T) uint64 {
+	prb.mut.Lock()
+	defer prb.mut.Unlock()
+	ver := uint64(0)
+	for _, msg := range prb.got {
+		if snp := msg.GetSnapshot(); snp != nil {
+			ver = snp.GetVersion()
+		}
+		if dif := msg.GetDifference(); dif != nil {
+			must.Eq(t, ver, dif.GetFrom())
+			ver = dif.GetTo()
+		}
+	}
+	return ver
+}
+
+// Guards against a leader that makes and encodes a snapshot for each version while many agents join at once, which each of them delays further, and against agents that are left at the version of a shared snapshot.
+func TestJoinTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clu := newCluster(1, 1, hooks{})
+		clu.lossless = true
+		prc := clu.procs[0]
+		cnt := &tablesCounter{Registry: prc.registry}
+		prc.sessions = New(Options{}, prc, cnt, assign.New(assign.Limits{}))
+		clu.elect(0, 0)
+		(&bassma{leader: prc}).configure(1, platformRoutes(10))
+		ctx, cancel := context.WithCancel(t.Context())
+		var grp sync.WaitGroup
+		grp.Go(func() { _ = prc.sessions.Run(ctx) })
+		time.Sleep(10 * time.Millisecond)
+		was := cnt.count.Load()
+		prbs := make([]*probe, bassmaAgents)
+		for num := range prbs {
+			grp.Go(func() { prbs[num] = clu.probe(ctx, 0, serving(fmt.Sprint("agent-", num))) })
+		}
+		time.Sleep(time.Second)
+		made := cnt.count.Load() - was
+		t.Logf("%d agents join: %d snapshots", len(prbs), made)
+		must.LessEq(t, 4, made)
+		for _, prb := range prbs {
+			must.Eq(t, prc.registry.Tables().GetVersion(), prb.version(t))
+		}
+		// An agent that missed a change gets a snapshot of the newest version.
+		missed := serving("agent-0")
+		missed.Session = prbs[0].session()
+		clu.probe(ctx, 0, serving("late"))
+		prc.join(bassmaAgents)
+		again := clu.probe(ctx, 0, missed)
+		must.Eq(t, prc.registry.Tables().GetVersion(), again.message(1).GetSnapshot().GetVersion())
+		cancel()
+		grp.Wait()
+		time.Sleep(10 * time.Second)
+	})
+}
