peer: a silent connection is suspect before it is closed

Cause: a connection was closed 500 ms after an unanswered ping, whatever its round trips were. The ping that proves a connection waited 100 ms beside the time of the TCP handshake and replaced the connection when it was late; a new connection was given up after 400 ms, so that a peer with longer round trips was out of reach.

Change: two states. A connection that leaves a ping unanswered longer than the measured round trips of the peer allow (smoothed with variance as in RFC 6298, at least 250 ms, at most 1 s, doubled after each suspicion until the next sample) is suspect: new requests get another one, which is made at once, and requests in flight wait on. A suspect connection that is heard again returns; a write that had to wait for room counts as heard. It is closed at once if the new connection is refused, 250 ms (or a ping timeout) after a new connection was made, and after 1.5 to 2 s of silence if the peer answers no new connection either. An attempt to connect goes on for 1.2 s, while requests wait 400 ms for it as before.

Chosen against a longer fixed timeout, which finds a cut connection late everywhere, and against a second connection to prove each suspicion alone, since a full link delays that as well: its handshake is evidence only together with further silence.

Failed before: TestSlowPeer (round trip of 0.9 s: connection_lost after 0.78 s), TestSlowPeerConnections (6 connections, 4 allowed), TestSuspectIsAvoided. The cases of TestFaults hold with their limits; one more guards the evidence of a refused connection, and TestFrozenPeer that of none.

--- a/internal/agent/peer/fault_test.go
+++ b/internal/agent/peer/fault_test.go
@@ -123,8 +123,11 @@
 		}},
 		"silent connection, non-idempotent": {kind: nonIdempotent, warm: true, arrived: 1, event: "peer_ping_failed", limit: 300 * time.Millisecond, fault: func(fix *fixture) { pause(fix.rel.silence, 250*time.Millisecond) }},
 		"silent before the answer":          {kind: nonIdempotent, arrived: 1, reason: siskinrill.ReasonConnectionLost, event: "peer_ping_failed", limit: 1100 * time.Millisecond, owner: func(fix *fixture) handler { return after(fix.rel.silence, 0) }},
-		"frozen peer":                       {kind: nonIdempotent, warm: true, reason: siskinrill.ReasonUnreachable, notRun: true, event: "peer_connect_failed", limit: 800 * time.Millisecond, fault: func(fix *fixture) { pause(fix.rel.freeze, 250*time.Millisecond) }},
-		"frozen peer that returned":         {kind: nonIdempotent, warm: true, arrived: 1, event: "peer_connect_failed", fault: thawed},
+		"silent before the answer, refused": {arrived: 1, reason: siskinrill.ReasonConnectionLost, event: "peer_connection_closed", limit: 850 * time.Millisecond, owner: func(fix *fixture) handler {
+			return after(func() { fix.rel.silence(); _ = fix.rel.lis.Close() }, 0)
+		}},
+		"frozen peer":               {kind: nonIdempotent, warm: true, reason: siskinrill.ReasonUnreachable, notRun: true, event: "peer_connect_failed", limit: 800 * time.Millisecond, fault: func(fix *fixture) { pause(fix.rel.freeze, 250*time.Millisecond) }},
+		"frozen peer that returned": {kind: nonIdempotent, warm: true, arrived: 1, event: "peer_connect_failed", fault: thawed},
 		"refused by the owner": {kind: nonIdempotent, arrived: 1, reason: siskinrill.ReasonQueueFull, notRun: true, owner: func(*fixture) handler {
 			return failing(errors.Wrap(siskinrill.NotRun(siskinrill.ReasonQueueFull), "wrapped"))
 		}},
@@ -174,6 +177,18 @@
 	}
 }
 
+// TestFrozenPeer guards against a request that waits without end for a peer that answers no new connection either.
+func TestFrozenPeer(t *testing.T) {
+	t.Parallel()
+	fix := newFixture(t)
+	fix.own.handle = after(fix.rel.freeze, 0)
+	beg := time.Now()
+	_, err := fix.poo.Forward(t.Context(), fix.rel.address(), newAttempt(idempotent, nil))
+	must.ErrorContains(t, err, string(siskinrill.ReasonConnectionLost))
+	must.LessEq(t, longestDeath+500*time.Millisecond, time.Since(beg))
+	fix.awaitEvent(t, "peer_ping_failed")
+}
+
 // TestLateAnswer guards against the answer of an abandoned attempt that reaches the next request.
 func TestLateAnswer(t *testing.T) {
 	t.Parallel()
--- a/internal/agent/peer/link.go
+++ b/internal/agent/peer/link.go
@@ -23,6 +23,8 @@
 	// One slow stream must not stop the others of its connection.
 	connectionWindow = 1 << 20
 	largestMessage   = 4 << 20
+	// A write that takes this long has waited for room, which only an acknowledgement of the peer's host makes.
+	blockedWrite = 20 * time.Millisecond
 )
 
 // socket is a connection that knows when it received and whether it wrote.
@@ -30,6 +32,7 @@
 	net.Conn
 	born     time.Time
 	received atomic.Int64  // nanoseconds after born
+	drained  atomic.Int64  // nanoseconds after born, end of the last Write that had to wait for the peer
 	writes   atomic.Uint64 // calls of Write that reached the connection
 	closed   atomic.Bool   // no further call of Write reaches it
 }
@@ -53,7 +56,12 @@
 		sck.writes.Add(^uint64(0))
 		return 0, net.ErrClosed
 	}
-	return sck.Conn.Write(buf)
+	beg := time.Now()
+	num, err := sck.Conn.Write(buf)
+	if err == nil && time.Since(beg) >= blockedWrite {
+		sck.drained.Store(int64(time.Since(sck.born)))
+	}
+	return num, err
 }
 
 // Close ends writing and closes the connection.
@@ -62,6 +70,11 @@
 	return sck.Conn.Close()
 }
 
+// heard returns when the connection last showed that the peer's host is reached.
+func (sck *socket) heard() time.Time {
+	return sck.born.Add(time.Duration(max(sck.received.Load(), sck.drained.Load())))
+}
+
 func (sck *socket) silence() time.Duration {
 	return time.Since(sck.born) - time.Duration(sck.received.Load())
 }
@@ -72,23 +85,24 @@
 	socket  *socket
 	conn    *grpc.ClientConn
 	client  peerpb.PeerServiceClient
-	trip    time.Duration // time to connect, about one round trip
+	trip    time.Duration // of the handshake, which the peer's process answers
 	pings   singleflight.Group
 
 	// The pool's lock guards these.
 	outstanding int
 	used        time.Time
 	pinged      time.Time // zero: no ping of the watch is unanswered
+	suspected   time.Time // zero: the link is sound
+	refuted     time.Time // zero: no newer link to the address was made since
 }
 
 // dial connects and waits until the peer has sent its first frame.
 func dial(ctx context.Context, addr string) (*link, error) {
-	beg := time.Now()
 	raw, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
-	lnk := &link{address: addr, socket: &socket{Conn: raw, born: time.Now()}, trip: time.Since(beg)}
+	lnk := &link{address: addr, socket: &socket{Conn: raw, born: time.Now()}}
 	lnk.conn, err = grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(lnk.once()),
@@ -107,10 +121,12 @@
 		return nil, errors.Wrap(err, "connect")
 	}
 	lnk.client = peerpb.NewPeerServiceClient(lnk.conn)
+	beg := time.Now()
 	if err := lnk.ready(ctx); err != nil {
 		lnk.close()
 		return nil, err
 	}
+	lnk.trip = time.Since(beg)
 	return lnk, nil
 }
 
@@ -141,19 +157,10 @@
 	}
 }
 
-// ping returns once the peer has answered; those who ask at the same time share one ping.
-func (lnk *link) ping(ctx context.Context, limit time.Duration) error {
-	res := lnk.pings.DoChan("", func() (any, error) {
-		pctx, cancel := context.WithTimeout(context.Background(), limit)
-		defer cancel()
-		return lnk.client.Ping(pctx, &peerpb.PingRequest{})
-	})
-	select {
-	case got := <-res:
-		return got.Err
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "ping")
-	}
+// ping returns once the peer has answered.
+func (lnk *link) ping(ctx context.Context) error {
+	_, err := lnk.client.Ping(ctx, &peerpb.PingRequest{})
+	return err
 }
 
 func (lnk *link) close() {
--- a/internal/agent/peer/pool.go
+++ b/internal/agent/peer/pool.go
@@ -19,15 +19,17 @@
 	Logger *logrus.Logger
 	// Counters counts events of connections when set.
 	Counters *siskinrill.Counters
-	// ConnectTimeout is the longest wait for a new connection, 400 ms by default.
+	// ConnectTimeout is the longest wait of a request for a new connection, 400 ms by default.
 	ConnectTimeout time.Duration
+	// DialTimeout is how long an attempt to connect goes on without a waiting request, 1,200 ms by default.
+	DialTimeout time.Duration
 	// ProveAfter is the silence after which a connection must answer a ping before a non-idempotent request or upload uses it, 200 ms by default.
 	ProveAfter time.Duration
 	// ProveTimeout is the longest wait for that answer beside the round trip, 100 ms by default.
 	ProveTimeout time.Duration
 	// PingAfter is the silence after which a connection with outstanding requests is pinged, 250 ms by default.
 	PingAfter time.Duration
-	// PingTimeout is the longest wait for an answer to that ping before the connection is closed, 500 ms by default.
+	// PingTimeout is the longest wait for an answer to that ping before the connection is suspect, 1 s by default; it is less where round trips are short.
 	PingTimeout time.Duration
 	// IdleTimeout is how long an unused connection is kept, 60 s by default.
 	IdleTimeout time.Duration
@@ -35,10 +37,11 @@
 
 func (opt Options) withDefaults() Options {
 	opt.ConnectTimeout = cmp.Or(opt.ConnectTimeout, 400*time.Millisecond)
+	opt.DialTimeout = cmp.Or(opt.DialTimeout, 1200*time.Millisecond)
 	opt.ProveAfter = cmp.Or(opt.ProveAfter, 200*time.Millisecond)
 	opt.ProveTimeout = cmp.Or(opt.ProveTimeout, 100*time.Millisecond)
 	opt.PingAfter = cmp.Or(opt.PingAfter, 250*time.Millisecond)
-	opt.PingTimeout = cmp.Or(opt.PingTimeout, 500*time.Millisecond)
+	opt.PingTimeout = cmp.Or(opt.PingTimeout, time.Second)
 	opt.IdleTimeout = cmp.Or(opt.IdleTimeout, time.Minute)
 	if opt.Logger == nil {
 		opt.Logger = logrus.StandardLogger()
@@ -49,16 +52,19 @@
 	return opt
 }
 
-// Pool holds one connection to each peer in use; its methods may be called from any goroutine.
+// Pool holds one connection to each peer in use, and suspect ones while they carry requests; its methods may be called from any goroutine.
 type Pool struct {
 	opt    Options
 	hooks  poolHooks
 	dials  singleflight.Group
 	closed chan struct{}
 	done   sync.WaitGroup
+	ctx    context.Context // of attempts to connect
+	cancel context.CancelFunc
 
 	mu      sync.Mutex
 	current map[string]*link // by address
+	remotes map[string]*remote
 	over    bool
 	all     map[*link]struct{} // those that were replaced and still carry requests included
 }
@@ -77,18 +83,23 @@
 		opt:     opt.withDefaults(),
 		closed:  make(chan struct{}),
 		current: map[string]*link{},
+		remotes: map[string]*remote{},
 		all:     map[*link]struct{}{},
 	}
+	poo.ctx, poo.cancel = context.WithCancel(context.Background())
 	poo.done.Go(poo.watch)
 	return poo
 }
 
 // Close closes all connections; it must be called once.
 func (poo *Pool) Close() {
+	poo.mu.Lock()
+	poo.over = true
+	poo.mu.Unlock()
 	close(poo.closed)
+	poo.cancel()
 	poo.done.Wait()
 	poo.mu.Lock()
-	poo.over = true
 	lnks := make([]*link, 0, len(poo.all))
 	for lnk := range poo.all {
 		lnks = append(lnks, lnk)
@@ -109,6 +120,10 @@
 		select {
 		case got := <-res:
 			if got.Err != nil {
+				// A suspect link may have been heard meanwhile.
+				if lnk := poo.existing(addr); lnk != nil {
+					return lnk, nil
+				}
 				return nil, got.Err
 			}
 		case <-ctx.Done():
@@ -125,6 +140,9 @@
 	poo.mu.Lock()
 	defer poo.mu.Unlock()
 	lnk := poo.current[addr]
+	if lnk == nil {
+		lnk = poo.recovered(addr)
+	}
 	if lnk == nil || lnk.socket.closed.Load() {
 		return nil
 	}
@@ -140,34 +158,15 @@
 	lnk.used = now
 }
 
-func (poo *Pool) connect(addr string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), poo.opt.ConnectTimeout)
-	defer cancel()
-	lnk, err := dial(ctx, addr)
-	if err != nil {
-		poo.opt.Counters.Event("peer_connect_failed")
-		return err
-	}
-	poo.opt.Counters.Event("peer_connected")
-	poo.mu.Lock()
-	defer poo.mu.Unlock()
-	if poo.over {
-		lnk.close()
-		return errors.New("the pool is closed")
-	}
-	lnk.used = time.Now()
-	poo.current[addr] = lnk
-	poo.all[lnk] = struct{}{}
-	return nil
-}
-
 // proven returns a link that has been heard within Options.ProveAfter or has just answered a ping.
 func (poo *Pool) proven(ctx context.Context, addr string) (*link, error) {
 	lnk, err := poo.acquire(ctx, addr)
 	if err != nil || poo.hooks.skipPing || lnk.socket.silence() <= poo.opt.ProveAfter {
 		return lnk, err
 	}
-	err = lnk.ping(ctx, poo.opt.ProveTimeout+lnk.trip)
+	limit, timeout := context.WithTimeout(ctx, poo.proveTimeout(addr))
+	defer timeout()
+	err = poo.ping(limit, lnk)
 	if err == nil {
 		return lnk, nil
 	}
@@ -176,23 +175,51 @@
 		return nil, errors.Wrap(ctx.Err(), "prove a connection")
 	}
 	poo.opt.Counters.Event("peer_ping_failed")
-	poo.replace(lnk)
+	poo.mu.Lock()
+	poo.suspect(lnk, time.Now())
+	poo.mu.Unlock()
 	return poo.acquire(ctx, addr)
 }
 
-// replace takes a link out of use for new requests; the watch closes it.
-func (poo *Pool) replace(lnk *link) {
+// proveTimeout returns the longest wait for the answer that proves a link.
+func (poo *Pool) proveTimeout(addr string) time.Duration {
 	poo.mu.Lock()
 	defer poo.mu.Unlock()
-	if poo.current[lnk.address] == lnk {
-		delete(poo.current, lnk.address)
+	return poo.opt.ProveTimeout + min(poo.remote(addr).trips.Timeout(), poo.opt.PingTimeout)
+}
+
+// ping returns once the peer has answered; those who ask at the same time share one ping, which goes on when they give up.
+func (poo *Pool) ping(ctx context.Context, lnk *link) error {
+	select {
+	case got := <-lnk.pings.DoChan("", poo.pinger(lnk)):
+		return got.Err
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "ping")
+	}
+}
+
+// pinger returns a function that pings a link and keeps the time that the answer took.
+func (poo *Pool) pinger(lnk *link) func() (any, error) {
+	return func() (any, error) {
+		ctx, cancel := context.WithTimeout(poo.ctx, longestDeath)
+		defer cancel()
+		beg := time.Now()
+		if err := lnk.ping(ctx); err != nil {
+			return nil, err
+		}
+		poo.mu.Lock()
+		defer poo.mu.Unlock()
+		poo.remote(lnk.address).trips.Add(time.Since(beg))
+		return nil, nil
 	}
 }
 
 // kill closes a link, so that every request on it fails.
 func (poo *Pool) kill(lnk *link) {
-	poo.replace(lnk)
 	poo.mu.Lock()
+	if poo.current[lnk.address] == lnk {
+		delete(poo.current, lnk.address)
+	}
 	_, known := poo.all[lnk]
 	delete(poo.all, lnk)
 	poo.mu.Unlock()
--- /dev/null
+++ b/internal/agent/peer/slow_test.go
@@ -0,0 +1,214 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/grpc"
+
+	"github.com/siskinrill/siskinrill"
+)
+
+// slowRelay forwards TCP connections and delivers all bytes after a delay, as a full link does.
+type slowRelay struct {
+	lis    net.Listener
+	target string
+
+	mu       sync.Mutex
+	delay    time.Duration
+	accepted int
+	conns    []net.Conn
+}
+
+func newSlowRelay(t *testing.T, target string) *slowRelay {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	rel := &slowRelay{lis: lis, target: target}
+	t.Cleanup(rel.close)
+	go rel.accept()
+	return rel
+}
+
+func (rel *slowRelay) accept() {
+	for {
+		inn, err := rel.lis.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", rel.target)
+		if err != nil {
+			_ = inn.Close()
+			continue
+		}
+		rel.mu.Lock()
+		rel.accepted++
+		rel.conns = append(rel.conns, inn, out)
+		rel.mu.Unlock()
+		go rel.pipe(inn, out)
+		go rel.pipe(out, inn)
+	}
+}
+
+// piece is what was read at once and is due at a time; nil bytes end the connection.
+type piece struct {
+	bytes []byte
+	due   time.Time
+}
+
+func (rel *slowRelay) pipe(from, to net.Conn) {
+	pcs := make(chan piece, 4096)
+	go func() {
+		for pce := range pcs {
+			time.Sleep(time.Until(pce.due))
+			if _, err := to.Write(pce.bytes); err != nil {
+				break
+			}
+		}
+		_ = to.Close()
+		_ = from.Close()
+	}()
+	defer close(pcs)
+	for {
+		buf := make([]byte, 32<<10)
+		num, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		pcs <- piece{bytes: buf[:num], due: time.Now().Add(rel.latency())}
+	}
+}
+
+func (rel *slowRelay) latency() time.Duration {
+	rel.mu.Lock()
+	defer rel.mu.Unlock()
+	return rel.delay
+}
+
+// slow sets the delay of each direction.
+func (rel *slowRelay) slow(dly time.Duration) {
+	rel.mu.Lock()
+	defer rel.mu.Unlock()
+	rel.delay = dly
+}
+
+func (rel *slowRelay) connections() int {
+	rel.mu.Lock()
+	defer rel.mu.Unlock()
+	return rel.accepted
+}
+
+func (rel *slowRelay) close() {
+	_ = rel.lis.Close()
+	rel.mu.Lock()
+	defer rel.mu.Unlock()
+	for _, con := range rel.conns {
+		_ = con.Close()
+	}
+}
+
+// slowFixture is a server behind a slow relay and a pool that has a connection to it.
+type slowFixture struct {
+	own *fakeOwner
+	rel *slowRelay
+	poo *Pool
+	cnt *siskinrill.Counters
+}
+
+func newSlowFixture(t *testing.T) *slowFixture {
+	own := &fakeOwner{handle: echo}
+	fix := &slowFixture{own: own, cnt: siskinrill.NewCounters()}
+	fix.rel = newSlowRelay(t, serve(t, func(gsv *grpc.Server) { NewServer(own, nil).Register(gsv) }))
+	fix.poo = NewPool(Options{Counters: fix.cnt})
+	t.Cleanup(fix.poo.Close)
+	must.NoError(t, fix.forward(t.Context()))
+	return fix
+}
+
+func (fix *slowFixture) address() string { return fix.rel.lis.Addr().String() }
+
+func (fix *slowFixture) forward(ctx context.Context) error {
+	ans, err := fix.poo.Forward(ctx, fix.address(), newAttempt(idempotent, []byte("body")))
+	if err == nil {
+		_, err = content(ans)
+	}
+	return err
+}
+
+func (fix *slowFixture) events() string { return fix.cnt.Vars()["events"].String() }
+
+// TestSlowPeer guards against requests that fail because a full link delays the answers of a living peer.
+func TestSlowPeer(t *testing.T) {
+	t.Parallel()
+	for name, dly := range map[string]time.Duration{"round trip of 0.5 s": 250 * time.Millisecond, "round trip of 0.9 s": 450 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fix := newSlowFixture(t)
+			fix.own.handle = after(func() { time.Sleep(400 * time.Millisecond) }, 0)
+			fix.rel.slow(dly)
+			var wtg sync.WaitGroup
+			for range 20 {
+				wtg.Go(func() { must.NoError(t, fix.forward(t.Context())) })
+			}
+			wtg.Wait()
+		})
+	}
+}
+
+// TestSlowPeerConnections guards against a new connection for nearly every request to a peer behind a full link.
+func TestSlowPeerConnections(t *testing.T) {
+	t.Parallel()
+	fix := newSlowFixture(t)
+	fix.own.handle = after(func() { time.Sleep(400 * time.Millisecond) }, 0)
+	fix.rel.slow(300 * time.Millisecond)
+	var wtg sync.WaitGroup
+	for range 60 {
+		wtg.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			_, _ = fix.poo.Forward(ctx, fix.address(), newAttempt(nonIdempotent, nil))
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	wtg.Wait()
+	must.LessEq(t, 4, fix.rel.connections(), must.Sprint(fix.events()))
+}
+
+// TestSuspectIsAvoided guards against a new request on a connection that has already left a ping unanswered.
+func TestSuspectIsAvoided(t *testing.T) {
+	t.Parallel()
+	fix := newFixture(t)
+	held := make(chan struct{})
+	fix.own.handle = after(func() { fix.rel.silence(); <-held }, 0)
+	first := make(chan error, 1)
+	go func() {
+		_, err := fix.poo.Forward(t.Context(), fix.rel.address(), newAttempt(idempotent, nil))
+		first <- err
+	}()
+	// The ping is sent after 250 ms of silence and waited for during at least 250 ms.
+	time.Sleep(300 * time.Millisecond)
+	fix.awaitEvent(t, "peer_suspected")
+	fix.own.handle = echo
+	beg := time.Now()
+	_, err := fix.poo.Forward(t.Context(), fix.rel.address(), newAttempt(idempotent, nil))
+	must.NoError(t, err)
+	must.Less(t, 150*time.Millisecond, time.Since(beg))
+	must.Eq(t, 0, len(first))
+	close(held)
+	must.Error(t, <-first)
+}
+
+// TestSuspectReturns guards against the loss of requests, and a second connection for later ones, where a ping is answered late.
+func TestSuspectReturns(t *testing.T) {
+	t.Parallel()
+	fix := newSlowFixture(t)
+	fix.own.handle = after(func() { time.Sleep(10 * time.Millisecond) }, 0)
+	fix.rel.slow(350 * time.Millisecond)
+	must.NoError(t, fix.forward(t.Context()))
+	fix.rel.slow(0)
+	must.NoError(t, fix.forward(t.Context()))
+	must.StrNotContains(t, fix.events(), "peer_ping_failed")
+}
