peer: one backoff for each peer that cannot be connected to

Cause: each request without a connection started an attempt of its own as soon as the last one had failed.

Change: the attempts at an address share one backoff: the second failure in a row is followed by a pause of 25 to 50 ms, which doubles up to 200 to 400 ms. Requests that arrive in the pause are refused as unreachable at once, so that a request of a service without keys goes elsewhere and others wait for a newer table, as they do after a failed attempt. The first failure is followed by no pause, since the peer may just have returned.

Requests don't wait for the end of the pause in the pool: there they would not see that their key has a new owner.

The test also holds that a peer that is back is reached within 900 ms.

--- a/internal/agent/peer/connect.go
+++ b/internal/agent/peer/connect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"syscall"
 	"time"
 
@@ -10,9 +11,19 @@
 	"github.com/siskinrill/siskinrill/internal/host/roundtrip"
 )
 
+const (
+	// The first failure is followed by a new attempt at once, since the peer may just have returned.
+	freeFailures = 1
+	// The pause between attempts doubles from the first to the longest; a key must be served again soon after its owner is back.
+	firstBackoff   = 50 * time.Millisecond
+	longestBackoff = 400 * time.Millisecond
+)
+
 // remote is what the pool knows of an address, whichever connection it has; the pool's lock guards it.
 type remote struct {
-	trips roundtrip.Estimate // of pings and handshakes
+	trips    roundtrip.Estimate // of pings and handshakes
+	failures int                // attempts to connect since the last success
+	retryAt  time.Time
 }
 
 // remote returns the record of an address; the lock is held.
@@ -25,6 +36,16 @@
 	return rem
 }
 
+// failed counts a failed attempt and sets the time of the next one.
+func (rem *remote) failed(now time.Time) {
+	rem.failures++
+	if rem.failures <= freeFailures {
+		return
+	}
+	pause := min(firstBackoff<<min(rem.failures-freeFailures-1, 8), longestBackoff)
+	rem.retryAt = now.Add(pause/2 + rand.N(pause/2))
+}
+
 // connect makes a link to an address; those who wait for the same address share the call. An attempt goes on for a while after its callers were refused, since a full link delays a handshake.
 func (poo *Pool) connect(addr string) error {
 	poo.mu.Lock()
@@ -32,6 +53,10 @@
 		poo.mu.Unlock()
 		return errors.New("the pool is closed")
 	}
+	if wait := time.Until(poo.remote(addr).retryAt); wait > 0 {
+		poo.mu.Unlock()
+		return errors.Errorf("connecting to %s has failed, next attempt in %v", addr, wait)
+	}
 	res := make(chan error, 1)
 	poo.done.Go(func() { res <- poo.dial(addr) })
 	poo.mu.Unlock()
@@ -47,6 +72,9 @@
 		return nil
 	}
 	poo.opt.Counters.Event("peer_connect_failed")
+	poo.mu.Lock()
+	defer poo.mu.Unlock()
+	poo.remote(addr).failed(time.Now())
 	return err
 }
 
@@ -74,7 +102,9 @@
 	now := time.Now()
 	poo.mu.Lock()
 	defer poo.mu.Unlock()
-	poo.remote(lnk.address).trips.Add(lnk.trip)
+	rem := poo.remote(lnk.address)
+	rem.trips.Add(lnk.trip)
+	rem.failures, rem.retryAt = 0, time.Time{}
 	for old := range poo.all {
 		if old.address == lnk.address && old.refuted.IsZero() {
 			old.refuted = now
--- a/internal/agent/peer/relay_test.go
+++ b/internal/agent/peer/relay_test.go
@@ -22,6 +22,7 @@
 	mu     sync.Mutex
 	epoch  *relayEpoch
 	conns  []net.Conn
+	opened int
 	refuse atomic.Bool
 	frozen atomic.Bool  // new connections are silent as well
 	sent   atomic.Int64 // bytes that callers have sent
@@ -50,6 +51,9 @@
 		if err != nil {
 			return
 		}
+		rel.mu.Lock()
+		rel.opened++
+		rel.mu.Unlock()
 		out, err := net.Dial("tcp", rel.target)
 		if err != nil || rel.refuse.Load() {
 			_ = inn.Close()
@@ -99,6 +103,13 @@
 	}
 }
 
+// connections returns how many connections were accepted.
+func (rel *relay) connections() int {
+	rel.mu.Lock()
+	defer rel.mu.Unlock()
+	return rel.opened
+}
+
 // silence stops the connections that exist; new ones work.
 func (rel *relay) silence() {
 	rel.mu.Lock()
--- a/internal/agent/peer/slow_test.go
+++ b/internal/agent/peer/slow_test.go
@@ -212,3 +212,35 @@
 	must.NoError(t, fix.forward(t.Context()))
 	must.StrNotContains(t, fix.events(), "peer_ping_failed")
 }
+
+// TestConnectStorm guards against a new connection for each request while a peer refuses them or answers none.
+func TestConnectStorm(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]func(*fixture){"refuses": func(fix *fixture) { fix.rel.shut() }, "silent": func(fix *fixture) { fix.rel.freeze() }} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fix := newFixture(t)
+			fault(fix)
+			var wtg sync.WaitGroup
+			for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				wtg.Go(func() {
+					_, err := fix.poo.Forward(t.Context(), fix.rel.address(), newAttempt(idempotent, nil))
+					must.Error(t, err)
+				})
+			}
+			wtg.Wait()
+			must.LessEq(t, 14, fix.rel.connections())
+			// A peer that is back must be reached soon.
+			fix.rel.refuse.Store(false)
+			fix.rel.frozen.Store(false)
+			back := time.Now()
+			for {
+				if _, err := fix.poo.Forward(t.Context(), fix.rel.address(), newAttempt(idempotent, nil)); err == nil {
+					break
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			must.Less(t, 900*time.Millisecond, time.Since(back))
+		})
+	}
+}
