peer: ping once an answer is later than usual

Cause: a connection with an outstanding request was pinged after 250 ms of silence, counted from the last byte received.

Change: silence counts from the last byte or from the first of the requests that wait, whichever is later. A ping is sent after the smoothed time to an answer plus four deviations, between 250 and 600 ms. A cut connection is found up to 350 ms later on such services, and 250 ms later if it was idle; requests that must not run twice still have it proven before they use it.

--- a/internal/agent/peer/connect.go
+++ b/internal/agent/peer/connect.go
@@ -22,6 +22,7 @@
 // remote is what the pool knows of an address, whichever connection it has; the pool's lock guards it.
 type remote struct {
 	trips    roundtrip.Estimate // of pings and handshakes
+	answers  roundtrip.Estimate // from a request to the first message of its answer
 	failures int                // attempts to connect since the last success
 	retryAt  time.Time
 }
--- a/internal/agent/peer/forward.go
+++ b/internal/agent/peer/forward.go
@@ -115,11 +115,13 @@
 	if err != nil && err != io.EOF {
 		return nil, fwd.failed(err)
 	}
+	beg := time.Now()
 	for {
 		msg := &peerpb.OwnerMessage{}
 		if err := str.RecvMsg(msg); err != nil {
 			return nil, fwd.failed(err)
 		}
+		fwd.pool.answered(fwd.link, time.Since(beg))
 		switch knd := msg.GetKind().(type) {
 		case *peerpb.OwnerMessage_Refused:
 			fwd.drain()
--- a/internal/agent/peer/link.go
+++ b/internal/agent/peer/link.go
@@ -91,6 +91,7 @@
 	// The pool's lock guards these.
 	outstanding int
 	used        time.Time
+	busy        time.Time // when the oldest of the outstanding requests, or one before it, was added
 	pinged      time.Time // zero: no ping of the watch is unanswered
 	suspected   time.Time // zero: the link is sound
 	refuted     time.Time // zero: no newer link to the address was made since
@@ -163,6 +164,14 @@
 	return err
 }
 
+// active returns when the link was last heard or, if later, began to wait for an answer; the pool's lock is held.
+func (lnk *link) active() time.Time {
+	if hea := lnk.socket.heard(); hea.After(lnk.busy) {
+		return hea
+	}
+	return lnk.busy
+}
+
 func (lnk *link) close() {
 	_ = lnk.socket.Close()
 	_ = lnk.conn.Close()
--- a/internal/agent/peer/pool.go
+++ b/internal/agent/peer/pool.go
@@ -27,7 +27,7 @@
 	ProveAfter time.Duration
 	// ProveTimeout is the longest wait for that answer beside the round trip, 100 ms by default.
 	ProveTimeout time.Duration
-	// PingAfter is the silence after which a connection with outstanding requests is pinged, 250 ms by default.
+	// PingAfter is the least silence after which a connection with outstanding requests is pinged, 250 ms by default.
 	PingAfter time.Duration
 	// PingTimeout is the longest wait for an answer to that ping before the connection is suspect, 1 s by default; it is less where round trips are short.
 	PingTimeout time.Duration
@@ -146,6 +146,9 @@
 	if lnk == nil || lnk.socket.closed.Load() {
 		return nil
 	}
+	if lnk.outstanding == 0 {
+		lnk.busy = time.Now()
+	}
 	lnk.outstanding++
 	return lnk
 }
@@ -158,6 +161,13 @@
 	lnk.used = now
 }
 
+// answered keeps how long a request waited for its answer.
+func (poo *Pool) answered(lnk *link, took time.Duration) {
+	poo.mu.Lock()
+	defer poo.mu.Unlock()
+	poo.remote(lnk.address).answers.Add(took)
+}
+
 // proven returns a link that has been heard within Options.ProveAfter or has just answered a ping.
 func (poo *Pool) proven(ctx context.Context, addr string) (*link, error) {
 	lnk, err := poo.acquire(ctx, addr)
--- a/internal/agent/peer/relay_test.go
+++ b/internal/agent/peer/relay_test.go
@@ -186,6 +186,17 @@
 	return siskinrill.NewAnswer(hea, nil), nil
 }
 
+// countingServer counts the pings that it answers.
+type countingServer struct {
+	*Server
+	count atomic.Int32
+}
+
+func (srv *countingServer) Ping(ctx context.Context, req *peerpb.PingRequest) (*peerpb.PingAnswer, error) {
+	srv.count.Add(1)
+	return srv.Server.Ping(ctx, req)
+}
+
 // fixture is a server behind a relay and a pool that reaches it.
 type fixture struct {
 	own *fakeOwner
--- a/internal/agent/peer/slow_test.go
+++ b/internal/agent/peer/slow_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
 
 // slowRelay forwards TCP connections and delivers all bytes after a delay, as a full link does.
@@ -244,3 +245,17 @@
 		})
 	}
 }
+
+// TestWorkIsNoSilence guards against a ping for each request that its backend server takes as long to run as ever.
+func TestWorkIsNoSilence(t *testing.T) {
+	t.Parallel()
+	fix := newFixture(t)
+	pngs := &countingServer{Server: fix.srv}
+	adr := serve(t, func(gsv *grpc.Server) { peerpb.RegisterPeerServiceServer(gsv, pngs) })
+	fix.own.handle = after(func() { time.Sleep(400 * time.Millisecond) }, 0)
+	for range 10 {
+		_, err := fix.poo.Forward(t.Context(), adr, newAttempt(idempotent, nil))
+		must.NoError(t, err)
+	}
+	must.LessEq(t, 4, pngs.count.Load())
+}
--- a/internal/agent/peer/watch.go
+++ b/internal/agent/peer/watch.go
@@ -5,6 +5,8 @@
 const (
 	// The watch runs often enough that its period adds little to the limits below.
 	watchPeriod = 25 * time.Millisecond
+	// A backend server may take up to this long as a rule before its answer counts as late.
+	longestAnswer = 600 * time.Millisecond
 	// Bounds of the wait for the answer to a ping; a process may be without a processor for 100 ms.
 	leastPingTimeout = 250 * time.Millisecond
 	// A suspect link is closed this soon after a new one to the same address was made, unless round trips are longer.
@@ -82,7 +84,7 @@
 		return poo.judgeSuspect(lnk, now)
 	}
 	rem := poo.remote(lnk.address)
-	if now.Sub(lnk.socket.heard()) <= poo.opt.PingAfter {
+	if now.Sub(lnk.active()) <= poo.pingAfter(rem) {
 		lnk.pinged = time.Time{}
 		return sound
 	}
@@ -104,7 +106,7 @@
 		return sound
 	}
 	trip := poo.remote(lnk.address).trips.Timeout()
-	silent := now.Sub(lnk.socket.heard()) > min(max(leastDeath, 2*trip), longestDeath)
+	silent := now.Sub(lnk.active()) > min(max(leastDeath, 2*trip), longestDeath)
 	refuted := !lnk.refuted.IsZero() && now.Sub(lnk.refuted) > min(max(leastDoubt, trip), longestDeath)
 	if !silent && !refuted {
 		return sound
@@ -114,6 +116,11 @@
 	return dead
 }
 
+// pingAfter returns the silence after which a link with requests is pinged: more than its requests take as a rule.
+func (poo *Pool) pingAfter(rem *remote) time.Duration {
+	return max(poo.opt.PingAfter, min(rem.answers.Timeout(), longestAnswer))
+}
+
 // pingTimeout returns the longest wait for the answer to a ping.
 func (poo *Pool) pingTimeout(rem *remote) time.Duration {
 	return min(max(rem.trips.Timeout(), leastPingTimeout), poo.opt.PingTimeout)
