peer: bytes that drain keep a suspect connection, but don't return it to use

Cause: a write that took 20 ms counted as a sign that the connection was heard. A write is that late also where the agent has no processor for a while, so that a cut connection could stay in use, or return to it, as long as requests were written to it. And the silence after which a suspect connection is closed counted from the last byte, so that an agent that had been frozen closed its suspect connections at once.

Change: only received bytes end a suspicion. Writes that waited for room only put off the end of a suspect connection, which gets no new requests. The time until a suspect connection is closed, 1 to 1.5 s where no new connection is answered, counts from the suspicion.

Failed before: TestDrainingLink (the connection is not suspect any more after a slow write).

--- a/internal/agent/peer/link.go
+++ b/internal/agent/peer/link.go
@@ -70,10 +70,11 @@
 	return sck.Conn.Close()
 }
 
-// heard returns when the connection last showed that the peer's host is reached.
-func (sck *socket) heard() time.Time {
-	return sck.born.Add(time.Duration(max(sck.received.Load(), sck.drained.Load())))
-}
+// heard returns when the connection last received.
+func (sck *socket) heard() time.Time { return sck.born.Add(time.Duration(sck.received.Load())) }
+
+// drainedAt returns when a write last had to wait for room and got it.
+func (sck *socket) drainedAt() time.Time { return sck.born.Add(time.Duration(sck.drained.Load())) }
 
 func (sck *socket) silence() time.Duration {
 	return time.Since(sck.born) - time.Duration(sck.received.Load())
@@ -165,12 +166,7 @@
 }
 
 // active returns when the link was last heard or, if later, began to wait for an answer; the pool's lock is held.
-func (lnk *link) active() time.Time {
-	if hea := lnk.socket.heard(); hea.After(lnk.busy) {
-		return hea
-	}
-	return lnk.busy
-}
+func (lnk *link) active() time.Time { return later(lnk.socket.heard(), lnk.busy) }
 
 func (lnk *link) close() {
 	_ = lnk.socket.Close()
--- a/internal/agent/peer/slow_test.go
+++ b/internal/agent/peer/slow_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -259,3 +260,31 @@
 	}
 	must.LessEq(t, 4, pngs.count.Load())
 }
+
+// TestDrainingLink guards against the end of a suspect connection whose bytes the peer still takes, and against one that never ends.
+func TestDrainingLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		poo := NewPool(Options{})
+		defer poo.Close()
+		near, far := net.Pipe()
+		lnk := &link{address: "1.2.3.4:1", socket: &socket{Conn: near, born: time.Now()}, outstanding: 1}
+		lnk.suspected, lnk.refuted = time.Now(), time.Now()
+		judge := func() verdict {
+			poo.mu.Lock()
+			defer poo.mu.Unlock()
+			return poo.judge(lnk, time.Now())
+		}
+		for range 20 {
+			go func() {
+				time.Sleep(200 * time.Millisecond)
+				_, _ = far.Read(make([]byte, 1))
+			}()
+			_, err := lnk.socket.Write([]byte("x"))
+			must.NoError(t, err)
+			must.Eq(t, sound, judge())
+		}
+		time.Sleep(leastDoubt + time.Millisecond)
+		must.Eq(t, dead, judge())
+		_ = near.Close()
+	})
+}
--- a/internal/agent/peer/watch.go
+++ b/internal/agent/peer/watch.go
@@ -11,9 +11,9 @@
 	leastPingTimeout = 250 * time.Millisecond
 	// A suspect link is closed this soon after a new one to the same address was made, unless round trips are longer.
 	leastDoubt = 250 * time.Millisecond
-	// A suspect link whose peer answers no new connection either is closed after this silence, unless round trips are longer.
-	leastDeath   = 1500 * time.Millisecond
-	longestDeath = 2 * time.Second
+	// A suspect link whose peer answers no new connection either is closed after this time, unless round trips are longer.
+	leastDeath   = time.Second
+	longestDeath = 1500 * time.Millisecond
 )
 
 // verdict tells what the watch does with a link.
@@ -106,8 +106,10 @@
 		return sound
 	}
 	trip := poo.remote(lnk.address).trips.Timeout()
-	silent := now.Sub(lnk.active()) > min(max(leastDeath, 2*trip), longestDeath)
-	refuted := !lnk.refuted.IsZero() && now.Sub(lnk.refuted) > min(max(leastDoubt, trip), longestDeath)
+	// A full link may drain bytes for long before it delivers the ping behind them.
+	drained := lnk.socket.drainedAt()
+	silent := now.Sub(later(lnk.suspected, drained)) > min(max(leastDeath, 2*trip), longestDeath)
+	refuted := !lnk.refuted.IsZero() && now.Sub(later(lnk.refuted, drained)) > min(max(leastDoubt, trip), longestDeath)
 	if !silent && !refuted {
 		return sound
 	}
@@ -116,6 +118,13 @@
 	return dead
 }
 
+func later(one, two time.Time) time.Time {
+	if one.After(two) {
+		return one
+	}
+	return two
+}
+
 // pingAfter returns the silence after which a link with requests is pinged: more than its requests take as a rule.
 func (poo *Pool) pingAfter(rem *remote) time.Duration {
 	return max(poo.opt.PingAfter, min(rem.answers.Timeout(), longestAnswer))
