agent/control: wait for a large message while its bytes arrive

An agent gave a leader up after 400 ms without an answer, also while the message was on its way, connected again and had it sent from the start. The load of it also cost the leaders their leadership.

Change: the agent counts the bytes of the connection. While at least 1 KB arrives within the timeout, or a message is being applied, it goes on waiting; a connection that is silent ends after the timeout as before.

Failed before: TestLargeMessage with the old watchdog: "expected value of 1, value: 5" (hellos). TestReceived holds the count of bytes.

One leadership is still lost while the tables of all agents are sent at once.

--- a/internal/agent/control/dial.go
+++ b/internal/agent/control/dial.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -12,10 +14,34 @@
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
-// stream is one connection to a control process; Send and Recv may run in parallel.
+// stream is one connection to a control process; Send, Recv and Received may run in parallel.
 type stream interface {
 	Send(*controlpb.AgentMessage) error
 	Recv() (*controlpb.ControlMessage, error)
+	// Received returns the number of bytes that have arrived, also those of a message that is not complete.
+	Received() uint64
+}
+
+// meteredStream counts the bytes of its connection.
+type meteredStream struct {
+	controlpb.SessionService_ConnectClient
+	received *atomic.Uint64
+}
+
+// Received implements stream.
+func (str meteredStream) Received() uint64 { return str.received.Load() }
+
+// meteredConn counts the bytes that are read.
+type meteredConn struct {
+	net.Conn
+	received *atomic.Uint64
+}
+
+// Read implements net.Conn.
+func (cnn meteredConn) Read(buf []byte) (int, error) {
+	num, err := cnn.Conn.Read(buf)
+	cnn.received.Add(uint64(num))
+	return num, err
 }
 
 // dialFunc opens a stream to an address; the stream ends with the context, and closing releases the connection.
@@ -32,7 +58,8 @@
 
 // dialGRPC makes a new connection each time, so that none that went silent is used again.
 func (opt Options) dialGRPC(ctx context.Context, addr string) (stream, func(), error) {
-	dop := opt.dialOptions()
+	rcv := &atomic.Uint64{}
+	dop := opt.dialOptions(rcv)
 	con, err := grpc.NewClient("passthrough:///"+addr, dop...)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "dial control")
@@ -42,11 +69,11 @@
 		_ = con.Close()
 		return nil, nil, errors.Wrap(err, "open session stream")
 	}
-	return str, func() { _ = con.Close() }, nil
+	return meteredStream{SessionService_ConnectClient: str, received: rcv}, func() { _ = con.Close() }, nil
 }
 
-func (opt Options) dialOptions() []grpc.DialOption {
-	dop := []grpc.DialOption{
+func (opt Options) dialOptions(rcv *atomic.Uint64) []grpc.DialOption {
+	return []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithReadBufferSize(socketBuffer),
 		grpc.WithWriteBufferSize(socketBuffer),
@@ -55,9 +82,20 @@
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(largestMessage)),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: time.Second}),
+		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
+			cnn, err := opt.connect(ctx, addr)
+			if err != nil {
+				return nil, err
+			}
+			return meteredConn{Conn: cnn, received: rcv}, nil
+		}),
 	}
+}
+
+func (opt Options) connect(ctx context.Context, addr string) (net.Conn, error) {
 	if opt.Dial != nil {
-		dop = append(dop, grpc.WithContextDialer(opt.Dial))
+		return opt.Dial(ctx, addr)
 	}
-	return dop
+	var dlr net.Dialer
+	return dlr.DialContext(ctx, "tcp", addr)
 }
--- a/internal/agent/control/serve.go
+++ b/internal/agent/control/serve.go
@@ -12,6 +12,9 @@
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
+// progressBytes is the least number of bytes within AnswerTimeout that shows a message on its way; control frames of the transport alone stay below it.
+const progressBytes = 1 << 10
+
 // renewal is a renewal that was sent and not yet answered.
 type renewal struct {
 	sequence uint64
@@ -30,14 +33,20 @@
 	pending  []renewal // oldest first
 	sequence uint64
 	watchdog *time.Timer
+	received uint64 // bytes when the watchdog last looked
+	applying bool   // a message is being applied, and the answers behind it are not read
+	over     bool   // the watchdog is not to look again
 }
 
 // serve uses a connection until it ends.
 func (ses *Session) serve(ctx context.Context, con *connection) error {
 	exc := ses.begin(con)
 	// A dead connection may block Send and Recv, so that only the end of its context frees them.
-	exc.watchdog = time.AfterFunc(ses.opt.AnswerTimeout, exc.abandon)
-	defer exc.watchdog.Stop()
+	exc.mu.Lock()
+	exc.received = con.stream.Received()
+	exc.watchdog = time.AfterFunc(ses.opt.AnswerTimeout, exc.checkAnswers)
+	exc.mu.Unlock()
+	defer exc.stopWatchdog()
 	ended := make(chan error, 1)
 	var rcv sync.WaitGroup
 	rcv.Go(func() { ended <- exc.receive() })
@@ -48,13 +57,38 @@
 	return err
 }
 
-// abandon ends a connection whose leader has not answered a renewal in time.
-func (exc *exchange) abandon() {
+// checkAnswers ends a connection whose leader has not answered a renewal in time, unless a larger message arrives or is applied, behind which the answer waits. An agent that gave up then would have the whole message sent again, and might never receive it.
+func (exc *exchange) checkAnswers() {
+	if exc.advancing() {
+		return
+	}
 	exc.ses.opt.Counters.Event(eventSilent)
 	exc.ses.opt.Logger.Warnf("session: leader %s does not answer renewals", exc.con.address)
 	exc.con.cancel()
 }
 
+// advancing reports whether enough bytes have arrived since the last look, or one message is still applied, and has the watchdog look again.
+func (exc *exchange) advancing() bool {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	num := exc.con.stream.Received()
+	if num < exc.received+progressBytes && !exc.applying {
+		return false
+	}
+	exc.received = num
+	if !exc.over {
+		exc.watchdog.Reset(exc.ses.opt.AnswerTimeout)
+	}
+	return true
+}
+
+func (exc *exchange) stopWatchdog() {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	exc.over = true
+	exc.watchdog.Stop()
+}
+
 // begin takes over what the welcome says.
 func (ses *Session) begin(con *connection) *exchange {
 	wlc := con.welcome
@@ -136,7 +170,9 @@
 		exc.watchdog.Stop()
 		return
 	}
-	exc.watchdog.Reset(exc.ses.opt.AnswerTimeout - boottime.Mark().Since(exc.pending[0].sent))
+	// An answer that waited behind a large message may leave renewals that are overdue already; theirs follows it at once.
+	rest := exc.ses.opt.AnswerTimeout - boottime.Mark().Since(exc.pending[0].sent)
+	exc.watchdog.Reset(max(rest, exc.ses.opt.AnswerTimeout/4))
 }
 
 func (exc *exchange) sendLoad(interval time.Duration) error {
@@ -162,12 +198,21 @@
 		if err != nil {
 			return errors.Wrap(err, "receive")
 		}
-		if err := exc.take(msg); err != nil {
+		exc.setApplying(true)
+		err = exc.take(msg)
+		exc.setApplying(false)
+		if err != nil {
 			return err
 		}
 	}
 }
 
+func (exc *exchange) setApplying(applying bool) {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	exc.applying = applying
+}
+
 // take handles one message of the leader; an error ends the connection.
 func (exc *exchange) take(msg *controlpb.ControlMessage) error {
 	ses := exc.ses
