--- a/internal/agent/control/serve.go
+++ b/internal/agent/control/serve.go
@@ -12,6 +12,9 @@
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
+// progressBytes is the least number of bytes within AnswerTimeout that shows a message on its way; control frames of the transport alone stay below it.
+const progressBytes = 1 << 10
+
 // renewal is a renewal that was sent and not yet answered.
 type renewal struct {
 	sequence uint64
@@ -32,14 +35,20 @@
 	sequence uint64
 	heard    boottime.Instant // of the last message
 	watchdog *time.Timer
+	received uint64 // bytes when the watchdog last looked
+	applying bool   // a message is being applied, and the answers behind it are not read
+	over     bool   // the watchdog is not to look again
 }
 
 // serve uses a connection until it ends.
 func (ses *Session) serve(ctx context.Context, con *connection) error {
 	exc := ses.begin(con)
 	// A dead connection may block Send and Recv, so that only the end of its context frees them.
-	exc.watchdog = time.AfterFunc(exc.silence, exc.check)
-	defer exc.watchdog.Stop()
+	exc.mu.Lock()
+	exc.received = con.stream.Received()
+	exc.watchdog = time.AfterFunc(exc.silence, exc.checkAnswers)
+	exc.mu.Unlock()
+	defer exc.stopWatchdog()
 	ended := make(chan error, 1)
 	var rcv sync.WaitGroup
 	rcv.Go(func() { ended <- exc.receive() })
@@ -50,17 +59,29 @@
 	return err
 }
 
-// check abandons the connection if its leader has been silent for too long. A leader that owes an answer but still sends is not: the answer may wait behind an update, and a new connection would have that sent again.
-func (exc *exchange) check() {
+// checkAnswers ends a connection whose leader has not answered a renewal in time. A leader that owes an answer but still sends is kept for a while, and for as long as a larger message arrives or is applied: the answer waits behind it, and an agent that gave up would have the whole message sent again, and might never receive it.
+func (exc *exchange) checkAnswers() {
+	if exc.waits() || exc.advancing() {
+		return
+	}
+	exc.ses.opt.Counters.Event(eventSilent)
+	exc.ses.opt.Logger.Warnf("session: leader %s does not answer renewals", exc.con.address)
+	exc.con.cancel()
+}
+
+// waits reports whether the leader has time left for its answer, and has the watchdog look again after it.
+func (exc *exchange) waits() bool {
 	exc.mu.Lock()
+	defer exc.mu.Unlock()
 	rest := exc.rest()
-	if rest > 0 && len(exc.pending) > 0 {
-		exc.watchdog.Reset(rest)
-	}
-	exc.mu.Unlock()
 	if rest <= 0 {
-		exc.abandon()
+		return false
+	}
+	exc.received = exc.con.stream.Received()
+	if len(exc.pending) > 0 && !exc.over {
+		exc.watchdog.Reset(rest)
 	}
+	return true
 }
 
 // rest returns the time after which the leader is silent for too long if nothing arrives; the lock is held.
@@ -74,11 +95,26 @@
 	return min(exc.silence-quiet, exc.ses.opt.AnswerLimit-waited)
 }
 
-// abandon ends a connection whose leader has not answered a renewal in time.
-func (exc *exchange) abandon() {
-	exc.ses.opt.Counters.Event(eventSilent)
-	exc.ses.opt.Logger.Warnf("session: leader %s does not answer renewals", exc.con.address)
-	exc.con.cancel()
+// advancing reports whether enough bytes have arrived since the last look, or one message is still applied, and has the watchdog look again.
+func (exc *exchange) advancing() bool {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	num := exc.con.stream.Received()
+	if num < exc.received+progressBytes && !exc.applying {
+		return false
+	}
+	exc.received = num
+	if !exc.over {
+		exc.watchdog.Reset(exc.silence)
+	}
+	return true
+}
+
+func (exc *exchange) stopWatchdog() {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	exc.over = true
+	exc.watchdog.Stop()
 }
 
 // begin takes over what the welcome says.
@@ -163,7 +199,7 @@
 		exc.watchdog.Stop()
 		return
 	}
-	exc.watchdog.Reset(exc.rest())
+	exc.watchdog.Reset(max(exc.rest(), exc.silence/4))
 }
 
 func (exc *exchange) sendLoad(interval time.Duration) error {
@@ -197,12 +233,21 @@
 			return errors.Wrap(err, "receive")
 		}
 		exc.hear()
-		if err := exc.take(msg); err != nil {
+		exc.setApplying(true)
+		err = exc.take(msg)
+		exc.setApplying(false)
+		if err != nil {
 			return err
 		}
 	}
 }
 
+func (exc *exchange) setApplying(applying bool) {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	exc.applying = applying
+}
+
 // take handles one message of the leader; an error ends the connection.
 func (exc *exchange) take(msg *controlpb.ControlMessage) error {
 	ses := exc.ses
