--- a/internal/agent/control/serve.go
+++ b/internal/agent/control/serve.go
@@ -15,6 +15,9 @@
 // progressBytes is the least number of bytes within AnswerTimeout that shows a message on its way; control frames of the transport alone stay below it.
 const progressBytes = 1 << 10
 
+// clockSlack is how much earlier than by the boot time a timer may fire.
+const clockSlack = time.Millisecond
+
 // renewal is a renewal that was sent and not yet answered.
 type renewal struct {
 	sequence uint64
@@ -74,7 +77,7 @@
 	exc.mu.Lock()
 	defer exc.mu.Unlock()
 	rest := exc.rest()
-	if rest <= 0 {
+	if rest < clockSlack {
 		return false
 	}
 	exc.received = exc.con.stream.Received()
