agent/control: TestReceived sends tables that do not compress

Updates are compressed since; the test's 16,384 equal tokens took 368 bytes, so that no part of the message could be seen on its way. The tokens are random now, bound and check are as before.

--- a/internal/agent/control/session_test.go
+++ b/internal/agent/control/session_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -402,6 +403,12 @@
 func TestReceived(t *testing.T) {
 	ctl := newFakeControl()
 	ctl.snapshot = newSnapshot(16384)
+	for _, tab := range ctl.snapshot.GetTables() {
+		for par := range tab.GetTokens() {
+			// Like tokens are compressed to some hundred bytes.
+			tab.Tokens[par] = rand.Uint64()
+		}
+	}
 	ctl.leader = ctl.listen(t)
 	ses := New(Options{Node: &controlpb.Node{Name: "a"}})
 	str, release, err := ses.dial(t.Context(), ctl.leader)
