agent/control: without a lease an unknown route is refused with 503

Cause: an agent that is cut off from control answers 404 for routes that were added meanwhile, which callers take for final.

Change: without a lease Match returns no_lease in place of no_route, and the answer names a time for a retry. Routes that are known are served as before.

Weighed: a request that no configuration allows is answered 503 instead of 404 while the agent has no lease; it is told 404 at its retry.

TestNoRouteWithoutLease failed before.

--- a/internal/agent/caller/handler.go
+++ b/internal/agent/caller/handler.go
@@ -132,6 +132,9 @@
 		return nil, siskinrill.NotRun(siskinrill.ReasonNoLease).WithRetryAfter(time.Second)
 	}
 	rte, key, rsn := han.session.Match(req.Host, req.Method, req.URL.EscapedPath())
+	if rte == nil && rsn == siskinrill.ReasonNoLease {
+		return nil, siskinrill.NotRun(rsn).WithRetryAfter(leastRetryAfter)
+	}
 	if rte == nil {
 		return nil, siskinrill.NotRun(rsn)
 	}
--- a/internal/agent/control/session.go
+++ b/internal/agent/control/session.go
@@ -77,9 +77,13 @@
 // Fresh reports whether a leader was heard within Options.Freshness.
 func (ses *Session) Fresh() bool { return ses.lease.fresh(ses.opt.Freshness) }
 
-// Match returns the route and key of a host, method and escaped path, or the reason why there is none.
+// Match returns the route and key of a host, method and escaped path, or the reason why there is none. Without a lease a route may have been added that this agent was not told of.
 func (ses *Session) Match(host, method, path string) (*controlpb.Route, string, siskinrill.Reason) {
-	return ses.table.match(host, method, path)
+	rte, key, rsn := ses.table.match(host, method, path)
+	if _, valid := ses.Expires(); rsn == siskinrill.ReasonNoRoute && !valid {
+		rsn = siskinrill.ReasonNoLease
+	}
+	return rte, key, rsn
 }
 
 // Limits returns the limits of callers' requests, nil if there are none; they must not be changed.
--- a/internal/agent/control/slow_test.go
+++ b/internal/agent/control/slow_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 	"google.golang.org/grpc"
 
+	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
@@ -146,3 +147,24 @@
 		must.Eq(t, 2, ctl.connects())
 	})
 }
+
+// Guards against a 404, which callers take for final, of an agent that is cut off from control while routes are added.
+func TestNoRouteWithoutLease(t *testing.T) {
+	within(t, func(ctl *fakeControl, ses *Session) {
+		chg := &controlpb.ConfigurationChange{Number: 7, SetRoutes: []*controlpb.Route{{Name: "old", Host: "h", Prefix: "/old/"}}}
+		ctl.push(&controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Difference{Difference: &controlpb.Difference{
+			From: 50, To: 51, Changes: []*controlpb.Change{{Kind: &controlpb.Change_Configuration{Configuration: chg}}},
+		}}})
+		time.Sleep(time.Second)
+		_, _, rsn := ses.Match("h", "GET", "/new/1")
+		must.Eq(t, siskinrill.ReasonNoRoute, rsn)
+		ctl.set(func() { ctl.silent = map[string]bool{"c1": true, "c2": true, "c3": true} })
+		time.Sleep(1500 * time.Millisecond)
+		must.False(t, leased(ses))
+		_, _, rsn = ses.Match("h", "GET", "/new/1")
+		must.Eq(t, siskinrill.ReasonNoLease, rsn)
+		rte, _, rsn := ses.Match("h", "GET", "/old/1")
+		must.Eq(t, "old", rte.GetName())
+		must.Eq(t, "", rsn)
+	})
+}
