--- a/internal/bench/standin/request.go
+++ b/internal/bench/standin/request.go
@@ -148,6 +148,11 @@
 		status = http.StatusBadRequest
 	}
 	srv.led.end(seq, status, bdy)
+	if status == statusClientClosed {
+		// An answer at the deadline would race with the end of the client's wait.
+		<-req.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if pla.duplicate {
 		again := srv.led.start(srv.row(req, pla.name()))
 		srv.led.end(again, status, bdy)
