peer: forget peers that are not used any more; a late proof lengthens the timeout too

Cause: the record of an address (round trips, backoff) stayed for the life of the agent, although agents come and go with new addresses. A proof that was late made its connection suspect without doubling the timeout, unlike the watch's ping, so that the next proof over the same full link was late as well. A ping was cancelled after 1.5 s, so that its answer was lost as evidence.

Change: records without a connection are dropped after the idle time. Each suspicion doubles the timeout until the next sample. A ping goes on for 3 s.

Failed before: TestForgottenPeers (one record left).

--- a/internal/agent/peer/connect.go
+++ b/internal/agent/peer/connect.go
@@ -24,6 +24,7 @@
 	trips    roundtrip.Estimate // of pings and handshakes
 	answers  roundtrip.Estimate // from a request to the first message of its answer
 	failures int                // attempts to connect since the last success
+	tried    time.Time          // last attempt to connect
 	retryAt  time.Time
 }
 
@@ -37,6 +38,21 @@
 	return rem
 }
 
+// forget drops the records of addresses that have no link and were not tried for the idle time.
+func (poo *Pool) forget(now time.Time) {
+	poo.mu.Lock()
+	defer poo.mu.Unlock()
+	linked := map[string]bool{}
+	for lnk := range poo.all {
+		linked[lnk.address] = true
+	}
+	for addr, rem := range poo.remotes {
+		if !linked[addr] && now.Sub(rem.tried) > poo.opt.IdleTimeout {
+			delete(poo.remotes, addr)
+		}
+	}
+}
+
 // failed counts a failed attempt and sets the time of the next one.
 func (rem *remote) failed(now time.Time) {
 	rem.failures++
@@ -54,10 +70,12 @@
 		poo.mu.Unlock()
 		return errors.New("the pool is closed")
 	}
-	if wait := time.Until(poo.remote(addr).retryAt); wait > 0 {
+	rem := poo.remote(addr)
+	if wait := time.Until(rem.retryAt); wait > 0 {
 		poo.mu.Unlock()
 		return errors.Errorf("connecting to %s has failed, next attempt in %v", addr, wait)
 	}
+	rem.tried = time.Now()
 	res := make(chan error, 1)
 	poo.done.Go(func() { res <- poo.dial(addr) })
 	poo.mu.Unlock()
--- a/internal/agent/peer/pool.go
+++ b/internal/agent/peer/pool.go
@@ -211,7 +211,7 @@
 // pinger returns a function that pings a link and keeps the time that the answer took.
 func (poo *Pool) pinger(lnk *link) func() (any, error) {
 	return func() (any, error) {
-		ctx, cancel := context.WithTimeout(poo.ctx, longestDeath)
+		ctx, cancel := context.WithTimeout(poo.ctx, pingLifetime)
 		defer cancel()
 		beg := time.Now()
 		if err := lnk.ping(ctx); err != nil {
--- a/internal/agent/peer/slow_test.go
+++ b/internal/agent/peer/slow_test.go
@@ -288,3 +288,20 @@
 		_ = near.Close()
 	})
 }
+
+// TestForgottenPeers guards against records of addresses that were used once and never again, which fill the memory of an agent that runs for months.
+func TestForgottenPeers(t *testing.T) {
+	t.Parallel()
+	fix := newFixture(t)
+	poo := NewPool(Options{IdleTimeout: 50 * time.Millisecond})
+	t.Cleanup(poo.Close)
+	_, err := poo.Forward(t.Context(), fix.rel.address(), newAttempt(idempotent, nil))
+	must.NoError(t, err)
+	fix.rel.shut()
+	_, err = poo.Forward(t.Context(), fix.rel.address(), newAttempt(nonIdempotent, nil))
+	must.Error(t, err)
+	time.Sleep(500 * time.Millisecond)
+	poo.mu.Lock()
+	defer poo.mu.Unlock()
+	must.MapEmpty(t, poo.remotes)
+}
--- a/internal/agent/peer/watch.go
+++ b/internal/agent/peer/watch.go
@@ -14,6 +14,8 @@
 	// A suspect link whose peer answers no new connection either is closed after this time, unless round trips are longer.
 	leastDeath   = time.Second
 	longestDeath = 1500 * time.Millisecond
+	// A ping goes on this long, since a late answer is evidence as well.
+	pingLifetime = 3 * time.Second
 )
 
 // verdict tells what the watch does with a link.
@@ -30,10 +32,15 @@
 func (poo *Pool) watch() {
 	tck := time.NewTicker(watchPeriod)
 	defer tck.Stop()
+	fgt := time.NewTicker(poo.opt.IdleTimeout)
+	defer fgt.Stop()
 	for {
 		select {
 		case <-poo.closed:
 			return
+		case now := <-fgt.C:
+			poo.forget(now)
+			continue
 		case <-tck.C:
 		}
 		for lnk, vrd := range poo.inspect(time.Now()) {
@@ -95,7 +102,6 @@
 	if now.Sub(lnk.pinged) <= poo.pingTimeout(rem) {
 		return sound
 	}
-	rem.trips.Expire()
 	poo.suspect(lnk, now)
 	return suspect
 }
@@ -141,6 +147,7 @@
 		return
 	}
 	poo.opt.Counters.Event("peer_suspected")
+	poo.remote(lnk.address).trips.Expire()
 	lnk.suspected, lnk.refuted = now, time.Time{}
 	if poo.current[lnk.address] == lnk {
 		delete(poo.current, lnk.address)
