--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -25,8 +25,8 @@
 // percent is the whole of a setting that is a share.
 const percent = 100
 
-// adminGrace is how long requests to the admin API have to finish at a stop.
-const adminGrace = 500 * time.Millisecond
+// orderGrace is how long orders of operators have to finish at a stop; an order waits for up to a second for its commit, and longer if it is large.
+const orderGrace = 2 * time.Second
 
 // Options configures a control process.
 type Options struct {
@@ -162,7 +162,7 @@
 	}).Info("control: Started.")
 	var grp run.Group
 	actor.Until(ctx, &grp, prc.stop)
-	actor.HTTP(&grp, adminGrace, append([]actor.Server{{Listener: prc.options.Admin, Handler: prc.handler}}, prc.extra...)...)
+	actor.HTTP(&grp, orderGrace, append([]actor.Server{{Listener: prc.options.Admin, Handler: prc.handler}}, prc.extra...)...)
 	actor.Loop(&grp, prc.sessions.Run)
 	actor.Loop(&grp, prc.group.Run)
 	actor.GRPC(&grp, prc.options.Listener, prc.server)
