raft: a leader steps down after the longest election timeout

Cause: check-quorum ended a leadership after 250 ms without answers of a majority, the shortest election timeout. A leader that was busy, or whose answers waited behind other data, stepped down although its followers heard it and would not have campaigned; every agent then connected anew, which made the next leader busy in turn. With two of five control hosts without their disks, each of the two other answers counts.

Change: check-quorum applies after 500 ms, the longest election timeout. The followers' timeouts are as before, so that a dead leader is replaced as quickly. Leases do not depend on it: renewals are answered only after a majority has confirmed the leadership.

Failed before: TestLateAnswers/late: expected true, got false.

--- a/internal/control/raft/leader.go
+++ b/internal/control/raft/leader.go
@@ -76,10 +76,10 @@
 	rft.heartbeat()
 }
 
-// quorumHeard reports whether a majority was heard within the shortest election timeout.
+// quorumHeard reports whether a majority was heard within the longest election timeout. Answers that are late for less than that come from followers that still hear this leader, or the timeout of one of them would have ended its term.
 func (rft *Raft) quorumHeard() bool {
 	oldest := rft.quorumValue(func(prg *progress) uint64 { return prg.heard }, rft.now)
-	return rft.now-oldest <= uint64(rft.opt.ElectionTicks)
+	return rft.now-oldest <= uint64(2*rft.opt.ElectionTicks)
 }
 
 // quorumValue returns the highest value that a majority of the voters reaches; own is the value of this member.
