control/agent: tables for many agents at once leave room on the link

Cause: the leader sent its tables to every agent at the moment it connected. Raft's heartbeats and their answers wait behind them, and the leadership is lost.

Change: a message from 16 KB on needs a share of 2 MB, which counts what is in the network: at most 128 KB of each message. Streams get their shares in the order of their requests, and keep them until the agent has taken most of the message, for half a second at most, so that slow agents do not hold up the others. One that waits is sent the newest version when its turn comes, and its renewals are answered meanwhile. The agent's window shrinks from 256 KB to 64 KB: the leader sees what is taken only beyond it.

TestBulkOrder holds the order and the end of a share.

--- a/internal/agent/control/dial.go
+++ b/internal/agent/control/dial.go
@@ -50,8 +50,8 @@
 const (
 	// A node may have few other uses for these connections, so that small buffers save memory.
 	socketBuffer = 4 << 10
-	// A static window switches off the bandwidth probes, which would cost part of the byte budget.
-	streamWindow = 256 << 10
+	// A static window switches off the bandwidth probes, which would cost part of the byte budget. The leader admits large messages by how much of them is taken, which it only sees beyond the window; this is the smallest that gRPC accepts.
+	streamWindow = 64 << 10
 	// A snapshot of a service of 16,384 partitions and 810 nodes takes about 400 KB.
 	largestMessage = 64 << 20
 )
--- /dev/null
+++ b/internal/control/agent/bulk_test.go
@@ -0,0 +1,177 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/siskinrill/siskinrill/internal/control/registry"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// link is the link of a control process, which sends the messages of all streams one after the other.
+type link struct {
+	rate int // bytes a second
+
+	mut     sync.Mutex
+	free    time.Time     // when all messages so far have left
+	longest time.Duration // that a message of raft would have waited
+}
+
+// put queues a message and returns when it will have left.
+func (lnk *link) put(size int) time.Time {
+	lnk.mut.Lock()
+	defer lnk.mut.Unlock()
+	now := time.Now()
+	if lnk.free.Before(now) {
+		lnk.free = now
+	}
+	lnk.free = lnk.free.Add(time.Duration(size) * time.Second / time.Duration(lnk.rate))
+	lnk.longest = max(lnk.longest, lnk.free.Sub(now))
+	return lnk.free
+}
+
+const (
+	window    = 64 << 10            // of a stream
+	agentRate = 9.9 * (1 << 20) / 8 // bytes a second on the link of an agent
+)
+
+// linkedPipe is a stream over a link. As with gRPC, a large message is taken at once and sent within the window, and the next one waits until it has left.
+type linkedPipe struct {
+	*pipe
+	link *link
+	left chan struct{}
+}
+
+func (lpi *linkedPipe) Send(msg *controlpb.ControlMessage) error {
+	<-lpi.left
+	go func() {
+		for rest := proto.Size(msg); rest > 0; rest -= window {
+			part := min(rest, window)
+			time.Sleep(time.Until(lpi.link.put(part)))
+			time.Sleep(time.Duration(float64(part) / agentRate * float64(time.Second)))
+		}
+		_ = lpi.pass(lpi.down, parcel{down: msg}, 1)
+		lpi.left <- struct{}{}
+	}()
+	return nil
+}
+
+// fleetMember is an agent over a link, which renews until the test ends.
+type fleetMember struct {
+	*probe
+	tables time.Time // when its first tables came
+}
+
+func (clu *cluster) fleetMember(ctx context.Context, lnk *link, name string) *fleetMember {
+	pip := &pipe{cluster: clu, up: make(chan parcel, 64), down: make(chan parcel, 64)}
+	pip.ctx, pip.cancel = context.WithCancel(ctx)
+	go func() {
+		defer pip.cancel()
+		lpi := &linkedPipe{pipe: pip, link: lnk, left: make(chan struct{}, 1)}
+		lpi.left <- struct{}{}
+		_ = clu.procs[0].sessions.Connect(lpi)
+	}()
+	fme := &fleetMember{probe: &probe{pipe: pip}}
+	_ = pip.pass(pip.up, parcel{up: &controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Hello{Hello: serving(name)}}}, 1)
+	go fme.read()
+	go fme.renewAlways()
+	return fme
+}
+
+func (fme *fleetMember) read() {
+	for msg, err := fme.pipe.hear(); err == nil; msg, err = fme.pipe.hear() {
+		fme.mut.Lock()
+		fme.got, fme.at = append(fme.got, msg), append(fme.at, time.Now())
+		if msg.GetSnapshot() != nil && fme.tables.IsZero() {
+			fme.tables = time.Now()
+		}
+		fme.mut.Unlock()
+	}
+}
+
+func (fme *fleetMember) renewAlways() {
+	for seq := uint64(1); fme.pipe.ctx.Err() == nil; seq++ {
+		cnf := uint64(0)
+		fme.mut.Lock()
+		if !fme.tables.IsZero() {
+			cnf = 2
+		}
+		fme.mut.Unlock()
+		fme.renew(seq, cnf)
+		time.Sleep(250 * time.Millisecond)
+	}
+}
+
+// largeConfiguration returns a configuration of many routes, some 200 KB.
+func largeConfiguration(num uint64) *controlpb.Configuration {
+	cnf := &controlpb.Configuration{Number: num, Services: []*controlpb.Service{{Name: testService, Partitions: testPartitions, RampMs: 200}}}
+	for pos := range 1400 {
+		cnf.Routes = append(cnf.Routes, &controlpb.Route{
+			Name: fmt.Sprintf("route-%04d", pos), Host: "shop.example", Service: testService,
+			Prefix: fmt.Sprintf("/a/rather/long/prefix/as/large/configurations/have/them/for/each/of/their/parts/%04d", pos),
+		})
+	}
+	return cnf
+}
+
+// Guards against large messages that overtake those that asked earlier, and against a few agents that take theirs slowly and hold up all others.
+func TestBulkOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		blk := &bulk{}
+		var shares []*share
+		ask := func() bool {
+			shr, ok := blk.admit(nil, &stream{wake: make(chan struct{}, 1)}, bulkWindow)
+			shares = append(shares, shr)
+			return ok
+		}
+		granted := func(shr *share) bool {
+			blk.mut.Lock()
+			defer blk.mut.Unlock()
+			return shr.granted
+		}
+		for range bulkRoom / bulkWindow {
+			must.True(t, ask())
+		}
+		must.False(t, ask())
+		must.False(t, ask())
+		blk.release(shares[0])
+		blk.release(shares[0])
+		first, second := shares[len(shares)-2], shares[len(shares)-1]
+		must.True(t, granted(first))
+		must.False(t, granted(second))
+		must.One(t, len(first.stream.wake))
+		time.Sleep(bulkPatience - time.Millisecond)
+		must.False(t, granted(second))
+		time.Sleep(2 * time.Millisecond)
+		must.True(t, granted(second))
+	})
+}
+
+// Guards against tables for many agents at once that fill the link of the leader, so that raft's heartbeats wait behind them for longer than an election timeout and the leadership is lost.
+func TestTablesLeaveRoom(t *testing.T) {
+	const agents, rate = 76, 170 << 20 / 8 // of bassma-hq-grown
+	bubble(t, func(ctx context.Context, clu *cluster) {
+		clu.lossless = true
+		clu.procs[0].commit(registry.ApplyConfiguration("c2", "", largeConfiguration(2)))
+		lnk := &link{rate: rate}
+		var fleet []*fleetMember
+		for num := range agents {
+			fleet = append(fleet, clu.fleetMember(ctx, lnk, fmt.Sprint("a", num)))
+		}
+		time.Sleep(3 * time.Second)
+		for _, fme := range fleet {
+			fme.mut.Lock()
+			must.False(t, fme.tables.IsZero())
+			fme.mut.Unlock()
+		}
+		must.LessEq(t, 125*time.Millisecond, lnk.longest)
+		must.Len(t, agents, clu.procs[0].registry.Tables().GetNodes())
+	})
+}
--- a/internal/control/agent/hub.go
+++ b/internal/control/agent/hub.go
@@ -21,8 +21,10 @@
 	to     uint64
 	shared bool
 
-	once sync.Once
-	prep *grpc.PreparedMsg
+	once  sync.Once
+	prep  *grpc.PreparedMsg
+	sized sync.Once
+	bytes int
 }
 
 func (msg *message) sendTo(srv server) error {
--- a/internal/control/agent/send.go
+++ b/internal/control/agent/send.go
@@ -50,6 +50,7 @@
 // write sends what is due until the last message or an error.
 func (stm *stream) write() {
 	defer close(stm.written)
+	defer stm.releaseShare()
 	stm.signal()
 	for {
 		select {
@@ -91,16 +92,14 @@
 	return stm.send(&message{plain: &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_RenewAnswer{RenewAnswer: ans}}}) == nil
 }
 
-// sendTables brings the agent up to date by a difference or a snapshot.
+// sendTables brings the agent up to date by a difference or a snapshot, as soon as there is room for one of its size.
 func (stm *stream) sendTables() bool {
 	msg := stm.term.hub.after(stm.version)
-	if msg != nil && stm.send(msg) != nil {
-		return false
+	if !stm.admitted(msg) {
+		return true
 	}
-	if msg != nil {
-		stm.mut.Lock()
-		stm.version = msg.to
-		stm.mut.Unlock()
+	if msg != nil && !stm.sendVersion(msg) {
+		return false
 	}
 	select {
 	case stm.told <- struct{}{}:
@@ -109,7 +108,25 @@
 	return true
 }
 
+func (stm *stream) sendVersion(msg *message) bool {
+	if stm.send(msg) != nil {
+		return false
+	}
+	stm.mut.Lock()
+	stm.version = msg.to
+	stm.mut.Unlock()
+	if stm.share == nil {
+		return true
+	}
+	defer stm.releaseShare()
+	return stm.awaitTaken()
+}
+
+// sendMembers sends a difference of no other changes; an agent that still waits for its first tables finds the members there.
 func (stm *stream) sendMembers(mbs *controlpb.Members) bool {
+	if stm.version == 0 {
+		return true
+	}
 	dif := &controlpb.Difference{
 		From: stm.version, To: stm.version,
 		Changes: []*controlpb.Change{{Kind: &controlpb.Change_Members{Members: mbs}}},
--- a/internal/control/agent/stream.go
+++ b/internal/control/agent/stream.go
@@ -32,6 +32,7 @@
 	opened   chan struct{}                  // closed once the session is known
 	commands chan func() *controlpb.Command // each is made once those before it are committed
 	worked   chan struct{}                  // closed when the last command has ended
+	share    *share                         // of the room for large messages, nil for none; belongs to the writer
 
 	mut      sync.Mutex
 	granted  uint64 // highest renewal to answer
--- a/internal/control/agent/term.go
+++ b/internal/control/agent/term.go
@@ -18,6 +18,7 @@
 	group    sync.WaitGroup
 	hub      *hub
 	loads    *loads
+	bulk     *bulk
 	kicked   chan struct{} // a tick is wanted at once
 	queued   chan struct{} // a renewal waits
 
@@ -41,7 +42,7 @@
 func newTerm(ctx context.Context, ses *Sessions, ldr siskinrill.Leadership) *term {
 	trm := &term{
 		ctx: ctx, sessions: ses, since: ldr.Since(), base: ses.registry.Index(),
-		hub: newHub(ses), loads: newLoads(ses.options.Smoothing), leases: map[uint64]*lease{}, drains: map[string]bool{},
+		hub: newHub(ses), loads: newLoads(ses.options.Smoothing), bulk: &bulk{}, leases: map[uint64]*lease{}, drains: map[string]bool{},
 		kicked: make(chan struct{}, 1), queued: make(chan struct{}, 1),
 	}
 	trm.sync(trm.firstSeen())
