control/agent: renew sessions that wait for their first tables

Cause: a new leader renewed no session whose configuration was behind its own for longer than a second after the start of its term. That held also for an agent that has just started and has no configuration at all. When all agents start at once, the last of their tables come later than that, and their sessions expire in masses and are registered anew.

Change: an agent without a configuration serves nothing by an older one. Its session is renewed for 10 s, the lag that any session may have behind an accepted configuration, from when this leader first knew it.

Failed before: TestFirstTablesLate: no renewal was answered (the time of the last one was the zero time).

--- a/internal/control/agent/lease.go
+++ b/internal/control/agent/lease.go
@@ -14,6 +14,7 @@
 	session     uint64
 	name        string
 	upstream    string
+	since       time.Time // when this leader first knew it
 	last        time.Time // receipt of the last renewal that was accepted
 	expiring    bool      // its expiry is proposed; it is never renewed again, whatever becomes of the proposal
 	stream      *stream
@@ -51,7 +52,7 @@
 		return
 	}
 	lea.version, lea.config, lea.heard = msg.GetVersion(), msg.GetConfigurationNumber(), true
-	if trm.overdue(msg.GetConfigurationNumber(), now) {
+	if trm.overdue(lea, now) {
 		return
 	}
 	lea.last = now
--- a/internal/control/agent/sessions_test.go
+++ b/internal/control/agent/sessions_test.go
@@ -153,6 +153,25 @@
 	})
 }
 
+// Guards against sessions that expire because the first tables of a new leader come late, and against ones that are renewed for ever without any.
+func TestFirstTablesLate(t *testing.T) {
+	bubble(t, func(ctx context.Context, clu *cluster) {
+		clu.lossless = true
+		clu.elect(1, 0)
+		time.Sleep(50 * time.Millisecond) // until the process serves sessions
+		began := time.Now()
+		one := clu.probe(ctx, 1, serving("one"))
+		for seq := uint64(1); seq <= 56; seq++ {
+			one.renew(seq, 0)
+			time.Sleep(250 * time.Millisecond)
+		}
+		_, last := one.find(answered)
+		must.Between(t, 9700*time.Millisecond, last.Sub(began), 10300*time.Millisecond)
+		cnt, _ := one.find(ended)
+		must.One(t, cnt)
+	})
+}
+
 // Guards against agents that are not told of the leader, at once when it changes, and against tables of an old leader that set an agent back.
 func TestRedirects(t *testing.T) {
 	bubble(t, func(ctx context.Context, clu *cluster) {
--- a/internal/control/agent/term.go
+++ b/internal/control/agent/term.go
@@ -111,7 +111,7 @@
 func (trm *term) syncNode(nod *controlpb.Node, seen time.Time) {
 	lea := trm.leases[nod.GetSession()]
 	if lea == nil {
-		lea = &lease{session: nod.GetSession(), last: seen}
+		lea = &lease{session: nod.GetSession(), since: time.Now(), last: seen}
 		trm.leases[nod.GetSession()] = lea
 	}
 	lea.name = nod.GetName()
@@ -137,8 +137,12 @@
 	trm.configs = append(trm.configs, acc)
 }
 
-// overdue reports whether a session that has a configuration in force is too far behind.
-func (trm *term) overdue(num uint64, now time.Time) bool {
+// overdue reports whether a session is too far behind the configuration. One that has none yet serves nothing by an older one, and may have to wait for its first tables while all agents connect at once.
+func (trm *term) overdue(lea *lease, now time.Time) bool {
+	num := lea.config
+	if num == 0 && now.Before(lea.since.Add(trm.sessions.options.ConfigLag)) {
+		return false
+	}
 	for len(trm.configs) > 1 && now.After(trm.configs[1].deadline) {
 		trm.configs = trm.configs[1:]
 	}
