--- a/internal/agent/control/dial.go
+++ b/internal/agent/control/dial.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync/atomic"
-	"time"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
@@ -12,6 +11,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/gzip"
 )
 
 // stream is one connection to a control process; Send, Recv and Received may run in parallel.
@@ -79,9 +79,9 @@
 		grpc.WithWriteBufferSize(socketBuffer),
 		grpc.WithInitialWindowSize(streamWindow),
 		grpc.WithInitialConnWindowSize(streamWindow),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(largestMessage)),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(largestMessage), grpc.UseCompressor(gzip.Name)),
 		grpc.WithDisableServiceConfig(),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: time.Second}),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: opt.WelcomeTimeout}),
 		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
 			cnn, err := opt.connect(ctx, addr)
 			if err != nil {
@@ -92,10 +92,12 @@
 	}
 }
 
+// connect opens a TCP connection. Its timeout is short so that a host that comes back is found soon; what follows may take longer.
 func (opt Options) connect(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, opt.ConnectTimeout)
+	defer cancel()
 	if opt.Dial != nil {
 		return opt.Dial(ctx, addr)
 	}
-	var dlr net.Dialer
-	return dlr.DialContext(ctx, "tcp", addr)
+	return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 }
--- a/internal/agent/control/serve.go
+++ b/internal/agent/control/serve.go
@@ -15,6 +15,9 @@
 // progressBytes is the least number of bytes within AnswerTimeout that shows a message on its way; control frames of the transport alone stay below it.
 const progressBytes = 1 << 10
 
+// clockSlack is how much earlier than by the boot time a timer may fire.
+const clockSlack = time.Millisecond
+
 // renewal is a renewal that was sent and not yet answered.
 type renewal struct {
 	sequence uint64
@@ -28,10 +31,12 @@
 	session uint64
 	lease   time.Duration
 	renew   time.Duration
+	silence time.Duration // longest one while a renewal is unanswered
 
 	mu       sync.Mutex
 	pending  []renewal // oldest first
 	sequence uint64
+	heard    boottime.Instant // of the last message
 	watchdog *time.Timer
 	received uint64 // bytes when the watchdog last looked
 	applying bool   // a message is being applied, and the answers behind it are not read
@@ -44,7 +49,7 @@
 	// A dead connection may block Send and Recv, so that only the end of its context frees them.
 	exc.mu.Lock()
 	exc.received = con.stream.Received()
-	exc.watchdog = time.AfterFunc(ses.opt.AnswerTimeout, exc.checkAnswers)
+	exc.watchdog = time.AfterFunc(exc.silence, exc.checkAnswers)
 	exc.mu.Unlock()
 	defer exc.stopWatchdog()
 	ended := make(chan error, 1)
@@ -57,9 +62,9 @@
 	return err
 }
 
-// checkAnswers ends a connection whose leader has not answered a renewal in time, unless a larger message arrives or is applied, behind which the answer waits. An agent that gave up then would have the whole message sent again, and might never receive it.
+// checkAnswers ends a connection whose leader has not answered a renewal in time. A leader that owes an answer but still sends is kept for a while, and for as long as a larger message arrives or is applied: the answer waits behind it, and an agent that gave up would have the whole message sent again, and might never receive it.
 func (exc *exchange) checkAnswers() {
-	if exc.advancing() {
+	if exc.waits() || exc.advancing() {
 		return
 	}
 	exc.ses.opt.Counters.Event(eventSilent)
@@ -67,6 +72,32 @@
 	exc.con.cancel()
 }
 
+// waits reports whether the leader has time left for its answer, and has the watchdog look again after it.
+func (exc *exchange) waits() bool {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	rest := exc.rest()
+	if rest < clockSlack {
+		return false
+	}
+	exc.received = exc.con.stream.Received()
+	if len(exc.pending) > 0 && !exc.over {
+		exc.watchdog.Reset(rest)
+	}
+	return true
+}
+
+// rest returns the time after which the leader is silent for too long if nothing arrives; the lock is held.
+func (exc *exchange) rest() time.Duration {
+	if len(exc.pending) == 0 {
+		return exc.silence
+	}
+	now := boottime.Mark()
+	waited := now.Since(exc.pending[0].sent)
+	quiet := min(waited, now.Since(exc.heard))
+	return min(exc.silence-quiet, exc.ses.opt.AnswerLimit-waited)
+}
+
 // advancing reports whether enough bytes have arrived since the last look, or one message is still applied, and has the watchdog look again.
 func (exc *exchange) advancing() bool {
 	exc.mu.Lock()
@@ -77,7 +108,7 @@
 	}
 	exc.received = num
 	if !exc.over {
-		exc.watchdog.Reset(exc.ses.opt.AnswerTimeout)
+		exc.watchdog.Reset(exc.silence)
 	}
 	return true
 }
@@ -108,7 +139,8 @@
 	ses.mu.Unlock()
 	ses.opt.Counters.Event(eventConnected)
 	ses.opt.Logger.Infof("session: %d at leader %s", wlc.GetSession(), con.address)
-	return &exchange{ses: ses, con: con, session: wlc.GetSession(), lease: ttl, renew: renew}
+	silence := min(max(ses.opt.AnswerTimeout, 2*con.took), ses.opt.AnswerLimit)
+	return &exchange{ses: ses, con: con, session: wlc.GetSession(), lease: ttl, renew: renew, silence: silence, heard: boottime.Mark()}
 }
 
 // send sends renewals, reports and wishes until the receiver ends.
@@ -147,7 +179,7 @@
 	rnw := &controlpb.Renew{Sequence: exc.sequence, Version: ver, ConfigurationNumber: num}
 	exc.pending = append(exc.pending, renewal{sequence: exc.sequence, sent: boottime.Mark()})
 	if len(exc.pending) == 1 {
-		exc.watchdog.Reset(exc.ses.opt.AnswerTimeout)
+		exc.watchdog.Reset(exc.rest())
 	}
 	exc.mu.Unlock()
 	return exc.con.stream.Send(&controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Renew{Renew: rnw}})
@@ -170,9 +202,7 @@
 		exc.watchdog.Stop()
 		return
 	}
-	// An answer that waited behind a large message may leave renewals that are overdue already; theirs follows it at once.
-	rest := exc.ses.opt.AnswerTimeout - boottime.Mark().Since(exc.pending[0].sent)
-	exc.watchdog.Reset(max(rest, exc.ses.opt.AnswerTimeout/4))
+	exc.watchdog.Reset(max(exc.rest(), exc.silence/4))
 }
 
 func (exc *exchange) sendLoad(interval time.Duration) error {
@@ -192,12 +222,20 @@
 	return exc.con.stream.Send(&controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Load{Load: rpt}})
 }
 
+func (exc *exchange) hear() {
+	now := boottime.Mark()
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	exc.heard = now
+}
+
 func (exc *exchange) receive() error {
 	for {
 		msg, err := exc.con.stream.Recv()
 		if err != nil {
 			return errors.Wrap(err, "receive")
 		}
+		exc.hear()
 		exc.setApplying(true)
 		err = exc.take(msg)
 		exc.setApplying(false)
--- a/internal/agent/peer/relay_test.go
+++ b/internal/agent/peer/relay_test.go
@@ -22,8 +22,10 @@
 	mu     sync.Mutex
 	epoch  *relayEpoch
 	conns  []net.Conn
+	opened int
 	refuse atomic.Bool
-	frozen atomic.Bool // new connections are silent as well
+	frozen atomic.Bool  // new connections are silent as well
+	sent   atomic.Int64 // bytes that callers have sent
 }
 
 // relayEpoch holds the state of the connections that were accepted since the last silence.
@@ -49,6 +51,9 @@
 		if err != nil {
 			return
 		}
+		rel.mu.Lock()
+		rel.opened++
+		rel.mu.Unlock()
 		out, err := net.Dial("tcp", rel.target)
 		if err != nil || rel.refuse.Load() {
 			_ = inn.Close()
@@ -62,11 +67,23 @@
 			epo.silent.Store(true)
 		}
 		rel.mu.Unlock()
-		go pipe(epo, inn, out)
+		go pipe(epo, &countedReader{Conn: inn, sum: &rel.sent}, out)
 		go pipe(epo, out, inn)
 	}
 }
 
+// countedReader adds what it reads to a sum.
+type countedReader struct {
+	net.Conn
+	sum *atomic.Int64
+}
+
+func (crd *countedReader) Read(buf []byte) (int, error) {
+	num, err := crd.Conn.Read(buf)
+	crd.sum.Add(int64(num))
+	return num, err
+}
+
 func pipe(epo *relayEpoch, from, to net.Conn) {
 	buf := make([]byte, 32<<10)
 	for {
@@ -86,6 +103,13 @@
 	}
 }
 
+// connections returns how many connections were accepted.
+func (rel *relay) connections() int {
+	rel.mu.Lock()
+	defer rel.mu.Unlock()
+	return rel.opened
+}
+
 // silence stops the connections that exist; new ones work.
 func (rel *relay) silence() {
 	rel.mu.Lock()
@@ -162,6 +186,17 @@
 	return siskinrill.NewAnswer(hea, nil), nil
 }
 
+// countingServer counts the pings that it answers.
+type countingServer struct {
+	*Server
+	count atomic.Int32
+}
+
+func (srv *countingServer) Ping(ctx context.Context, req *peerpb.PingRequest) (*peerpb.PingAnswer, error) {
+	srv.count.Add(1)
+	return srv.Server.Ping(ctx, req)
+}
+
 // fixture is a server behind a relay and a pool that reaches it.
 type fixture struct {
 	own *fakeOwner
--- a/internal/control/agent/send.go
+++ b/internal/control/agent/send.go
@@ -92,7 +92,7 @@
 	return stm.send(&message{plain: &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_RenewAnswer{RenewAnswer: ans}}}) == nil
 }
 
-// sendTables brings the agent up to date by a difference or a snapshot, as soon as there is room for one of its size.
+// sendTables brings the agent up to date by a difference, or by a snapshot, which the changes since may have to follow, as soon as there is room for a message of its size.
 func (stm *stream) sendTables() bool {
 	msg := stm.term.hub.after(stm.version)
 	if !stm.admitted(msg) {
@@ -101,6 +101,10 @@
 	if msg != nil && !stm.sendVersion(msg) {
 		return false
 	}
+	if msg.snapshots() {
+		stm.signal()
+		return true
+	}
 	select {
 	case stm.told <- struct{}{}:
 	default:
--- a/internal/control/registry/configure.go
+++ b/internal/control/registry/configure.go
@@ -170,8 +170,10 @@
 func (reg *Registry) install(idx uint64, cnf *controlpb.Configuration) {
 	old := reg.state.GetConfiguration()
 	chg := &controlpb.ConfigurationChange{Number: cnf.GetNumber()}
-	chg.SetServices, chg.RemoveServices = diffServices(old.GetServices(), cnf.GetServices())
-	chg.SetRoutes, chg.RemoveRoutes = diffRoutes(old.GetRoutes(), cnf.GetRoutes())
+	set, removed := diffServices(old.GetServices(), cnf.GetServices())
+	chg.SetServices, chg.RemoveServices = servicesForAgents(set), removed
+	setRoutes, removedRoutes := diffRoutes(old.GetRoutes(), cnf.GetRoutes())
+	chg.SetRoutes, chg.RemoveRoutes = routesForAgents(setRoutes), removedRoutes
 	chg.SetLimits = cnf.GetLimits()
 	reg.state.Configuration = cnf
 	reg.ring.add(idx, &controlpb.Change{Kind: &controlpb.Change_Configuration{Configuration: chg}})
