--- a/internal/control/agent/hub.go
+++ b/internal/control/agent/hub.go
@@ -24,8 +24,10 @@
 	to     uint64
 	shared bool
 
-	once sync.Once
-	prep *grpc.PreparedMsg
+	once  sync.Once
+	prep  *grpc.PreparedMsg
+	sized sync.Once
+	bytes int
 }
 
 // snapshots reports whether the message is a snapshot; there may be none.
