--- a/internal/agent/owner/owner.go
+++ b/internal/agent/owner/owner.go
@@ -37,7 +37,8 @@
 	whe       *wheel
 	keptBytes int
 	claims    map[claimKey]*claim
-	que       queue
+	que       queue // requests that wait for slots
+	inf       inflow
 	lim       limiter
 	rts       runTimes
 	arr       arrivals
@@ -78,7 +79,7 @@
 	}
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	return own.taken == 0 && own.que.Len() == 0 && len(own.moves) == 0
+	return own.taken == 0 && own.waiting() == 0 && len(own.moves) == 0
 }
 
 // Close refuses all further attempts with proof that they do not run; those that wait or run go on.
@@ -88,12 +89,21 @@
 	own.closed = true
 }
 
+// DismissQueued refuses the attempts that wait for their bodies or for slots, with proof that they do not run.
+func (own *Owner) DismissQueued() {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	for _, tck := range slices.Collect(own.queued()) {
+		own.dismiss(tck, siskinrill.ReasonDraining)
+	}
+}
+
 // InHand returns what this agent runs and queues now.
 func (own *Owner) InHand() *peerpb.OwnerLoad {
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	return &peerpb.OwnerLoad{
-		Running: uint32(own.taken), Queued: uint32(own.que.Len()),
+		Running: uint32(own.taken), Queued: uint32(own.waiting()),
 		Limit: uint32(own.lim.current()), LatencyMs: uint32(own.lim.latency().Milliseconds()),
 	}
 }
