--- a/internal/agent/owner/check.go
+++ b/internal/agent/owner/check.go
@@ -76,7 +76,7 @@
 func (own *Owner) drainOver() bool {
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	return own.closed || !own.drainFrom.IsZero() && time.Since(own.drainFrom) >= own.opt.DrainGrace
+	return !own.drainFrom.IsZero() && time.Since(own.drainFrom) >= own.opt.DrainGrace
 }
 
 // checkArrival checks an attempt on arrival; the token is a log index, so one over this agent's version shows that its copy is behind.
--- a/internal/agent/owner/handle.go
+++ b/internal/agent/owner/handle.go
@@ -16,6 +16,9 @@
 	if ref := malformed(att.Open()); ref != nil {
 		return nil, own.refused(ref)
 	}
+	if own.refusesNew() {
+		return nil, own.refused(own.versioned(siskinrill.ReasonDraining))
+	}
 	tck := newTicket(att)
 	if ref := own.enter(tck); ref != nil {
 		return nil, own.refused(ref)
@@ -141,6 +144,9 @@
 	if tck.rec.withdrawn {
 		return siskinrill.NotRun(siskinrill.ReasonWithdrawn)
 	}
+	if own.dismissed {
+		return siskinrill.NotRun(siskinrill.ReasonDraining)
+	}
 	if !time.Now().Before(tck.deadline) {
 		return siskinrill.NotRun(siskinrill.ReasonDeadlineInQueue)
 	}
--- a/internal/agent/owner/owner.go
+++ b/internal/agent/owner/owner.go
@@ -48,6 +48,7 @@
 	lds       *loads
 	drainFrom time.Time // zero: does not drain
 	closed    bool      // takes no new attempts
+	dismissed bool      // begins none
 	looked    time.Time // when all waiting requests were last looked at
 }
 
@@ -89,12 +90,21 @@
 	own.closed = true
 }
 
-// DismissQueued refuses the attempts that wait for their bodies or for slots, with proof that they do not run.
+func (own *Owner) refusesNew() bool {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	return own.closed
+}
+
+// DismissQueued refuses the attempts that have not started, with proof that they do not run, and starts none any more.
 func (own *Owner) DismissQueued() {
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	for _, tck := range slices.Collect(own.queued()) {
-		own.dismiss(tck, siskinrill.ReasonDraining)
+	own.closed, own.dismissed = true, true
+	for _, rec := range own.records {
+		if rec.phase == phaseQueued && rec.tck != nil {
+			own.dismiss(rec.tck, siskinrill.ReasonDraining)
+		}
 	}
 }
 
--- a/internal/agent/owner/stop_test.go
+++ b/internal/agent/owner/stop_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -12,6 +13,7 @@
 	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/bench/standin"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
 
 // TestPlannedStop guards against a planned stop that interrupts a request, or leaves the server with new work after 3 s.
@@ -93,3 +95,51 @@
 		})
 	}
 }
+
+// TestStopSteps guards against a stop that refuses requests which wait for a slot before it must, or leaves any that have not started to their deadlines.
+func TestStopSteps(t *testing.T) {
+	const run = 100 * time.Millisecond
+	tests := map[string]struct {
+		dismiss bool
+		upload  bool // whose body stalls, in place of a request that waits for the slot
+		reason  siskinrill.Reason
+	}{
+		"waits for the slot":            {},
+		"waits for the slot, dismissed": {dismiss: true, reason: siskinrill.ReasonDraining},
+		"waits for its body, dismissed": {dismiss: true, upload: true, reason: siskinrill.ReasonDraining},
+	}
+	for name, tcs := range tests {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 1, func(t *testing.T, bnc *bench) {
+				var runs atomic.Int32
+				bnc.bck.do = readAll(run, &runs)
+				beg := time.Now()
+				first := bnc.start(t.Context(), open(1, "ab"))
+				synctest.Wait()
+				var second <-chan error
+				if tcs.upload {
+					second = bnc.upload(t.Context(), 2, &fakeLink{}, 200<<10, func(opn *peerpb.Open, bdy *linkBody) { bdy.stall, opn.TimeoutMs = 100<<10, 12_000 })
+				} else {
+					second = bnc.start(t.Context(), open(2, "ab"))
+				}
+				synctest.Wait()
+				bnc.own.Close()
+				must.Eq(t, siskinrill.ReasonDraining, refusalOf(<-bnc.start(t.Context(), open(3, "ab"))).Reason())
+				if tcs.dismiss {
+					bnc.own.DismissQueued()
+				}
+				must.NoError(t, <-first)
+				err := <-second
+				if tcs.reason == "" {
+					must.NoError(t, err)
+					must.Eq(t, 2*run, time.Since(beg))
+					return
+				}
+				must.Eq(t, tcs.reason, refusalOf(err).Reason())
+				must.True(t, refusalOf(err).NotRun())
+				must.LessEq(t, run, time.Since(beg))
+				must.Eq(t, 1, runs.Load())
+			})
+		})
+	}
+}
