--- a/internal/agent/caller/call.go
+++ b/internal/agent/caller/call.go
@@ -149,6 +149,9 @@
 	if cal.req.Context().Err() != nil {
 		return nil, siskinrill.NotRun(siskinrill.ReasonCallerGone)
 	}
+	if cal.han.ending() {
+		return nil, siskinrill.NotRun(siskinrill.ReasonDraining).WithRetryAfter(leastRetryAfter)
+	}
 	cal.tries++
 	cal.position.enter(stageAttempt)
 	cal.position.owner.Store(tgt.shard.GetOwner())
@@ -168,7 +171,9 @@
 
 // send hands an attempt to the owner, which may be this agent.
 func (cal *call) send(ctx context.Context, tgt target, opn *peerpb.Open) (*siskinrill.Answer, *siskinrill.Refusal) {
-	defer context.AfterFunc(cal.han.stop.withdrawn, func() { cal.leave(context.WithoutCancel(ctx), tgt, opn.GetAttempt()) })()
+	over, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	defer context.AfterFunc(cal.han.stop.withdrawn, func() { cal.withdrawUntil(over, tgt, opn.GetAttempt()) })()
 	att := siskinrill.NewAttempt(opn, cal.body.reader())
 	var ans *siskinrill.Answer
 	var err error
--- a/internal/agent/caller/fakes_test.go
+++ b/internal/agent/caller/fakes_test.go
@@ -138,6 +138,7 @@
 	runs     map[string]int
 	attempts map[uint64]*attemptState
 	frozen   bool
+	deaf     int // withdrawals that get no answer
 	bodies   map[string]int
 }
 
@@ -287,6 +288,11 @@
 
 func (own *fakeOwners) Withdraw(ctx context.Context, req *peerpb.WithdrawRequest) (*peerpb.WithdrawAnswer, error) {
 	own.mu.Lock()
+	if own.deaf > 0 {
+		own.deaf--
+		own.mu.Unlock()
+		return nil, errors.New("no answer")
+	}
 	frozen := own.frozen
 	sta := own.state(req.GetAttempt().GetCounter())
 	if !sta.started && !frozen {
--- a/internal/agent/caller/handler_test.go
+++ b/internal/agent/caller/handler_test.go
@@ -347,6 +347,8 @@
 		method  string
 		fault   fault
 		orphan  bool // the key has no owner
+		deaf    int  // withdrawals that the owner does not answer
+		slow    bool // the body is complete only after the withdrawal
 		status  int
 		outcome string
 		runs    int
@@ -360,6 +362,8 @@
 		"idempotent one runs on":      {method: "GET", fault: fault{busy: 4 * time.Second}, status: 502, outcome: "unknown", runs: 1, took: abortAt},
 		"upload runs on":              {method: "PUT", fault: fault{busy: 4 * time.Second}, status: 502, outcome: "unknown", runs: 1, took: abortAt},
 		"lost, owner frozen":          {method: "POST", fault: fault{lost: true, frozen: true}, status: 502, outcome: "unknown", runs: 1, took: abortAt},
+		"withdrawal lost once":        {method: "POST", deaf: 1, fault: fault{queued: 1500 * time.Millisecond}, status: 503, outcome: "not_run", took: 1500 * time.Millisecond},
+		"body comes late":             {method: "POST", slow: true, status: 503, outcome: "not_run", took: 1500 * time.Millisecond},
 		"not to be tried again":       {method: "GET", fault: fault{lost: true, busy: 1500 * time.Millisecond}, status: 502, outcome: "unknown", runs: 1, took: 1500 * time.Millisecond},
 	}
 	for name, cse := range cases {
@@ -370,7 +374,12 @@
 			fix.own.script["r1"] = []fault{cse.fault}
 			time.AfterFunc(withdrawAt, fix.han.WithdrawQueued)
 			time.AfterFunc(abortAt, fix.han.Abort)
-			tld := fix.ask(newRequest(cse.method, "r1", []byte("body")))
+			fix.own.deaf = cse.deaf
+			req := newRequest(cse.method, "r1", []byte("body"))
+			if cse.slow {
+				req.Body = io.NopCloser(&lateBody{after: 1500 * time.Millisecond, rest: req.Body})
+			}
+			tld := fix.ask(req)
 			must.Eq(t, cse.status, tld.status)
 			must.Eq(t, cse.outcome, tld.outcome)
 			must.Eq(t, cse.took, tld.took)
@@ -380,3 +389,15 @@
 		})
 	}
 }
+
+// lateBody is a body that comes after a time.
+type lateBody struct {
+	after time.Duration
+	rest  io.Reader
+}
+
+func (bdy *lateBody) Read(buf []byte) (int, error) {
+	time.Sleep(bdy.after)
+	bdy.after = 0
+	return bdy.rest.Read(buf)
+}
--- a/internal/agent/caller/stop.go
+++ b/internal/agent/caller/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
 
 // stop holds the last two steps of a handler's stop; each is done once its step has begun.
@@ -50,6 +51,18 @@
 	}
 }
 
+// withdrawUntil withdraws an attempt that has not started; it asks again until the owner answers or the attempt is over.
+func (cal *call) withdrawUntil(over context.Context, tgt target, aid *peerpb.AttemptId) {
+	for pause := cal.han.opt.Poll; ; pause = min(2*pause, 16*cal.han.opt.Poll) {
+		ctx, cancel := context.WithTimeout(over, longestWithdraw)
+		_, err := cal.withdraw(ctx, tgt, aid, 0)
+		cancel()
+		if err == nil || !sleep(over, pause) {
+			return
+		}
+	}
+}
+
 // aborted returns the refusal of an attempt that ended because the handler aborts its requests, and any other unchanged.
 func (cal *call) aborted(ref *siskinrill.Refusal) *siskinrill.Refusal {
 	if ref.Reason() != siskinrill.ReasonCallerGone || cal.req.Context().Err() != nil || cal.han.stop.aborted.Err() == nil {
--- a/internal/agent/caller/withdraw.go
+++ b/internal/agent/caller/withdraw.go
@@ -77,7 +77,7 @@
 	return cal.han.session.Node(tgt.shard.GetOwner()) == nil
 }
 
-// leave withdraws a queued attempt whose caller is gone or whose agent stops; one that has started is left to finish.
+// leave withdraws a queued attempt whose caller is gone; one that has started is left to finish.
 func (cal *call) leave(ctx context.Context, tgt target, aid *peerpb.AttemptId) {
 	ctx, cancel := context.WithTimeout(ctx, longestWithdraw)
 	defer cancel()
