agent: the wait for callers to leave is bounded by the drain timeout too (review)

A drain timeout of 3 s or less would have passed with callers still being taken; two thirds of it are the limit now.

--- a/internal/process/actor/server_test.go
+++ b/internal/process/actor/server_test.go
@@ -82,7 +82,7 @@
 	must.ErrorIs(t, grp.Run(), io.ErrUnexpectedEOF)
 }
 
-// TestServersStopTogether guards against servers that wait one after the other for their requests, so that the host kills the process before it has stopped (on bassma-hq-grown trouble-2 four processes were killed so).
+// TestServersStopTogether guards against servers that wait one after the other for their requests, so that the host kills the process before it has stopped.
 func TestServersStopTogether(t *testing.T) {
 	const grace = 300 * time.Millisecond
 	hang := make(chan struct{})
--- a/internal/process/agent/stop.go
+++ b/internal/process/agent/stop.go
@@ -32,7 +32,7 @@
 	case limit == 0:
 	case prc.options.Settings.KeepKeys:
 		log.Info("agent: Draining.")
-		prc.awaitLeave(begin)
+		prc.awaitLeave(begin, min(longestLeave, limit*2/3))
 	default:
 		log.Info("agent: Draining.")
 		prc.release(log, begin.Add(limit))
@@ -63,9 +63,9 @@
 	log.Warn("agent: The drain took too long.")
 }
 
-// awaitLeave serves callers until they have gone elsewhere; the keys stay with the backend server for the next process beside it.
-func (prc *Process) awaitLeave(begin time.Time) {
-	for time.Since(begin) < leaveTime || time.Since(begin) < longestLeave && time.Since(time.Unix(0, prc.request.Load())) < quietTime {
+// awaitLeave serves callers until they have gone elsewhere, or for the longest time; the keys stay with the backend server for the next process beside it.
+func (prc *Process) awaitLeave(begin time.Time, longest time.Duration) {
+	for time.Since(begin) < min(leaveTime, longest) || time.Since(begin) < longest && time.Since(time.Unix(0, prc.request.Load())) < quietTime {
 		time.Sleep(drainPoll)
 	}
 }
