--- a/internal/agent/caller/fakes_test.go
+++ b/internal/agent/caller/fakes_test.go
@@ -139,6 +139,7 @@
 	runs     map[string]int
 	attempts map[uint64]*attemptState
 	frozen   bool
+	deaf     int // withdrawals that get no answer
 	bodies   map[string]int
 	seen     func(opn *peerpb.Open) // called with each forwarded attempt, may be nil
 }
@@ -218,7 +219,11 @@
 	case res := <-ended:
 		return res()
 	case <-ctx.Done():
-		return nil, siskinrill.Unknown(siskinrill.ReasonDeadline, ctx.Err())
+		rsn := siskinrill.ReasonDeadline
+		if errors.Is(ctx.Err(), context.Canceled) {
+			rsn = siskinrill.ReasonCallerGone
+		}
+		return nil, siskinrill.Unknown(rsn, ctx.Err())
 	}
 }
 
@@ -288,6 +293,11 @@
 
 func (own *fakeOwners) Withdraw(ctx context.Context, req *peerpb.WithdrawRequest) (*peerpb.WithdrawAnswer, error) {
 	own.mu.Lock()
+	if own.deaf > 0 {
+		own.deaf--
+		own.mu.Unlock()
+		return nil, errors.New("no answer")
+	}
 	frozen := own.frozen
 	sta := own.state(req.GetAttempt().GetCounter())
 	if !sta.started && !frozen {
--- a/internal/agent/caller/first.go
+++ b/internal/agent/caller/first.go
@@ -106,14 +106,14 @@
 	if told == 0 {
 		return now
 	}
-	cal.arrived.deadline = now.Add(told)
-	cal.arrived.began = cal.han.firsts.began(cal.firstKey(), cal.arrived.deadline, now)
-	return cal.arrived.began
+	cal.origin.deadline = now.Add(told)
+	cal.origin.began = cal.han.firsts.began(cal.firstKey(), cal.origin.deadline, now)
+	return cal.origin.began
 }
 
 // comesBack remembers a refused call, so that a further attempt is known as such.
 func (cal *call) comesBack() {
-	if !cal.arrived.deadline.IsZero() {
-		cal.han.firsts.refused(cal.firstKey(), cal.arrived)
+	if !cal.origin.deadline.IsZero() {
+		cal.han.firsts.refused(cal.firstKey(), cal.origin)
 	}
 }
--- a/internal/agent/caller/handler.go
+++ b/internal/agent/caller/handler.go
@@ -28,10 +28,12 @@
 	outstanding outstanding
 	attempts    atomic.Uint64
 	closed      atomic.Bool
+	stop        stop
 	waiting     atomic.Int64
 	weights     *weights
 	loads       loads
 	firsts      firsts
+	inHand      inHand
 	// The newest session, kept because attempt ids must stay unique while a new one is being registered.
 	entry atomic.Uint64
 }
@@ -53,13 +55,12 @@
 		outstanding: outstanding{counts: map[uint64]int{}},
 		weights:     newWeights(),
 		firsts:      firsts{calls: map[firstKey][]firstCall{}},
+		stop:        newStop(),
+		inHand:      inHand{calls: map[*call]struct{}{}},
 		loads:       loads{seen: map[uint64]seenLoad{}, runs: map[string]time.Duration{}},
 	}
 }
 
-// Close refuses all further requests with proof that they do not run; those in hand go on.
-func (han *Handler) Close() { han.closed.Store(true) }
-
 // ServeHTTP carries a request to the owner of its key and its answer back.
 func (han *Handler) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
 	cal, ref := han.accept(wri, req)
@@ -67,8 +68,11 @@
 		han.refuse(wri, req, ref)
 		return
 	}
+	han.inHand.add(cal)
+	defer han.inHand.remove(cal)
 	defer cal.finish()
 	ans, ref := cal.serve()
+	cal.position.enter(stageAnswer)
 	if cal.body.unread() {
 		// The rest of a body must never be taken for the next request.
 		wri.Header().Set("Connection", "close")
@@ -106,10 +110,12 @@
 	headers  []*peerpb.HeaderField
 	body     *body
 	deadline time.Time
-	aim      time.Time     // within which an answer is worth most, zero: not known
+	aim      time.Time // within which an answer is worth most, zero: not known
+	arrived  time.Time
+	position position
 	held     time.Duration // waited for an owner so far
 	pause    time.Duration // next pause without news from control
-	arrived  firstCall
+	origin   firstCall
 	tries    int
 	began    time.Time // of the newest attempt
 	ran      bool      // an earlier attempt may have run
@@ -134,10 +140,13 @@
 		return nil, siskinrill.NotRun(siskinrill.ReasonNoLease).WithRetryAfter(time.Second)
 	}
 	rte, key, rsn := han.session.Match(req.Host, req.Method, req.URL.EscapedPath())
+	if rte == nil && rsn == siskinrill.ReasonNoLease {
+		return nil, siskinrill.NotRun(rsn).WithRetryAfter(leastRetryAfter)
+	}
 	if rte == nil {
 		return nil, siskinrill.NotRun(rsn)
 	}
-	cal := &call{han: han, req: req, route: rte, key: key, pause: han.opt.Poll}
+	cal := &call{han: han, req: req, route: rte, key: key, pause: han.opt.Poll, arrived: time.Now()}
 	cal.service = han.session.Service(han.weights.choose(rte))
 	if cal.service == nil {
 		return nil, siskinrill.NotRun(siskinrill.ReasonNoRoute)
--- a/internal/agent/control/dial.go
+++ b/internal/agent/control/dial.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"time"
+	"net"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
@@ -10,12 +11,37 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/gzip"
 )
 
-// stream is one connection to a control process; Send and Recv may run in parallel.
+// stream is one connection to a control process; Send, Recv and Received may run in parallel.
 type stream interface {
 	Send(*controlpb.AgentMessage) error
 	Recv() (*controlpb.ControlMessage, error)
+	// Received returns the number of bytes that have arrived, also those of a message that is not complete.
+	Received() uint64
+}
+
+// meteredStream counts the bytes of its connection.
+type meteredStream struct {
+	controlpb.SessionService_ConnectClient
+	received *atomic.Uint64
+}
+
+// Received implements stream.
+func (str meteredStream) Received() uint64 { return str.received.Load() }
+
+// meteredConn counts the bytes that are read.
+type meteredConn struct {
+	net.Conn
+	received *atomic.Uint64
+}
+
+// Read implements net.Conn.
+func (cnn meteredConn) Read(buf []byte) (int, error) {
+	num, err := cnn.Conn.Read(buf)
+	cnn.received.Add(uint64(num))
+	return num, err
 }
 
 // dialFunc opens a stream to an address; the stream ends with the context, and closing releases the connection.
@@ -24,15 +50,16 @@
 const (
 	// A node may have few other uses for these connections, so that small buffers save memory.
 	socketBuffer = 4 << 10
-	// A static window switches off the bandwidth probes, which would cost part of the byte budget.
-	streamWindow = 256 << 10
+	// A static window switches off the bandwidth probes, which would cost part of the byte budget. The leader admits large messages by how much of them is taken, which it only sees beyond the window; this is the smallest that gRPC accepts.
+	streamWindow = 64 << 10
 	// A snapshot of a service of 16,384 partitions and 810 nodes takes about 400 KB.
 	largestMessage = 64 << 20
 )
 
 // dialGRPC makes a new connection each time, so that none that went silent is used again.
 func (opt Options) dialGRPC(ctx context.Context, addr string) (stream, func(), error) {
-	dop := opt.dialOptions()
+	rcv := &atomic.Uint64{}
+	dop := opt.dialOptions(rcv)
 	con, err := grpc.NewClient("passthrough:///"+addr, dop...)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "dial control")
@@ -42,22 +69,35 @@
 		_ = con.Close()
 		return nil, nil, errors.Wrap(err, "open session stream")
 	}
-	return str, func() { _ = con.Close() }, nil
+	return meteredStream{SessionService_ConnectClient: str, received: rcv}, func() { _ = con.Close() }, nil
 }
 
-func (opt Options) dialOptions() []grpc.DialOption {
-	dop := []grpc.DialOption{
+func (opt Options) dialOptions(rcv *atomic.Uint64) []grpc.DialOption {
+	return []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithReadBufferSize(socketBuffer),
 		grpc.WithWriteBufferSize(socketBuffer),
 		grpc.WithInitialWindowSize(streamWindow),
 		grpc.WithInitialConnWindowSize(streamWindow),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(largestMessage)),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(largestMessage), grpc.UseCompressor(gzip.Name)),
 		grpc.WithDisableServiceConfig(),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: time.Second}),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.DefaultConfig, MinConnectTimeout: opt.WelcomeTimeout}),
+		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
+			cnn, err := opt.connect(ctx, addr)
+			if err != nil {
+				return nil, err
+			}
+			return meteredConn{Conn: cnn, received: rcv}, nil
+		}),
 	}
+}
+
+// connect opens a TCP connection. Its timeout is short so that a host that comes back is found soon; what follows may take longer.
+func (opt Options) connect(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, opt.ConnectTimeout)
+	defer cancel()
 	if opt.Dial != nil {
-		dop = append(dop, grpc.WithContextDialer(opt.Dial))
+		return opt.Dial(ctx, addr)
 	}
-	return dop
+	return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 }
--- a/internal/agent/control/serve.go
+++ b/internal/agent/control/serve.go
@@ -12,6 +12,12 @@
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
+// progressBytes is the least number of bytes within AnswerTimeout that shows a message on its way; control frames of the transport alone stay below it.
+const progressBytes = 1 << 10
+
+// clockSlack is how much earlier than by the boot time a timer may fire.
+const clockSlack = time.Millisecond
+
 // renewal is a renewal that was sent and not yet answered.
 type renewal struct {
 	sequence uint64
@@ -25,19 +31,27 @@
 	session uint64
 	lease   time.Duration
 	renew   time.Duration
+	silence time.Duration // longest one while a renewal is unanswered
 
 	mu       sync.Mutex
 	pending  []renewal // oldest first
 	sequence uint64
+	heard    boottime.Instant // of the last message
 	watchdog *time.Timer
+	received uint64 // bytes when the watchdog last looked
+	applying bool   // a message is being applied, and the answers behind it are not read
+	over     bool   // the watchdog is not to look again
 }
 
 // serve uses a connection until it ends.
 func (ses *Session) serve(ctx context.Context, con *connection) error {
 	exc := ses.begin(con)
 	// A dead connection may block Send and Recv, so that only the end of its context frees them.
-	exc.watchdog = time.AfterFunc(ses.opt.AnswerTimeout, exc.abandon)
-	defer exc.watchdog.Stop()
+	exc.mu.Lock()
+	exc.received = con.stream.Received()
+	exc.watchdog = time.AfterFunc(exc.silence, exc.checkAnswers)
+	exc.mu.Unlock()
+	defer exc.stopWatchdog()
 	ended := make(chan error, 1)
 	var rcv sync.WaitGroup
 	rcv.Go(func() { ended <- exc.receive() })
@@ -48,13 +62,64 @@
 	return err
 }
 
-// abandon ends a connection whose leader has not answered a renewal in time.
-func (exc *exchange) abandon() {
+// checkAnswers ends a connection whose leader has not answered a renewal in time. A leader that owes an answer but still sends is kept for a while, and for as long as a larger message arrives or is applied: the answer waits behind it, and an agent that gave up would have the whole message sent again, and might never receive it.
+func (exc *exchange) checkAnswers() {
+	if exc.waits() || exc.advancing() {
+		return
+	}
 	exc.ses.opt.Counters.Event(eventSilent)
 	exc.ses.opt.Logger.Warnf("session: leader %s does not answer renewals", exc.con.address)
 	exc.con.cancel()
 }
 
+// waits reports whether the leader has time left for its answer, and has the watchdog look again after it.
+func (exc *exchange) waits() bool {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	rest := exc.rest()
+	if rest < clockSlack {
+		return false
+	}
+	exc.received = exc.con.stream.Received()
+	if len(exc.pending) > 0 && !exc.over {
+		exc.watchdog.Reset(rest)
+	}
+	return true
+}
+
+// rest returns the time after which the leader is silent for too long if nothing arrives; the lock is held.
+func (exc *exchange) rest() time.Duration {
+	if len(exc.pending) == 0 {
+		return exc.silence
+	}
+	now := boottime.Mark()
+	waited := now.Since(exc.pending[0].sent)
+	quiet := min(waited, now.Since(exc.heard))
+	return min(exc.silence-quiet, exc.ses.opt.AnswerLimit-waited)
+}
+
+// advancing reports whether enough bytes have arrived since the last look, or one message is still applied, and has the watchdog look again.
+func (exc *exchange) advancing() bool {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	num := exc.con.stream.Received()
+	if num < exc.received+progressBytes && !exc.applying {
+		return false
+	}
+	exc.received = num
+	if !exc.over {
+		exc.watchdog.Reset(exc.silence)
+	}
+	return true
+}
+
+func (exc *exchange) stopWatchdog() {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	exc.over = true
+	exc.watchdog.Stop()
+}
+
 // begin takes over what the welcome says.
 func (ses *Session) begin(con *connection) *exchange {
 	wlc := con.welcome
@@ -74,7 +139,8 @@
 	ses.mu.Unlock()
 	ses.opt.Counters.Event(eventConnected)
 	ses.opt.Logger.Infof("session: %d at leader %s", wlc.GetSession(), con.address)
-	return &exchange{ses: ses, con: con, session: wlc.GetSession(), lease: ttl, renew: renew}
+	silence := min(max(ses.opt.AnswerTimeout, 2*con.took), ses.opt.AnswerLimit)
+	return &exchange{ses: ses, con: con, session: wlc.GetSession(), lease: ttl, renew: renew, silence: silence, heard: boottime.Mark()}
 }
 
 // send sends renewals, reports and wishes until the receiver ends.
@@ -113,7 +179,7 @@
 	rnw := &controlpb.Renew{Sequence: exc.sequence, Version: ver, ConfigurationNumber: num}
 	exc.pending = append(exc.pending, renewal{sequence: exc.sequence, sent: boottime.Mark()})
 	if len(exc.pending) == 1 {
-		exc.watchdog.Reset(exc.ses.opt.AnswerTimeout)
+		exc.watchdog.Reset(exc.rest())
 	}
 	exc.mu.Unlock()
 	return exc.con.stream.Send(&controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Renew{Renew: rnw}})
@@ -136,7 +202,7 @@
 		exc.watchdog.Stop()
 		return
 	}
-	exc.watchdog.Reset(exc.ses.opt.AnswerTimeout - boottime.Mark().Since(exc.pending[0].sent))
+	exc.watchdog.Reset(max(exc.rest(), exc.silence/4))
 }
 
 func (exc *exchange) sendLoad(interval time.Duration) error {
@@ -156,18 +222,37 @@
 	return exc.con.stream.Send(&controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Load{Load: rpt}})
 }
 
+func (exc *exchange) hear() {
+	now := boottime.Mark()
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	exc.heard = now
+	// Bytes of complete messages show no large one on its way.
+	exc.received = exc.con.stream.Received()
+}
+
 func (exc *exchange) receive() error {
 	for {
 		msg, err := exc.con.stream.Recv()
 		if err != nil {
 			return errors.Wrap(err, "receive")
 		}
-		if err := exc.take(msg); err != nil {
+		exc.hear()
+		exc.setApplying(true)
+		err = exc.take(msg)
+		exc.setApplying(false)
+		if err != nil {
 			return err
 		}
 	}
 }
 
+func (exc *exchange) setApplying(applying bool) {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	exc.applying = applying
+}
+
 // take handles one message of the leader; an error ends the connection.
 func (exc *exchange) take(msg *controlpb.ControlMessage) error {
 	ses := exc.ses
--- a/internal/control/agent/stream.go
+++ b/internal/control/agent/stream.go
@@ -32,6 +32,7 @@
 	opened   chan struct{}                  // closed once the session is known
 	commands chan func() *controlpb.Command // each is made once those before it are committed
 	worked   chan struct{}                  // closed when the last command has ended
+	share    *share                         // of the room for large messages, nil for none; belongs to the writer
 
 	mut      sync.Mutex
 	granted  uint64 // highest renewal to answer
@@ -130,6 +131,10 @@
 		_ = stm.server.Send(msg)
 		return false
 	}
+	if num != 0 && hel.GetVersion() == 0 {
+		// An agent that missed a change asks for a snapshot and refuses one older than its tables.
+		stm.term.hub.dropSnapshot()
+	}
 	if num == 0 {
 		num = stm.register(hel.GetNode())
 		if num == 0 {
--- a/internal/control/raft/leader.go
+++ b/internal/control/raft/leader.go
@@ -76,10 +76,10 @@
 	rft.heartbeat()
 }
 
-// quorumHeard reports whether a majority was heard within the shortest election timeout.
+// quorumHeard reports whether a majority was heard within the longest election timeout. A leader that is cut off may lead on for that long beside its successor, which is safe because reads and renewals need a confirmed round.
 func (rft *Raft) quorumHeard() bool {
 	oldest := rft.quorumValue(func(prg *progress) uint64 { return prg.heard }, rft.now)
-	return rft.now-oldest <= uint64(rft.opt.ElectionTicks)
+	return rft.now-oldest <= uint64(2*rft.opt.ElectionTicks)
 }
 
 // quorumValue returns the highest value that a majority of the voters reaches; own is the value of this member.
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -95,7 +95,7 @@
 	defer reg.mut.RUnlock()
 	snp := &controlpb.TableSnapshot{
 		Version:       reg.ring.newest,
-		Configuration: reg.state.GetConfiguration(),
+		Configuration: forAgents(reg.state.GetConfiguration()),
 		Nodes:         append([]*controlpb.Node(nil), reg.state.GetNodes()...),
 	}
 	for _, svc := range reg.state.GetConfiguration().GetServices() {
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -23,23 +23,14 @@
 	"github.com/siskinrill/siskinrill/internal/config/settings"
 	"github.com/siskinrill/siskinrill/internal/process/actor"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
 
 const (
-	// adminGrace is how long requests to the admin and backend listeners have to finish at a stop.
+	// adminGrace is how long requests to the admin and backend listeners have to finish at a stop, and at least those of callers.
 	adminGrace = 500 * time.Millisecond
-	// drainPoll is the time between two checks of a drain.
-	drainPoll = 20 * time.Millisecond
-	// lingerTime is how long a drained agent still serves callers, whose connections it asks to close; a request sent on a connection that closes at the same moment is lost to its caller.
-	lingerTime = time.Second
 	// longestLease lets control decide on the length of leases.
 	longestLease = time.Minute
-	// leaveTime is how long callers need to notice that the agent is no longer ready: they ask every second and leave after two misses.
-	leaveTime = 2200 * time.Millisecond
-	// longestLeave bounds the wait for callers that come nevertheless.
-	longestLeave = 3 * time.Second
-	// quietTime is how long no request must have arrived for an earlier end of that.
-	quietTime = 200 * time.Millisecond
 )
 
 // Options configures an agent.
@@ -50,6 +41,8 @@
 	Backend  net.Listener // for announcements, opened at Settings.BackendListen when nil
 	Admin    net.Listener // for the admin API, opened at Settings.Admin.Listen when nil
 	Logger   *logrus.Logger
+	// RequestIDHeader names the header with the caller's id of a request, X-Request-Id by default.
+	RequestIDHeader string
 	// Callers' requests and those to the backend server pass these when set, to translate headers.
 	Translate func(next http.Handler) http.Handler
 	Transport func(pool http.RoundTripper) http.RoundTripper
@@ -132,7 +125,7 @@
 	prc.session.SetLoadSource(prc.owner)
 	prc.server = grpc.NewServer(peer.ServerOptions()...)
 	peer.NewServer(prc.owner, prc.session).Register(prc.server)
-	hdl := caller.New(caller.Options{Logger: opt.Logger}, prc.session, prc.pool, prc.owner, prc.counters)
+	hdl := caller.New(caller.Options{Logger: opt.Logger, RequestIDHeader: opt.RequestIDHeader}, prc.session, prc.pool, prc.owner, prc.counters)
 	prc.entry = hdl
 	prc.callers = prc.closing(hdl)
 	if opt.Translate != nil {
@@ -239,13 +232,10 @@
 	}).Info("agent: Started.")
 	var grp run.Group
 	actor.Until(ctx, &grp, prc.drain)
-	// Interrupts run in this order, so callers' requests finish while everything that they need still runs.
-	actor.HTTP(&grp, prc.options.Callers, prc.callers, prc.callerGrace())
-	actor.HTTP(&grp, prc.options.Backend, prc.backend.Handler(), adminGrace)
-	actor.HTTP(&grp, prc.options.Admin, prc.admin, adminGrace)
-	for _, srv := range prc.extra {
-		actor.HTTP(&grp, srv.Listener, srv.Handler, adminGrace)
-	}
+	// Callers' requests have their answers by now; the other servers stop after that of callers, and together, since the host may kill the process soon.
+	actor.HTTP(&grp, adminGrace, actor.Server{Listener: prc.options.Callers, Handler: prc.callers})
+	others := []actor.Server{{Listener: prc.options.Backend, Handler: prc.backend.Handler()}, {Listener: prc.options.Admin, Handler: prc.admin}}
+	actor.HTTP(&grp, adminGrace, append(others, prc.extra...)...)
 	actor.GRPC(&grp, prc.options.Peers, prc.server)
 	actor.Loop(&grp, prc.owner.Run)
 	actor.Loop(&grp, prc.backend.Run)
@@ -255,68 +245,8 @@
 	return err
 }
 
-// callerGrace is how long requests of callers have to finish after the drain.
-func (prc *Process) callerGrace() time.Duration {
-	if prc.options.Settings.KeepKeys {
-		return adminGrace
-	}
-	return max(prc.options.Settings.DrainTimeout, adminGrace)
-}
-
-// drain waits until the agent owns nothing and has no request in flight, its lease is over, or the time is up; a drain timeout of 0 skips it.
-func (prc *Process) drain() {
-	log := prc.options.Logger.WithField("name", prc.options.Settings.Name)
-	prc.stopping.Store(true)
-	if prc.options.Settings.DrainTimeout == 0 {
-		return
-	}
-	log.Info("agent: Draining.")
-	if prc.options.Settings.KeepKeys {
-		prc.finish(log)
-		return
-	}
-	prc.session.Drain()
-	end := time.Now().Add(prc.options.Settings.DrainTimeout)
-	for time.Now().Before(end) {
-		if prc.owner.Idle() {
-			log.Info("agent: Drained.")
-			prc.linger()
-			return
-		}
-		// Without a lease the agent serves nothing, and control grants its keys elsewhere.
-		if _, valid := prc.session.Expires(); !valid {
-			log.Warn("agent: The lease ended during the drain.")
-			return
-		}
-		time.Sleep(drainPoll)
-	}
-	log.Warn("agent: The drain took too long.")
-}
-
-// finish serves callers until they have gone elsewhere, then refuses new work and waits for what runs; the keys stay with the backend server for the next process beside it.
-func (prc *Process) finish(log *logrus.Entry) {
-	begin := time.Now()
-	end := begin.Add(prc.options.Settings.DrainTimeout)
-	for time.Since(begin) < leaveTime || time.Since(begin) < longestLeave && time.Since(time.Unix(0, prc.request.Load())) < quietTime {
-		time.Sleep(drainPoll)
-	}
-	prc.entry.Close()
-	prc.owner.Close()
-	for time.Now().Before(end) {
-		if lod := prc.owner.InHand(); lod.GetRunning() == 0 && lod.GetQueued() == 0 && prc.inFlight.Load() == 0 {
-			log.Info("agent: Finished.")
-			return
-		}
-		time.Sleep(drainPoll)
-	}
-	log.Warn("agent: Requests still run at the stop.")
-}
+// Requests returns the number of callers' requests that have no answer yet.
+func (prc *Process) Requests() int { return int(prc.inFlight.Load()) }
 
-// linger gives callers time to close their connections.
-func (prc *Process) linger() {
-	for end := time.Now().Add(lingerTime); time.Now().Before(end); time.Sleep(drainPoll) {
-		if time.Since(time.Unix(0, prc.request.Load())) > quietTime {
-			return
-		}
-	}
-}
+// InHand returns what this agent runs at its backend server and queues for it.
+func (prc *Process) InHand() *peerpb.OwnerLoad { return prc.owner.InHand() }
