peer: a suspect connection is dead after 0.6 s, so that a lost peer's requests meet the next owner

Cause: since suspect connections are kept, a request in flight to a frozen agent waited until 1.5 s after the freeze, about when the next owner was named; its retry came after that. Change: a suspect connection whose peer answers no new connection ends after 0.6 s in place of 1 s; where round trips are longer it still follows them, up to 1.5 s. The package's tests of slow peers pass twice.

--- a/internal/agent/peer/watch.go
+++ b/internal/agent/peer/watch.go
@@ -11,8 +11,8 @@
 	leastPingTimeout = 250 * time.Millisecond
 	// A suspect link is closed this soon after a new one to the same address was made, unless round trips are longer.
 	leastDoubt = 250 * time.Millisecond
-	// A suspect link whose peer answers no new connection either is closed after this time, unless round trips are longer.
-	leastDeath   = time.Second
+	// A suspect link whose peer answers no new connection either is closed after this time, unless round trips are longer: before a lost peer's lease has ended, so that its requests meet the next owner of their keys.
+	leastDeath   = 600 * time.Millisecond
 	longestDeath = 1500 * time.Millisecond
 	// A ping goes on this long, since a late answer is evidence as well.
 	pingLifetime = 3 * time.Second
