--- a/internal/agent/owner/fake_test.go
+++ b/internal/agent/owner/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -174,8 +175,9 @@
 
 // fakeBackend runs attempts by a function.
 type fakeBackend struct {
-	do   func(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error)
-	tell time.Duration // time to take over grants
+	do    func(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error)
+	tell  time.Duration // time to take over grants
+	empty atomic.Bool   // holds no keys
 }
 
 func (fba *fakeBackend) Do(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error) {
@@ -184,9 +186,16 @@
 
 func (fba *fakeBackend) HoldsKeys() bool { return false }
 
-func (fba *fakeBackend) Held(*controlpb.Shard) bool { return true }
+func (fba *fakeBackend) Held(*controlpb.Shard) bool { return !fba.empty.Load() }
 
-func (fba *fakeBackend) AwaitHold(context.Context, *controlpb.Shard) bool { return true }
+func (fba *fakeBackend) AwaitHold(ctx context.Context, _ *controlpb.Shard) bool {
+	for fba.empty.Load() {
+		if !sleep(ctx, 10*time.Millisecond) {
+			return false
+		}
+	}
+	return true
+}
 
 func (fba *fakeBackend) Revoke(_ context.Context, refs []*controlpb.ShardRef) ([]*controlpb.ShardRef, bool) {
 	return refs, true
--- a/internal/agent/owner/handle.go
+++ b/internal/agent/owner/handle.go
@@ -93,6 +93,7 @@
 	own.mu.Unlock()
 	ctx, cancel := context.WithDeadline(ctx, tck.deadline.Add(-run))
 	defer cancel()
+	defer context.AfterFunc(own.begun, cancel)()
 	return own.bck.AwaitHold(ctx, row)
 }
 
--- a/internal/agent/owner/owner.go
+++ b/internal/agent/owner/owner.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -24,11 +25,14 @@
 	flt faults
 
 	kick chan struct{} // wakes Run after a request has ended
-	tld  teller
-	cps  *copyStore
-	fch  fetcher
-	hdc  holderCache
-	seq  atomic.Uint64 // of the copies that this owner sends
+	// begun ends once no attempt begins any more.
+	begun   context.Context
+	noBegin context.CancelFunc
+	tld     teller
+	cps     *copyStore
+	fch     fetcher
+	hdc     holderCache
+	seq     atomic.Uint64 // of the copies that this owner sends
 
 	mu        sync.Mutex
 	sessions  []uint64 // of this process, the newest last
@@ -43,6 +47,7 @@
 	rts       runTimes
 	arr       arrivals
 	taken     int                  // slots given to tickets
+	attempts  int                  // in hand, from their arrival to their end
 	running   map[*ticket]struct{} // handed over, or in the last check before it
 	moves     map[moveKey]*move
 	lds       *loads
@@ -65,6 +70,7 @@
 		records: map[attemptID]*record{}, past: newPast(opt.MaxPast), whe: newWheel(),
 		claims: map[claimKey]*claim{}, running: map[*ticket]struct{}{}, moves: map[moveKey]*move{}, lds: newLoads(), rts: runTimes{}, arr: arrivals{},
 	}
+	own.begun, own.noBegin = context.WithCancel(context.Background())
 	own.lim.ramp = defaultRamp
 	own.tld.told = map[shardID]uint64{}
 	own.cps = newCopyStore(opt.MaxCopies, opt.MaxCopyBytes, cnt)
@@ -80,7 +86,14 @@
 	}
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	return own.taken == 0 && own.waiting() == 0 && len(own.moves) == 0
+	return own.attempts == 0 && len(own.moves) == 0
+}
+
+// Attempts returns the number of attempts in hand: those that run, and those that wait for a slot, their bodies or the keys of the backend server.
+func (own *Owner) Attempts() int {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	return own.attempts
 }
 
 // Close refuses all further attempts with proof that they do not run; those that wait or run go on.
@@ -101,6 +114,7 @@
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	own.closed, own.dismissed = true, true
+	own.noBegin()
 	for _, rec := range own.records {
 		if rec.phase == phaseQueued && rec.tck != nil {
 			own.dismiss(rec.tck, siskinrill.ReasonDraining)
--- a/internal/agent/owner/record.go
+++ b/internal/agent/owner/record.go
@@ -147,12 +147,14 @@
 		return siskinrill.NotRun(siskinrill.ReasonRecordsFull).WithRetryAfter(time.Second)
 	}
 	own.records[tck.rec.id] = tck.rec
+	own.attempts++
 	return nil
 }
 
 // settle ends the record of an attempt; the caller holds the mutex.
 func (own *Owner) settle(tck *ticket, out peerpb.Outcome, kept *peerpb.Response) {
 	rec := tck.rec
+	own.attempts--
 	rec.phase = phaseDone
 	rec.outcome = out
 	rec.tck = nil
--- a/internal/agent/owner/stop_test.go
+++ b/internal/agent/owner/stop_test.go
@@ -143,3 +143,30 @@
 		})
 	}
 }
+
+// TestStopMissesWaiting guards against a stop that takes an agent for idle while a request waits for its key, and cuts its run.
+func TestStopMissesWaiting(t *testing.T) {
+	for name, dismiss := range map[string]bool{"the key comes": false, "dismissed": true} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 1, func(t *testing.T, bnc *bench) {
+				var runs atomic.Int32
+				bnc.bck.do = readAll(0, &runs)
+				bnc.bck.empty.Store(true)
+				req := bnc.start(t.Context(), open(1, "ab"))
+				synctest.Wait()
+				bnc.own.Close()
+				must.Eq(t, 1, bnc.own.Attempts())
+				must.False(t, bnc.own.Idle())
+				if dismiss {
+					bnc.own.DismissQueued()
+					must.True(t, refusalOf(<-req).NotRun())
+				} else {
+					bnc.bck.empty.Store(false)
+					must.NoError(t, <-req)
+				}
+				must.Eq(t, 0, bnc.own.Attempts())
+				must.Eq(t, !dismiss, runs.Load() == 1)
+			})
+		})
+	}
+}
--- a/internal/process/actor/server.go
+++ b/internal/process/actor/server.go
@@ -124,11 +124,14 @@
 	return errors.Wrap(err, "serve HTTP")
 }
 
-// GRPC adds a gRPC server to a group; when the group ends, open streams are cut.
-func GRPC(grp *run.Group, lis net.Listener, srv *grpc.Server) {
+// GRPC adds a gRPC server to a group; when the group ends, calls in flight have grace to finish, so that answers which are being sent arrive.
+func GRPC(grp *run.Group, grace time.Duration, lis net.Listener, srv *grpc.Server) {
 	grp.Add(
 		func() error { return srv.Serve(lis) },
-		func(error) { srv.Stop() },
+		func(error) {
+			defer time.AfterFunc(grace, srv.Stop).Stop()
+			srv.GracefulStop()
+		},
 	)
 }
 
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -29,6 +29,8 @@
 const (
 	// adminGrace is how long requests to the admin and backend listeners have to finish at a stop, and at least those of callers.
 	adminGrace = 500 * time.Millisecond
+	// peerGrace is how long the last answers to other agents may take.
+	peerGrace = 200 * time.Millisecond
 	// longestLease lets control decide on the length of leases.
 	longestLease = time.Minute
 )
@@ -236,7 +238,7 @@
 	actor.HTTP(&grp, adminGrace, actor.Server{Listener: prc.options.Callers, Handler: prc.callers})
 	others := []actor.Server{{Listener: prc.options.Backend, Handler: prc.backend.Handler()}, {Listener: prc.options.Admin, Handler: prc.admin}}
 	actor.HTTP(&grp, adminGrace, append(others, prc.extra...)...)
-	actor.GRPC(&grp, prc.options.Peers, prc.server)
+	actor.GRPC(&grp, peerGrace, prc.options.Peers, prc.server)
 	actor.Loop(&grp, prc.owner.Run)
 	actor.Loop(&grp, prc.backend.Run)
 	actor.Loop(&grp, prc.session.Run)
--- a/internal/process/agent/stop.go
+++ b/internal/process/agent/stop.go
@@ -94,7 +94,7 @@
 // idleBy waits until no request is in hand, or reports false at a time.
 func (prc *Process) idleBy(end time.Time) bool {
 	for {
-		if lod := prc.owner.InHand(); lod.GetRunning() == 0 && lod.GetQueued() == 0 && prc.inFlight.Load() == 0 {
+		if prc.owner.Attempts() == 0 && prc.inFlight.Load() == 0 {
 			return true
 		}
 		if !time.Now().Before(end) {
--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -165,7 +165,7 @@
 	actor.HTTP(&grp, orderGrace, append([]actor.Server{{Listener: prc.options.Admin, Handler: prc.handler}}, prc.extra...)...)
 	actor.Loop(&grp, prc.sessions.Run)
 	actor.Loop(&grp, prc.group.Run)
-	actor.GRPC(&grp, prc.options.Listener, prc.server)
+	actor.GRPC(&grp, 0, prc.options.Listener, prc.server)
 	err := grp.Run()
 	prc.options.Logger.WithField("name", prc.options.Settings.Name).Info("control: Stopped.")
 	return err
