--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -27,8 +27,10 @@
 )
 
 const (
-	// adminGrace is how long requests to the admin and backend listeners have to finish at a stop, and at least those of callers.
-	adminGrace = 500 * time.Millisecond
+	// callerGrace is how long requests of callers have to finish at a stop at least.
+	callerGrace = 500 * time.Millisecond
+	// othersGrace is how long requests to the other listeners have to finish at a stop.
+	othersGrace = 200 * time.Millisecond
 	// peerGrace is how long the last answers to other agents may take.
 	peerGrace = 200 * time.Millisecond
 	// longestLease lets control decide on the length of leases.
@@ -235,9 +237,9 @@
 	var grp run.Group
 	actor.Until(ctx, &grp, prc.drain)
 	// Callers' requests have their answers by now; the other servers stop after that of callers, and together, since the host may kill the process soon.
-	actor.HTTP(&grp, adminGrace, actor.Server{Listener: prc.options.Callers, Handler: prc.callers})
+	actor.HTTP(&grp, callerGrace, actor.Server{Listener: prc.options.Callers, Handler: prc.callers})
 	others := []actor.Server{{Listener: prc.options.Backend, Handler: prc.backend.Handler()}, {Listener: prc.options.Admin, Handler: prc.admin}}
-	actor.HTTP(&grp, adminGrace, append(others, prc.extra...)...)
+	actor.HTTP(&grp, othersGrace, append(others, prc.extra...)...)
 	actor.GRPC(&grp, peerGrace, prc.options.Peers, prc.server)
 	actor.Loop(&grp, prc.owner.Run)
 	actor.Loop(&grp, prc.backend.Run)
--- a/internal/process/agent/stop.go
+++ b/internal/process/agent/stop.go
@@ -41,7 +41,7 @@
 	}
 	prc.entry.Close()
 	prc.owner.Close()
-	prc.endRequests(log, begin.Add(max(limit, adminGrace)))
+	prc.endRequests(log, begin.Add(max(limit, callerGrace)))
 }
 
 // release waits until the agent owns nothing and has no request in flight, its lease is over, or the time is up.
