owner: one context tells that no attempt begins any more

It stood beside a flag of the same meaning, and its name told the opposite. No behaviour changes; the package's tests pass with the race detector.

--- a/internal/agent/owner/handle.go
+++ b/internal/agent/owner/handle.go
@@ -93,7 +93,7 @@
 	own.mu.Unlock()
 	ctx, cancel := context.WithDeadline(ctx, tck.deadline.Add(-run))
 	defer cancel()
-	defer context.AfterFunc(own.begun, cancel)()
+	defer context.AfterFunc(own.dismissal, cancel)()
 	return own.bck.AwaitHold(ctx, row)
 }
 
@@ -145,7 +145,7 @@
 	if tck.rec.withdrawn {
 		return siskinrill.NotRun(siskinrill.ReasonWithdrawn)
 	}
-	if own.dismissed {
+	if own.dismissal.Err() != nil {
 		return siskinrill.NotRun(siskinrill.ReasonDraining)
 	}
 	if !time.Now().Before(tck.deadline) {
--- a/internal/agent/owner/owner.go
+++ b/internal/agent/owner/owner.go
@@ -24,15 +24,14 @@
 	cnt *siskinrill.Counters
 	flt faults
 
-	kick chan struct{} // wakes Run after a request has ended
-	// begun ends once no attempt begins any more.
-	begun   context.Context
-	noBegin context.CancelFunc
-	tld     teller
-	cps     *copyStore
-	fch     fetcher
-	hdc     holderCache
-	seq     atomic.Uint64 // of the copies that this owner sends
+	kick       chan struct{}   // wakes Run after a request has ended
+	dismissal  context.Context // done once no attempt begins any more
+	dismissAll context.CancelFunc
+	tld        teller
+	cps        *copyStore
+	fch        fetcher
+	hdc        holderCache
+	seq        atomic.Uint64 // of the copies that this owner sends
 
 	mu        sync.Mutex
 	sessions  []uint64 // of this process, the newest last
@@ -53,7 +52,6 @@
 	lds       *loads
 	drainFrom time.Time // zero: does not drain
 	closed    bool      // takes no new attempts
-	dismissed bool      // begins none
 	looked    time.Time // when all waiting requests were last looked at
 }
 
@@ -70,7 +68,7 @@
 		records: map[attemptID]*record{}, past: newPast(opt.MaxPast), whe: newWheel(),
 		claims: map[claimKey]*claim{}, running: map[*ticket]struct{}{}, moves: map[moveKey]*move{}, lds: newLoads(), rts: runTimes{}, arr: arrivals{},
 	}
-	own.begun, own.noBegin = context.WithCancel(context.Background())
+	own.dismissal, own.dismissAll = context.WithCancel(context.Background())
 	own.lim.ramp = defaultRamp
 	own.tld.told = map[shardID]uint64{}
 	own.cps = newCopyStore(opt.MaxCopies, opt.MaxCopyBytes, cnt)
@@ -113,8 +111,8 @@
 func (own *Owner) DismissQueued() {
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	own.closed, own.dismissed = true, true
-	own.noBegin()
+	own.closed = true
+	own.dismissAll()
 	for _, rec := range own.records {
 		if rec.phase == phaseQueued && rec.tck != nil {
 			own.dismiss(rec.tck, siskinrill.ReasonDraining)
