--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 test:
 	@test ! -f KNOWN-RED.txt || cat KNOWN-RED.txt
 	$(GO) test -race -timeout 8m $$($(GO) list $(PACKAGES) | grep -vE '/examples$$|/bench/deployment$$|/bench/scale$$|/process/agent$$')
-	$(GO) test -race -timeout 8m -p 1 $(SKIP) $(PROCESS_TESTS)
+	$(GO) test -race -count=1 -timeout 8m -p 1 $(SKIP) $(PROCESS_TESTS)
 
 fmt:
 	$(TOOL) gofumpt -w $$(git ls-files -co --exclude-standard '*.go' ':!:*.pb.go')
--- a/internal/process/agent/stop_test.go
+++ b/internal/process/agent/stop_test.go
@@ -25,6 +25,8 @@
 const (
 	// longRun is a run that lasts longer than any stop of the tests.
 	longRun = time.Minute
+	// applyWait is the longest wait for a configuration to be in force.
+	applyWait = 5 * time.Second
 	// stopMargin is what a stop may take beside its drain timeout: the wait for callers to leave, and the answers.
 	stopMargin = 4 * time.Second
 )
@@ -110,11 +112,13 @@
 			Kind: controlpb.RequestKind_REQUEST_KIND_NON_IDEMPOTENT, TimeoutMs: uint32(longRun.Milliseconds()),
 		})
 	}
+	req := &controlpb.ApplyRequest{ChangeId: uuid.NewString(), Configuration: cfg, Operator: "test", WaitMs: uint32(applyWait.Milliseconds())}
+	await(t, func() bool { return dep.agent.Ready() == nil && dep.agent.TakesCallers() == nil })
+	// In force, or the first request may come before its route.
 	await(t, func() bool {
-		ans, err := opr.Apply(t.Context(), &controlpb.ApplyRequest{ChangeId: uuid.NewString(), Configuration: cfg, Operator: "test"})
-		return err == nil && ans.GetRecord().GetAccepted()
+		ans, err := opr.Apply(t.Context(), req)
+		return err == nil && ans.GetRecord().GetAccepted() && ans.GetInForce()
 	})
-	await(t, func() bool { return dep.agent.Ready() == nil && dep.agent.TakesCallers() == nil })
 }
 
 func await(t *testing.T, cond func() bool) {
