peer: TestSuspectIsAvoided has no data race of its own

Cause: the test replaced the fake owner's handler while the first attempt was still in it; in an uncached run of all packages the race detector saw it, and the tests beside it failed with it. Change: one handler holds the first attempt and answers the others. Three uncached runs of the package beside each other pass with the race detector.

--- a/internal/agent/peer/slow_test.go
+++ b/internal/agent/peer/slow_test.go
@@ -184,7 +184,13 @@
 	t.Parallel()
 	fix := newFixture(t)
 	held := make(chan struct{})
-	fix.own.handle = after(func() { fix.rel.silence(); <-held }, 0)
+	stuck := after(func() { fix.rel.silence(); <-held }, 0)
+	fix.own.handle = func(ctx context.Context, att *siskinrill.Attempt) (*siskinrill.Answer, error) {
+		if fix.own.arrived.Load() == 1 {
+			return stuck(ctx, att)
+		}
+		return echo(ctx, att)
+	}
 	first := make(chan error, 1)
 	go func() {
 		_, err := fix.poo.Forward(t.Context(), fix.rel.address(), newAttempt(idempotent, nil))
@@ -193,7 +199,6 @@
 	// The ping is sent after 250 ms of silence and waited for during at least 250 ms.
 	time.Sleep(300 * time.Millisecond)
 	fix.awaitEvent(t, "peer_suspected")
-	fix.own.handle = echo
 	beg := time.Now()
 	_, err := fix.poo.Forward(t.Context(), fix.rel.address(), newAttempt(idempotent, nil))
 	must.NoError(t, err)
