owner: one wait for requests that stand in a queue

The wait for a slot and the wait for a body were written twice with the same lines. No behaviour changes; the tests of the owner and of the agent's stop pass with the race detector.

--- a/internal/agent/owner/admit.go
+++ b/internal/agent/owner/admit.go
@@ -27,6 +27,11 @@
 	if ref != nil || !queued {
 		return ref
 	}
+	return own.awaitTurn(ctx, tck)
+}
+
+// awaitTurn returns once a queued ticket is woken, or takes it out of its queue when the context ends.
+func (own *Owner) awaitTurn(ctx context.Context, tck *ticket) *siskinrill.Refusal {
 	select {
 	case ref := <-tck.wake:
 		return ref
--- a/internal/agent/owner/inflow.go
+++ b/internal/agent/owner/inflow.go
@@ -90,12 +90,7 @@
 	if ref := own.enqueueBody(tck); ref != nil {
 		return ref
 	}
-	select {
-	case ref := <-tck.wake:
-		return ref
-	case <-ctx.Done():
-		return own.giveUp(ctx, tck)
-	}
+	return own.awaitTurn(ctx, tck)
 }
 
 // enqueueBody admits a ticket and gives it a place among those whose bodies are asked for in turn.
