agent/backend: keys granted straight to backend servers

Change: a service names the carrier of its grants. For the direct one the agent beside the server sends the calls; what is granted, until when, and when a row is surely free is decided where heartbeat answers are decided. A grant counts until its time is over by the slowest clock, from the last moment at which it can have arrived, also when it had no answer or was sent by an earlier process; a release counts only after that. Rows of one token go in one call. A lost connection stops the grants until the next heartbeat, since the server may have started anew.

--- a/header.go
+++ b/header.go
@@ -26,4 +26,6 @@
 	HeaderRetryAfter = "Siskinrill-Retry-After"
 	// HeaderUpstream carries the id of the backend server that a request is meant for; another one at the same address must refuse it with 421.
 	HeaderUpstream = "Siskinrill-Upstream"
+	// HeaderHandover carries what a backend server that has given keys back leaves for their next owner.
+	HeaderHandover = "Siskinrill-Handover"
 )
--- a/internal/agent/backend/client.go
+++ b/internal/agent/backend/client.go
@@ -33,7 +33,8 @@
 	runs       map[*run]struct{}   // requests that have not ended
 	told       *controlpb.Upstream // last one given to OnUpstream
 
-	keys keys // that the server holds by its heartbeats
+	keys  keys  // that the server holds for a limited time
+	calls calls // that grant them
 
 	tellMu sync.Mutex // serializes OnUpstream
 	probed time.Time  // last answer to a probe of a silent server; only Run uses it
@@ -43,7 +44,7 @@
 
 // New returns a client that waits for the first announcement.
 func New(opt Options, cnt *siskinrill.Counters) *Client {
-	return &Client{opt: opt.withDefaults(), cnt: cnt, granted: map[string]uint64{}, runs: map[*run]struct{}{}, keys: newKeys()}
+	return &Client{opt: opt.withDefaults(), cnt: cnt, granted: map[string]uint64{}, runs: map[*run]struct{}{}, keys: newKeys(), calls: newCalls()}
 }
 
 // Figures returns the agent's own counts of what the backend server did.
@@ -76,8 +77,11 @@
 	return time.Duration(*cli.ann.WarmupMs)*time.Millisecond - time.Since(cli.heard), true
 }
 
-// Run watches over the announcements and the answers until the context ends.
+// Run watches over the announcements and the answers, and grants keys by calls, until the context ends.
 func (cli *Client) Run(ctx context.Context) error {
+	var grants sync.WaitGroup
+	defer grants.Wait()
+	grants.Go(func() { cli.grantLoop(ctx) })
 	tck := time.NewTicker(tickInterval)
 	defer tck.Stop()
 	for {
--- /dev/null
+++ b/internal/agent/backend/grantloop_test.go
@@ -0,0 +1,220 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// callServer is a backend server that takes its keys from calls.
+type callServer struct {
+	*httptest.Server
+	mu       sync.Mutex
+	grants   []KeyCall
+	releases []KeyCall
+	answer   func(wri http.ResponseWriter, req *http.Request, cll KeyCall) // nil: status 200
+	done     chan struct{}                                                 // closed once the work on released keys has ended
+}
+
+func newCallServer(t *testing.T) *callServer {
+	csv := &callServer{done: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+GrantPath, func(wri http.ResponseWriter, req *http.Request) {
+		cll := csv.note(req, &csv.grants)
+		csv.mu.Lock()
+		answer := csv.answer
+		csv.mu.Unlock()
+		if answer != nil {
+			answer(wri, req, cll)
+		}
+	})
+	mux.HandleFunc("POST "+ReleasePath, func(wri http.ResponseWriter, req *http.Request) {
+		csv.note(req, &csv.releases)
+		select {
+		case <-csv.done:
+			wri.Header().Set(siskinrill.HeaderHandover, "warm")
+		case <-req.Context().Done():
+		}
+	})
+	csv.Server = httptest.NewServer(mux)
+	t.Cleanup(csv.Close)
+	return csv
+}
+
+func (csv *callServer) note(req *http.Request, lst *[]KeyCall) KeyCall {
+	var cll KeyCall
+	_ = json.NewDecoder(req.Body).Decode(&cll)
+	csv.mu.Lock()
+	defer csv.mu.Unlock()
+	*lst = append(*lst, cll)
+	return cll
+}
+
+func (csv *callServer) counts() (grants, releases int) {
+	csv.mu.Lock()
+	defer csv.mu.Unlock()
+	return len(csv.grants), len(csv.releases)
+}
+
+// directAgent is a client beside a server that takes its keys from calls.
+type directAgent struct {
+	cli  *Client
+	mu   sync.Mutex
+	rows []*controlpb.Shard
+	told []controlpb.UpstreamState
+}
+
+func newDirectAgent(t *testing.T, url string, rows ...*controlpb.Shard) *directAgent {
+	agt := &directAgent{rows: rows}
+	svc := &controlpb.Service{
+		Name: "vitrine", Partitions: heldPartitions, KeyMode: controlpb.KeyMode_KEY_MODE_NUMBER,
+		Carrier: controlpb.Carrier_CARRIER_DIRECT, Connections: 8,
+	}
+	agt.cli = New(Options{
+		Owned: func() []*controlpb.Shard {
+			agt.mu.Lock()
+			defer agt.mu.Unlock()
+			return agt.rows
+		},
+		Lease:   func() (time.Time, bool) { return time.Now().Add(directLease), true },
+		Service: func(string) *controlpb.Service { return svc },
+		OnUpstream: func(ups *controlpb.Upstream) {
+			agt.mu.Lock()
+			defer agt.mu.Unlock()
+			agt.told = append(agt.told, ups.GetState())
+		},
+	}, siskinrill.NewCounters())
+	ctx, cancel := context.WithCancel(context.Background())
+	var end sync.WaitGroup
+	end.Go(func() { _ = agt.cli.Run(ctx) })
+	t.Cleanup(func() { cancel(); end.Wait() })
+	agt.beat(t, url, 1)
+	return agt
+}
+
+func (agt *directAgent) beat(t *testing.T, url string, seq uint64) {
+	std, err := agt.cli.Announce(t.Context(), &Announcement{
+		ID: "v1", Service: "vitrine", URL: url, Slots: 2, Incarnation: 5, Sequence: seq, HoldsKeys: true,
+	})
+	must.NoError(t, err)
+	must.Eq(t, 0, std.HoldMs) // an answer without keys renews nothing
+}
+
+// awaitTrue waits for a condition that holds soon.
+func awaitTrue(t *testing.T, within time.Duration, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(within); !cond(); time.Sleep(2 * time.Millisecond) {
+		must.True(t, time.Now().Before(end), must.Sprint(what))
+	}
+}
+
+// TestGrantCalls guards against rows that are not granted, not renewed or granted together with others under another token, and against a release that counts as done before the server has finished its work.
+func TestGrantCalls(t *testing.T) {
+	csv := newCallServer(t)
+	rows := []*controlpb.Shard{row(1, 5), row(2, 5), row(4, 6)}
+	agt := newDirectAgent(t, csv.URL, rows...)
+	for _, rwo := range rows {
+		awaitTrue(t, time.Second, "a row is not held", func() bool { return agt.cli.Held(rwo) })
+	}
+	num, _ := csv.counts()
+	must.Eq(t, 2, num)
+	awaitTrue(t, 3*time.Second, "no renewal", func() bool { num, _ := csv.counts(); return num >= 4 })
+	csv.mu.Lock()
+	for _, cll := range csv.grants {
+		must.True(t, cll.First == 4096 && cll.Last == 12287 && cll.Token == 5 || cll.First == 16384 && cll.Last == 20479 && cll.Token == 6)
+		must.Between(t, 2000, int(cll.HoldMs), 3000)
+	}
+	csv.mu.Unlock()
+	time.Sleep(time.Until(agt.cli.keys.unknown)) // an earlier process may have granted keys until then
+	out := make(chan []*controlpb.ShardRef, 1)
+	go func() {
+		refs, _ := agt.cli.Revoke(t.Context(), []*controlpb.ShardRef{refOf(rows[1]), refOf(rows[0])})
+		out <- refs
+	}()
+	awaitTrue(t, time.Second, "no release", func() bool { _, num := csv.counts(); return num == 1 })
+	must.False(t, agt.cli.Held(rows[0]))
+	must.True(t, agt.cli.Held(rows[2]))
+	must.Eq(t, 0, len(out))
+	close(csv.done)
+	refs := <-out
+	must.Eq(t, "warm", refs[0].GetHandover())
+	must.Eq(t, "warm", refs[1].GetHandover())
+	must.Eq(t, KeyCall{First: 4096, Last: 12287, Token: 5}, csv.releases[0])
+}
+
+// TestGrantFaults guards against a server that counts as holding keys, or as free of them, by an answer that does not tell so, and against bytes without end that hold a call up.
+func TestGrantFaults(t *testing.T) {
+	endless := func(wri http.ResponseWriter, req *http.Request, buf []byte) {
+		cnn, _, err := wri.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer cnn.Close()
+		for req.Context().Err() == nil {
+			if _, err := cnn.Write(buf); err != nil {
+				return
+			}
+		}
+	}
+	for nam, tcs := range map[string]struct {
+		answer func(wri http.ResponseWriter, req *http.Request, cll KeyCall)
+		late   bool // the keys may be held
+	}{
+		"higher token": {answer: func(wri http.ResponseWriter, _ *http.Request, _ KeyCall) { wri.WriteHeader(http.StatusConflict) }},
+		"bad call":     {answer: func(wri http.ResponseWriter, _ *http.Request, _ KeyCall) { wri.WriteHeader(http.StatusBadRequest) }},
+		"other server": {answer: func(wri http.ResponseWriter, _ *http.Request, _ KeyCall) {
+			wri.WriteHeader(http.StatusMisdirectedRequest)
+		}},
+		"no answer": {late: true, answer: func(_ http.ResponseWriter, req *http.Request, _ KeyCall) { <-req.Context().Done() }},
+		"no answer in the protocol": {late: true, answer: func(wri http.ResponseWriter, req *http.Request, _ KeyCall) {
+			endless(wri, req, []byte("not an answer\r\n"))
+		}},
+		"endless header": {late: true, answer: func(wri http.ResponseWriter, req *http.Request, _ KeyCall) {
+			endless(wri, req, []byte("HTTP/1.1 200 OK\r\nX: y\r\n"))
+		}},
+		"endless body": {late: true, answer: func(wri http.ResponseWriter, req *http.Request, _ KeyCall) {
+			endless(wri, req, []byte("HTTP/1.1 200 OK\r\n\r\nbytes"))
+		}},
+	} {
+		t.Run(nam, func(t *testing.T) {
+			csv := newCallServer(t)
+			csv.answer = tcs.answer
+			rwo := row(1, 5)
+			agt := newDirectAgent(t, csv.URL, rwo)
+			awaitTrue(t, 2*time.Second, "the call has no end", func() bool {
+				agt.cli.keys.mu.Lock()
+				defer agt.cli.keys.mu.Unlock()
+				return len(agt.cli.keys.late) > 0 || len(agt.cli.keys.refused) > 0 || !tcs.late && len(agt.cli.keys.calls) == 0
+			})
+			must.False(t, agt.cli.Held(rwo))
+			agt.cli.keys.mu.Lock()
+			late := time.Now().Before(agt.cli.keys.late[1])
+			agt.cli.keys.mu.Unlock()
+			must.Eq(t, tcs.late, late)
+		})
+	}
+}
+
+// TestGrantMeetsEnd guards against keys that wait for the end of their hold although the port of their server refuses connections.
+func TestGrantMeetsEnd(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	url := "http://" + lis.Addr().String()
+	must.NoError(t, lis.Close())
+	agt := newDirectAgent(t, url, row(1, 5))
+	awaitTrue(t, time.Second, "the failure was not told", func() bool {
+		agt.mu.Lock()
+		defer agt.mu.Unlock()
+		return len(agt.told) > 0 && agt.told[len(agt.told)-1] == controlpb.UpstreamState_UPSTREAM_STATE_FAILED
+	})
+}
--- a/internal/agent/backend/grants.go
+++ b/internal/agent/backend/grants.go
@@ -44,6 +44,7 @@
 
 // Grants tells the backend server which shards it now owns and which it lost; without a grants endpoint it does nothing, and a server that cannot be used now is told when it can.
 func (cli *Client) Grants(ctx context.Context, granted, revoked []*controlpb.ShardRef) error {
+	cli.calls.kick()
 	bdy := grantsBody{Granted: grantRows(granted), Revoked: grantRows(revoked)}
 	tgt := cli.noteGrants(bdy)
 	if tgt == nil {
--- a/internal/agent/backend/hold.go
+++ b/internal/agent/backend/hold.go
@@ -37,7 +37,8 @@
 // heldKeys is a partition that the server holds by an answer to a heartbeat.
 type heldKeys struct {
 	token   uint64
-	offered bool      // by an answer of this process; another one before it may have granted the rest
+	offered bool      // by this process; another one before it may have granted the rest
+	direct  bool      // by a call
 	from    time.Time // when the server has surely read the answer
 	until   time.Time // by the slowest clock that the server may have
 }
@@ -57,10 +58,30 @@
 	changed chan struct{}
 	// unknown is until when the server may hold keys that an earlier process beside it has granted, zero before the first heartbeat.
 	unknown time.Time
+
+	started time.Time            // of this process
+	direct  bool                 // the server takes its keys from calls
+	life    uint64               // rises when the server starts anew
+	calls   map[uint32]int       // grants on their way, by partition
+	late    map[uint32]time.Time // until when a grant without an answer may be applied, by partition
+	refused map[grantKey]refusal
+	doubt   bool // the server may have started anew; its next heartbeat tells
+	flt     keyFaults
+}
+
+// keyFaults break single rules, so that tests can prove that they would notice.
+type keyFaults struct {
+	forgetLate    bool // a grant without an answer counts as not applied
+	forgetEarlier bool // an earlier process beside the server counts as having granted nothing
+	trueClock     bool // the server's clock counts as exact
+	freeWhileSent bool // a grant on its way does not delay a release
 }
 
 func newKeys() keys {
-	return keys{held: map[uint32]heldKeys{}, revoked: map[grantKey]*revocation{}, changed: make(chan struct{})}
+	return keys{
+		started: time.Now(), held: map[uint32]heldKeys{}, revoked: map[grantKey]*revocation{}, changed: make(chan struct{}),
+		calls: map[uint32]int{}, late: map[uint32]time.Time{}, refused: map[grantKey]refusal{},
+	}
 }
 
 // wake lets those look again that wait for a change; the caller holds the mutex.
@@ -74,6 +95,11 @@
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
 	clear(kys.held)
+	clear(kys.calls)
+	clear(kys.late)
+	clear(kys.refused)
+	kys.life++
+	kys.doubt = false
 	if kys.active {
 		kys.unknown = time.Now()
 	}
@@ -88,6 +114,13 @@
 	for _, hld := range kys.held {
 		rest = max(rest, time.Until(hld.until))
 	}
+	for _, until := range kys.late {
+		rest = max(rest, time.Until(until))
+	}
+	if kys.direct {
+		// Heartbeats do not tell what an earlier process has granted by calls.
+		rest = max(rest, time.Until(kys.unknown))
+	}
 	return rest
 }
 
@@ -125,7 +158,7 @@
 	rep := reported(ann, partitions)
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
-	kys.active = true
+	kys.active, kys.direct = true, false
 	if kys.unknown.IsZero() {
 		kys.unknown = time.Now().Add(longestHold)
 	}
@@ -138,6 +171,10 @@
 		tok, ok := rep[par]
 		switch {
 		case !ok:
+			if hld.direct {
+				// The service has changed its carrier, and what a call has granted need not be named in a heartbeat.
+				kys.late[par] = later(kys.late[par], hld.until)
+			}
 			delete(kys.held, par)
 		case tok != hld.token:
 			// It has not received the renewal of the token.
@@ -159,6 +196,19 @@
 	return rep
 }
 
+// hear takes a heartbeat of a server that takes its keys from calls.
+func (kys *keys) hear() {
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	kys.active, kys.direct, kys.doubt = true, true, false
+	if kys.unknown.IsZero() {
+		kys.unknown = kys.started.Add(longestDirect)
+		if kys.flt.forgetEarlier {
+			kys.unknown = kys.started
+		}
+	}
+}
+
 func (kys *keys) noteReleased(par uint32, handover string) {
 	for key, rev := range kys.revoked {
 		if key.partition == par {
@@ -222,12 +272,23 @@
 	if !ann.HoldsKeys || cli.opt.Service == nil {
 		return nil
 	}
-	return cli.keys.take(ann, cli.opt.Service(ann.Service).GetPartitions())
+	svc := cli.opt.Service(ann.Service)
+	if direct(svc) {
+		cli.keys.hear()
+		cli.calls.kick()
+		return nil
+	}
+	return cli.keys.take(ann, svc.GetPartitions())
+}
+
+// direct reports whether the backend servers of a service take their keys from calls.
+func direct(svc *controlpb.Service) bool {
+	return svc.GetKeyMode() == controlpb.KeyMode_KEY_MODE_NUMBER && svc.GetCarrier() == controlpb.Carrier_CARRIER_DIRECT
 }
 
 // awaitKeys holds back the answer to a heartbeat while keys are on their way, since the server could take them only with its next heartbeat. A server that is to give keys back, that leaves, or whose hold is short is answered at once. It returns false if a newer heartbeat has arrived meanwhile, whose answer counts then.
 func (cli *Client) awaitKeys(ctx context.Context, ann *Announcement) bool {
-	if !ann.HoldsKeys || ann.Leaving || cli.opt.Incoming == nil {
+	if !ann.HoldsKeys || ann.Leaving || cli.opt.Incoming == nil || cli.opt.Service != nil && direct(cli.opt.Service(ann.Service)) {
 		return true
 	}
 	if left := cli.keys.left(); left > 0 && left < spareHold {
@@ -258,7 +319,7 @@
 		return
 	}
 	svc := cli.opt.Service(ann.Service)
-	if svc.GetKeyMode() != controlpb.KeyMode_KEY_MODE_NUMBER || cli.current() == nil {
+	if svc.GetKeyMode() != controlpb.KeyMode_KEY_MODE_NUMBER || direct(svc) || cli.current() == nil {
 		return
 	}
 	// The rows are read before the lease: rows of a session that ends in between are covered by its lease.
--- a/internal/agent/backend/options.go
+++ b/internal/agent/backend/options.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
@@ -60,6 +61,8 @@
 	Incoming func(service string) bool
 	// Service returns a service of the configuration, nil if there is none; default: none.
 	Service func(name string) *controlpb.Service
+	// Grants writes the calls to servers that take their keys from them; default: the product's own.
+	Grants siskinrill.GrantCalls
 	// Transport wraps the connections for requests, to translate headers; default: none.
 	Transport func(pool http.RoundTripper) http.RoundTripper
 	// MaxIdle is the longest idle time of a connection that is used again, 200 ms by default; older ones may have gone silent.
@@ -72,6 +75,9 @@
 
 func (opt Options) withDefaults() Options {
 	opt.MaxIdle = cmp.Or(opt.MaxIdle, maxIdle)
+	if opt.Grants == nil {
+		opt.Grants = ownCalls{}
+	}
 	if opt.Transport == nil {
 		opt.Transport = func(pool http.RoundTripper) http.RoundTripper { return pool }
 	}
--- /dev/null
+++ b/internal/agent/backend/owncalls.go
@@ -0,0 +1,63 @@
+package backend
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill"
+)
+
+// Paths of the calls that grant keys to a backend server and take them back.
+const (
+	GrantPath   = "/keys/grant"
+	ReleasePath = "/keys/release"
+)
+
+// KeyCall is the JSON body of a call to GrantPath or ReleasePath.
+type KeyCall struct {
+	First uint32 `json:"first"`
+	Last  uint32 `json:"last"`
+	Token uint64 `json:"token"`
+	// HoldMs is how long the server holds the keys from the arrival of the call, in milliseconds; grants only.
+	HoldMs uint32 `json:"hold_ms,omitempty"`
+	// Handover is what the earlier owner of the keys left; grants only.
+	Handover string `json:"handover,omitempty"`
+}
+
+// ownCalls are the product's own calls.
+type ownCalls struct{}
+
+var _ siskinrill.GrantCalls = ownCalls{}
+
+// Grant returns a POST to GrantPath.
+func (ownCalls) Grant(base, upstream string, grt siskinrill.KeyGrant, hold time.Duration, handover string) (*http.Request, error) {
+	return keyCall(base+GrantPath, upstream, KeyCall{
+		First: grt.First(), Last: grt.Last(), Token: grt.Token(), HoldMs: uint32(hold.Milliseconds()), Handover: handover,
+	})
+}
+
+// Release returns a POST to ReleasePath.
+func (ownCalls) Release(base, upstream string, grt siskinrill.KeyGrant) (*http.Request, error) {
+	return keyCall(base+ReleasePath, upstream, KeyCall{First: grt.First(), Last: grt.Last(), Token: grt.Token()})
+}
+
+// Handover returns the header Siskinrill-Handover.
+func (ownCalls) Handover(res *http.Response) string { return res.Header.Get(siskinrill.HeaderHandover) }
+
+func keyCall(loc, upstream string, bdy KeyCall) (*http.Request, error) {
+	buf, err := json.Marshal(bdy)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode")
+	}
+	req, err := http.NewRequest(http.MethodPost, loc, bytes.NewReader(buf))
+	if err != nil {
+		return nil, errors.Wrap(err, "call")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(siskinrill.HeaderUpstream, upstream)
+	return req, nil
+}
--- a/internal/agent/backend/revoke.go
+++ b/internal/agent/backend/revoke.go
@@ -34,6 +34,11 @@
 	if !kys.revoke(refs) {
 		return refs, true
 	}
+	if kys.byCalls() {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		cli.releaseKeys(ctx, refs)
+	}
 	for {
 		at, changed := kys.pending(refs)
 		if changed == nil {
@@ -65,6 +70,9 @@
 			rev := &revocation{until: kys.unknown}
 			if hld, ok := kys.held[ref.GetPartition()]; ok && hld.token <= ref.GetToken() {
 				rev.until = hld.until
+				if hld.direct {
+					rev.until = later(rev.until, kys.unknown)
+				}
 			}
 			kys.revoked[key] = rev
 		}
@@ -80,11 +88,12 @@
 	waits := false
 	for _, ref := range refs {
 		rev := kys.revoked[grantKey{ref.GetPartition(), ref.GetToken()}]
-		if rev == nil || rev.released || !time.Now().Before(rev.until) {
+		end := kys.freeFrom(ref.GetPartition(), rev)
+		if !time.Now().Before(end) {
 			continue
 		}
 		waits = true
-		last = later(last, rev.until)
+		last = later(last, end)
 	}
 	if !waits {
 		return last, nil
@@ -92,6 +101,34 @@
 	return last, kys.changed
 }
 
+// freeFrom returns when the server surely holds a revoked row no longer. A row that it has given back may still be taken by a grant that was sent before and had no answer, and while a grant is on its way nothing is known; the caller holds the mutex.
+func (kys *keys) freeFrom(par uint32, rev *revocation) time.Time {
+	if rev == nil {
+		return time.Time{}
+	}
+	if kys.calls[par] > 0 && !kys.flt.freeWhileSent {
+		return time.Now().Add(longestDirect)
+	}
+	end := kys.late[par]
+	if kys.direct {
+		end = later(end, kys.unknown)
+	}
+	if rev.released {
+		return end
+	}
+	if hld, ok := kys.held[par]; ok && hld.direct {
+		end = later(end, hld.until)
+	}
+	return later(end, rev.until)
+}
+
+// byCalls reports whether the server takes its keys from calls.
+func (kys *keys) byCalls() bool {
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	return kys.direct
+}
+
 func (kys *keys) handedOver(refs []*controlpb.ShardRef) []*controlpb.ShardRef {
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
--- a/internal/agent/backend/target.go
+++ b/internal/agent/backend/target.go
@@ -13,6 +13,7 @@
 	pool      *http.Transport
 	transport http.RoundTripper // the pool, perhaps behind a translation
 	probes    *http.Transport   // apart, so that a full pool does not make the server look dead
+	calls     *http.Transport   // for grants and releases, which wait for no request
 }
 
 // newTarget returns the pools for an announcement that was checked.
@@ -36,7 +37,14 @@
 	return &target{
 		base: loc, pool: pool, transport: opt.Transport(pool),
 		probes: &http.Transport{DialContext: dia.DialContext, DisableKeepAlives: true},
+		calls: &http.Transport{
+			DialContext: dial, MaxIdleConnsPerHost: grantCalls, IdleConnTimeout: opt.MaxIdle,
+			DisableCompression: true, MaxResponseHeaderBytes: wholeAnswer,
+		},
 	}
 }
 
-func (tgt *target) close() { tgt.pool.CloseIdleConnections() }
+func (tgt *target) close() {
+	tgt.pool.CloseIdleConnections()
+	tgt.calls.CloseIdleConnections()
+}
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -50,6 +50,8 @@
 	// Callers' requests and those to the backend server pass these when set, to translate headers.
 	Translate func(next http.Handler) http.Handler
 	Transport func(pool http.RoundTripper) http.RoundTripper
+	// Grants writes the calls that grant keys to the backend server, the product's own by default.
+	Grants siskinrill.GrantCalls
 	// Extra are further HTTP servers, which may call the agent that they are given.
 	Extra func(prc *Process) []actor.Server
 }
@@ -122,7 +124,7 @@
 		OnUpstream: prc.session.SetUpstream, Draining: prc.session.Draining,
 		MayStop: func() bool { return prc.owner.Idle() },
 		Owned:   prc.session.Owned, Lease: prc.session.Expires, Service: prc.session.Service, Incoming: prc.session.Incoming,
-		Transport: opt.Transport, MaxIdle: set.BackendIdle, MaxRanges: int(set.MaxRanges), Unframed: set.Unframed,
+		Grants: opt.Grants, Transport: opt.Transport, MaxIdle: set.BackendIdle, MaxRanges: int(set.MaxRanges), Unframed: set.Unframed,
 	}, prc.counters)
 	ses := guarded{held: prc.session, backend: prc.backend}
 	prc.owner = owner.New(owner.Options{Slots: prc.backend.Slots, Warmup: prc.backend.Warmup, DrainGrace: set.DrainGrace}, ses, prc.pool, prc.backend, prc.counters)
