agent/control: rows that control was told to give up are used only once it has confirmed that

Cause: an agent that reports its backend server as failed, or as started anew, has all of its rows granted to others at once. Where the server came back before the agent's tables showed that, the agent used the rows again and put them into the next answer to a heartbeat. A report of serving could also overtake the failure, which control then never heard of. The model of an agent in the tests of control/agent has always waited for control; the agent did not. Change: after such a report the lease does not count until the tables show what control made of it, and later reports wait for that. Control gives each reported failure a new since_index, so that one that it had heard of before is confirmed too. Measured: TestGivenUpRows, TestRepeatedFailure (the first fails without the change: the lease stays valid with the void rows).

--- /dev/null
+++ b/internal/agent/control/giveup_test.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+func upstream(inc uint64, sta controlpb.UpstreamState) *controlpb.Upstream {
+	return &controlpb.Upstream{Id: "u", Service: "checkout", Incarnation: inc, State: sta}
+}
+
+// tellNode tells the agent what control has of its backend server.
+func (ctl *fakeControl) tellNode(ver uint64, ups *controlpb.Upstream, since uint64) {
+	ups.SinceIndex = since
+	ctl.push(&controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Difference{Difference: &controlpb.Difference{
+		From: ver, To: ver + 1, Changes: []*controlpb.Change{{Kind: &controlpb.Change_SetNode{SetNode: &controlpb.Node{Session: 101, Name: "a", Upstream: ups}}}},
+	}}})
+	time.Sleep(10 * time.Millisecond)
+}
+
+// upstreams returns the states and incarnations of the backend server that the agent has told since the last call.
+func (ctl *fakeControl) upstreams() []string {
+	ctl.mu.Lock()
+	defer ctl.mu.Unlock()
+	var out []string
+	for _, msg := range ctl.messages {
+		if ups := msg.GetSetUpstream(); ups != nil {
+			out = append(out, ups.GetState().String()[len("UPSTREAM_STATE_"):]+" "+string(rune('0'+ups.GetIncarnation())))
+		}
+	}
+	ctl.messages = nil
+	return out
+}
+
+// TestGivenUpRows guards against rows that are used, or granted to the backend server again, after control was told that they are given up and has granted them to others, because the agent's tables are late (two owners of keys for 1.1 s after all hosts had lost power).
+func TestGivenUpRows(t *testing.T) {
+	const (
+		serving = controlpb.UpstreamState_UPSTREAM_STATE_SERVING
+		failed  = controlpb.UpstreamState_UPSTREAM_STATE_FAILED
+	)
+	valid := func(ses *Session) bool { _, ok := ses.Expires(); return ok }
+	for nam, tcs := range map[string]func(t *testing.T, ctl *fakeControl, ses *Session){
+		"back before control has heard of the failure": func(t *testing.T, ctl *fakeControl, ses *Session) {
+			ses.SetUpstream(upstream(1, failed))
+			time.Sleep(10 * time.Millisecond)
+			ses.SetUpstream(upstream(1, serving))
+			time.Sleep(time.Second)
+			must.False(t, valid(ses))
+			must.Eq(t, []string{"FAILED 1"}, ctl.upstreams())
+			ctl.tellNode(51, upstream(1, failed), 53)
+			must.True(t, valid(ses))
+			must.Eq(t, []string{"SERVING 1"}, ctl.upstreams())
+		},
+		"told of an earlier failure meanwhile": func(t *testing.T, ctl *fakeControl, ses *Session) {
+			ses.SetUpstream(upstream(1, failed))
+			time.Sleep(10 * time.Millisecond)
+			ctl.tellNode(51, upstream(1, failed), 53)
+			ses.SetUpstream(upstream(1, serving))
+			time.Sleep(10 * time.Millisecond)
+			ses.SetUpstream(upstream(1, failed))
+			time.Sleep(10 * time.Millisecond)
+			ctl.tellNode(52, upstream(1, serving), 54)
+			ses.SetUpstream(upstream(1, serving))
+			time.Sleep(10 * time.Millisecond)
+			must.False(t, valid(ses))
+			must.Eq(t, []string{"FAILED 1", "SERVING 1", "FAILED 1"}, ctl.upstreams())
+			ctl.tellNode(53, upstream(1, failed), 55)
+			must.True(t, valid(ses))
+			must.Eq(t, []string{"SERVING 1"}, ctl.upstreams())
+		},
+		"connection lost with the report": func(t *testing.T, ctl *fakeControl, ses *Session) {
+			ses.SetUpstream(upstream(1, failed))
+			time.Sleep(10 * time.Millisecond)
+			ses.SetUpstream(upstream(1, serving))
+			must.Eq(t, []string{"FAILED 1"}, ctl.upstreams())
+			ctl.fail("c1")
+			ctl.set(func() { ctl.leader = "c2" })
+			time.Sleep(500 * time.Millisecond)
+			must.Eq(t, []string{"FAILED 1"}, ctl.upstreams())
+			must.False(t, valid(ses))
+			ctl.tellNode(51, upstream(1, failed), 53)
+			must.True(t, valid(ses))
+		},
+		"started anew": func(t *testing.T, ctl *fakeControl, ses *Session) {
+			ses.SetUpstream(upstream(2, serving))
+			time.Sleep(time.Second)
+			must.False(t, valid(ses))
+			must.Eq(t, []string{"SERVING 2"}, ctl.upstreams())
+			ctl.tellNode(51, upstream(2, serving), 53)
+			must.True(t, valid(ses))
+		},
+		"leaving": func(t *testing.T, ctl *fakeControl, ses *Session) {
+			ses.SetUpstream(upstream(1, controlpb.UpstreamState_UPSTREAM_STATE_DRAINING))
+			time.Sleep(10 * time.Millisecond)
+			must.True(t, valid(ses))
+			must.Eq(t, []string{"DRAINING 1"}, ctl.upstreams())
+		},
+		"another session": func(t *testing.T, ctl *fakeControl, ses *Session) {
+			ses.SetUpstream(upstream(1, failed))
+			time.Sleep(10 * time.Millisecond)
+			must.False(t, valid(ses))
+			ctl.set(func() { ctl.expired[101] = true })
+			ctl.push(&controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Expired{Expired: &controlpb.Expired{}}})
+			time.Sleep(200 * time.Millisecond)
+			must.Eq(t, 102, ses.Session())
+			must.True(t, valid(ses))
+		},
+	} {
+		t.Run(nam, func(t *testing.T) {
+			within(t, func(ctl *fakeControl, ses *Session) {
+				ses.SetUpstream(upstream(1, serving))
+				time.Sleep(10 * time.Millisecond)
+				ctl.tellNode(50, upstream(1, serving), 51)
+				must.True(t, valid(ses))
+				must.Eq(t, []string{"SERVING 1"}, ctl.upstreams())
+				tcs(t, ctl, ses)
+			})
+		})
+	}
+}
--- a/internal/agent/control/serve.go
+++ b/internal/agent/control/serve.go
@@ -272,6 +272,7 @@
 		}
 		ses.opt.Counters.Event(eventSnapshot)
 		ses.dropReleased()
+		ses.confirm()
 	case *controlpb.ControlMessage_Difference:
 		if err := ses.table.apply(knd.Difference); err != nil {
 			ses.opt.Counters.Event(eventGap)
@@ -279,6 +280,7 @@
 			return errors.Wrap(err, "apply")
 		}
 		ses.dropReleased()
+		ses.confirm()
 	case *controlpb.ControlMessage_Drain:
 		ses.setDrained(knd.Drain)
 	}
--- a/internal/agent/control/session.go
+++ b/internal/agent/control/session.go
@@ -21,6 +21,7 @@
 
 	mu       sync.Mutex
 	upstream *controlpb.Upstream
+	givenUp  *giveUp // report that control has not confirmed, nil for none
 	source   siskinrill.LoadSource
 	leaving  bool // by the agent's own wish
 	drained  bool // by an operator's wish
@@ -71,8 +72,13 @@
 // Session returns the current session, 0 for none.
 func (ses *Session) Session() uint64 { return ses.lease.number() }
 
-// Expires returns the earlier end of the lease by the monotonic clock and the boot time, and whether it lies ahead.
-func (ses *Session) Expires() (time.Time, bool) { return ses.lease.expires() }
+// Expires returns the earlier end of the lease by the monotonic clock and the boot time, and whether it lies ahead. It does not count while control may have given the rows of the agent's tables to others, because it was told that the backend server has failed or is another one.
+func (ses *Session) Expires() (time.Time, bool) {
+	if ses.unconfirmed() {
+		return time.Time{}, false
+	}
+	return ses.lease.expires()
+}
 
 // Fresh reports whether a leader was heard within Options.Freshness.
 func (ses *Session) Fresh() bool { return ses.lease.fresh(ses.opt.Freshness) }
@@ -133,6 +139,7 @@
 // SetUpstream tells control of the backend server and its state; it is repeated on new connections.
 func (ses *Session) SetUpstream(ups *controlpb.Upstream) {
 	ses.mu.Lock()
+	ses.noteGiveUp(ups)
 	ses.upstream = proto.CloneOf(ups)
 	ses.mu.Unlock()
 	ses.notify()
--- a/internal/agent/control/wishes.go
+++ b/internal/agent/control/wishes.go
@@ -29,9 +29,9 @@
 	ses.mu.Lock()
 	defer ses.mu.Unlock()
 	var msgs []*controlpb.AgentMessage
-	if ses.upstream != nil && !proto.Equal(ses.upstream, snt.upstream) {
-		snt.upstream = ses.upstream
-		msgs = append(msgs, &controlpb.AgentMessage{Kind: &controlpb.AgentMessage_SetUpstream{SetUpstream: ses.upstream}})
+	if ups := ses.wanted(); ups != nil && !proto.Equal(ups, snt.upstream) {
+		snt.upstream = ups
+		msgs = append(msgs, &controlpb.AgentMessage{Kind: &controlpb.AgentMessage_SetUpstream{SetUpstream: ups}})
 	}
 	if ses.leaving && !snt.leaving {
 		snt.leaving = true
--- a/internal/control/registry/nodes.go
+++ b/internal/control/registry/nodes.go
@@ -69,7 +69,7 @@
 		ups.GetState() == controlpb.UpstreamState_UPSTREAM_STATE_DRAINING
 }
 
-// setUpstream stores an announcement. An agent that reports its backend server as failed, gone or replaced has stopped dispatching to it, so its rows are given up at once without a release.
+// setUpstream stores an announcement. An agent that reports its backend server as failed, gone or replaced has stopped dispatching to it, so its rows are given up at once without a release; the new since_index confirms that to the agent, also where control had heard of an earlier failure only.
 func (reg *Registry) setUpstream(idx uint64, cmd *controlpb.SetUpstream) {
 	pos, ok := reg.findNode(cmd.GetSession())
 	if !ok {
@@ -81,7 +81,7 @@
 	if nod.GetUpstream() != nil {
 		nod.Upstream.SinceIndex = old.GetUpstream().GetSinceIndex()
 	}
-	if proto.Equal(old, nod) {
+	if proto.Equal(old, nod) && serving(nod.GetUpstream()) {
 		return
 	}
 	same := serving(old.GetUpstream()) && serving(nod.GetUpstream()) &&
--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -276,3 +276,30 @@
 		})
 	}
 }
+
+// Guards against an agent that waits for ever for the confirmation of a failure, because control had heard of an earlier failure and the report between was lost.
+func TestRepeatedFailure(t *testing.T) {
+	reg := New()
+	ups := func(ste controlpb.UpstreamState) *controlpb.Upstream {
+		return &controlpb.Upstream{Id: "u", Service: "a", Slots: 1, State: ste}
+	}
+	since := func() (idx uint64) {
+		reg.View(func(stt *controlpb.RegistryState) { idx = stt.GetNodes()[0].GetUpstream().GetSinceIndex() })
+		return idx
+	}
+	reg.Apply(1, RegisterNode(&controlpb.Node{Name: "n"}))
+	for pos, tcs := range []struct {
+		state controlpb.UpstreamState
+		since uint64
+	}{
+		{controlpb.UpstreamState_UPSTREAM_STATE_SERVING, 2},
+		{controlpb.UpstreamState_UPSTREAM_STATE_SERVING, 2},
+		{controlpb.UpstreamState_UPSTREAM_STATE_FAILED, 4},
+		{controlpb.UpstreamState_UPSTREAM_STATE_FAILED, 5},
+		{controlpb.UpstreamState_UPSTREAM_STATE_SERVING, 6},
+		{controlpb.UpstreamState_UPSTREAM_STATE_DRAINING, 6},
+	} {
+		reg.Apply(uint64(pos+2), SetUpstream(1, ups(tcs.state)))
+		must.Eq(t, tcs.since, since())
+	}
+}
