control: a process whose disk is full stays, and goes on once there is room

Cause: every failed write ended a control process. Change: a write that the disk refuses for want of room is taken back, and the log is as before. A failed sync still ends the process, because what the disk holds is not known then.

--- a/internal/control/member/form.go
+++ b/internal/control/member/form.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 	"google.golang.org/grpc"
 
@@ -99,6 +100,12 @@
 
 func (grp *Group) enter(mbs *controlpb.Members, hst *controlpb.HardState, ents []*controlpb.Entry) bool {
 	err := grp.wal.Form(mbs, wal.Batch{HardState: hst, Entries: ents})
+	var fle *wal.FullError
+	if errors.As(err, &fle) {
+		// The sender tries again.
+		grp.opt.Logger.Errorf("member: the formation is not accepted: %v", err)
+		return false
+	}
 	if err == nil {
 		err = grp.start(mbs, raft.Initial{HardState: hst, Members: mbs, Entries: ents})
 	}
--- a/internal/control/member/group.go
+++ b/internal/control/member/group.go
@@ -30,18 +30,19 @@
 	pub published
 
 	// The fields below belong to the goroutine of Run.
-	rft      *raft.Raft
-	applied  uint64
-	snapshot uint64 // index of the newest snapshot
-	bytes    int    // of commands applied since then
-	waiting  map[uint64]*proposal
-	rounds   []*confirmation
-	fresh    []*confirmation // wait for the round of this turn
-	peers    map[uint64]*peer
-	origins  map[uint64]origin
-	stopping bool
-	fault    error // of a formation that could not be stored, ends the loop
-	failure  error // why the loop ended, set before stopped is closed
+	rft            *raft.Raft
+	applied        uint64
+	snapshot       uint64 // index of the newest snapshot
+	bytes          int    // of commands applied since then
+	waiting        map[uint64]*proposal
+	rounds         []*confirmation
+	fresh          []*confirmation // wait for the round of this turn
+	peers          map[uint64]*peer
+	origins        map[uint64]origin
+	stopping       bool
+	snapshotFailed time.Time // when the disk was too full for one
+	fault          error     // of a formation that could not be stored, ends the loop
+	failure        error     // why the loop ended, set before stopped is closed
 }
 
 var _ siskinrill.Log = (*Group)(nil)
@@ -113,7 +114,7 @@
 	controlpb.RegisterMemberServiceServer(reg, &server{grp: grp})
 }
 
-// Run drives the log until the context ends, Stop is called, or the disk fails; it must be called once.
+// Run drives the log until the context ends, Stop is called, or the disk fails; it must be called once. While the disk is full it takes no part in the log.
 func (grp *Group) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var wgr sync.WaitGroup
--- a/internal/control/member/loop.go
+++ b/internal/control/member/loop.go
@@ -124,7 +124,7 @@
 func (grp *Group) handle(ctx context.Context, wgr *sync.WaitGroup, rdy *raft.Ready) error {
 	grp.sendAll(ctx, wgr, rdy.Early)
 	if rdy.MustSync {
-		if err := grp.store(rdy); err != nil {
+		if err := grp.storeWithRoom(ctx, rdy); err != nil {
 			return err
 		}
 	}
@@ -198,6 +198,9 @@
 	case grp.applied < grp.snapshot+grp.opt.SnapshotEntries:
 		return nil
 	}
+	if time.Since(grp.snapshotFailed) < snapshotPause {
+		return nil
+	}
 	data, err := grp.opt.Registry.Save()
 	if err != nil {
 		return errors.Wrap(err, "save the registry")
@@ -205,7 +208,7 @@
 	trm, _ := grp.rft.TermAt(grp.applied)
 	snp := &controlpb.Snapshot{Index: grp.applied, Term: trm, Members: grp.rft.MembersAt(grp.applied), Data: data}
 	if err := grp.wal.SaveSnapshot(snp); err != nil {
-		return err
+		return grp.skipSnapshot(err)
 	}
 	grp.snapshot, grp.bytes = grp.applied, 0
 	grp.rft.Compact(snp, keep)
--- a/internal/control/member/propose.go
+++ b/internal/control/member/propose.go
@@ -193,6 +193,7 @@
 	changed    chan struct{}
 	members    []*controlpb.MemberStatus
 	commit     uint64
+	full       bool // the disk has no room
 }
 
 func newPublished(sid string) published {
--- a/internal/control/wal/errors.go
+++ b/internal/control/wal/errors.go
@@ -1,6 +1,11 @@
 package wal
 
-import "fmt"
+import (
+	"fmt"
+	"syscall"
+
+	"github.com/go-faster/errors"
+)
 
 // DamageError tells that a file holds something else than what was synced; the process must not start on it.
 type DamageError struct {
@@ -41,6 +46,26 @@
 	return fmt.Sprintf("%s of %s failed, the log is unusable: %v", wre.operation, wre.file, wre.cause)
 }
 
+// FullError tells that the disk has no room for what was to be written; nothing of it is stored, and the same may be tried again.
+type FullError struct {
+	file  string
+	cause error
+}
+
+// File returns the path of the file.
+func (fle *FullError) File() string { return fle.file }
+
+// Unwrap returns the cause.
+func (fle *FullError) Unwrap() error { return fle.cause }
+
+// Error names the file.
+func (fle *FullError) Error() string { return fmt.Sprintf("no room for %s: %v", fle.file, fle.cause) }
+
+// isFull reports whether a write was refused because the disk has no room. A sync that fails so is no such refusal: what the disk holds is not known then.
+func isFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
 // LockedError tells that another process uses the data directory.
 type LockedError struct {
 	file  string
--- a/internal/control/wal/open.go
+++ b/internal/control/wal/open.go
@@ -203,10 +203,18 @@
 	fsy, path := lg.opt.FileSystem, filepath.Join(lg.opt.Dir, name)
 	tmp := path + temporary
 	fil, err := fsy.Create(tmp)
-	if err != nil {
+	if err != nil && !isFull(err) {
 		return lg.fail("creation", tmp, err)
 	}
+	if err != nil {
+		return &FullError{file: tmp, cause: err}
+	}
 	_, err = fil.Write(data)
+	if isFull(err) {
+		// What is left of the file is written over or removed when the log is opened.
+		_ = fil.Close()
+		return &FullError{file: tmp, cause: err}
+	}
 	if err == nil {
 		err = fil.Sync()
 	}
--- a/internal/control/wal/snapshot.go
+++ b/internal/control/wal/snapshot.go
@@ -9,7 +9,7 @@
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
-// SaveSnapshot makes a snapshot durable and then removes older ones; a *WriteError makes the log unusable.
+// SaveSnapshot makes a snapshot durable and then removes older ones; a *WriteError makes the log unusable, after a *FullError it is as before.
 func (lg *Log) SaveSnapshot(snp *controlpb.Snapshot) error {
 	if lg.failure != nil {
 		return lg.failure
