process/actor: a stop serves each request of which bytes were read

Cause: http.Server tells of a request only once it has read the headers. Change: the server's connections follow their own reads. A stop ends once none has bytes read, in the same step from which nothing is read any more; what comes later is dropped with a reset.

--- a/internal/process/actor/server.go
+++ b/internal/process/actor/server.go
@@ -35,11 +35,11 @@
 	stops := make([]func(), len(srvs))
 	var ended sync.WaitGroup
 	for num, itm := range srvs {
-		con := &connections{states: map[net.Conn]http.ConnState{}, spare: spareConnections}
+		con := newConnections(spareConnections)
 		srv := &http.Server{Handler: con.closing(itm.Handler), ReadHeaderTimeout: headerTimeout, ConnState: con.note}
 		stops[num] = func() { shutdown(srv, itm.Listener, con, grace) }
 		grp.Add(
-			func() error { return served(srv.Serve(itm.Listener)) },
+			func() error { return served(srv.Serve(&listener{Listener: itm.Listener, cns: con})) },
 			func(error) {
 				if num == 0 {
 					for _, stop := range stops {
@@ -52,71 +52,6 @@
 	}
 }
 
-// connections follow the states of a server's connections.
-type connections struct {
-	mu     sync.Mutex
-	states map[net.Conn]http.ConnState
-	spare  int // open connections over which answers close theirs
-}
-
-// closing asks callers to close their connections while there are many. Callers that are refused open another one for each try and leave the old one idle, until the process has no descriptor left and reads new requests seconds late.
-func (con *connections) closing(hdl http.Handler) http.Handler {
-	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
-		if con.open() > con.spare {
-			wri.Header().Set("Connection", "close")
-		}
-		hdl.ServeHTTP(wri, req)
-	})
-}
-
-func (con *connections) open() int {
-	con.mu.Lock()
-	defer con.mu.Unlock()
-	return len(con.states)
-}
-
-func (con *connections) note(cnn net.Conn, sta http.ConnState) {
-	con.mu.Lock()
-	defer con.mu.Unlock()
-	switch sta {
-	case http.StateClosed, http.StateHijacked:
-		delete(con.states, cnn)
-	default:
-		con.states[cnn] = sta
-	}
-}
-
-// busy returns the number of connections with a request in hand, and of those whose first request has not been read yet.
-func (con *connections) busy() (active, fresh int) {
-	con.mu.Lock()
-	defer con.mu.Unlock()
-	for _, sta := range con.states {
-		switch sta {
-		case http.StateActive:
-			active++
-		case http.StateNew:
-			fresh++
-		}
-	}
-	return active, fresh
-}
-
-// shutdown ends a server without http.Server.Shutdown, which drops the requests that it has just read: connections close after their answers, and the server ends once none has a request in hand. Connections that were accepted have half of the grace to send their first request, since a loaded host may read it late.
-func shutdown(srv *http.Server, lis net.Listener, con *connections, grace time.Duration) {
-	_ = lis.Close()
-	srv.SetKeepAlivesEnabled(false)
-	begin := time.Now()
-	time.Sleep(min(acceptTime, grace))
-	for time.Since(begin) < grace {
-		active, fresh := con.busy()
-		if active == 0 && (fresh == 0 || time.Since(begin) >= grace/2) {
-			break
-		}
-		time.Sleep(shutdownPoll)
-	}
-	_ = srv.Close()
-}
-
 func served(err error) error {
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
