control/member: tests keep the ports of processes that start later

Cause: the tests closed a listener to learn a free port and opened it again later; in between another process could take it. Change: the listener is kept until its process starts.

--- a/internal/control/member/cluster_test.go
+++ b/internal/control/member/cluster_test.go
@@ -143,21 +143,33 @@
 	dir   string
 	peers []Peer
 	prcs  map[string]*process
+
+	reserved map[string]net.Listener // by address, for processes that have not started
 }
 
-func freePort(tst testing.TB) string {
+// reserve opens a listener for a process that starts later, so that its port is not taken meanwhile.
+func (clu *cluster) reserve() string {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(tst, err)
-	defer lis.Close()
+	must.NoError(clu.tst, err)
+	clu.reserved[lis.Addr().String()] = lis
 	return lis.Addr().String()
 }
 
+// listen returns the reserved listener of an address, or opens it again for a process that was started before.
+func (clu *cluster) listen(addr string) (net.Listener, error) {
+	if lis := clu.reserved[addr]; lis != nil {
+		delete(clu.reserved, addr)
+		return lis, nil
+	}
+	return net.Listen("tcp", addr)
+}
+
 func newCluster(tst testing.TB, size int) *cluster { return newClusterWith(tst, size, nil) }
 
 func newClusterWith(tst testing.TB, size int, adjust func(*Options)) *cluster {
-	clu := &cluster{tst: tst, dir: tst.TempDir(), prcs: map[string]*process{}}
+	clu := &cluster{tst: tst, dir: tst.TempDir(), prcs: map[string]*process{}, reserved: map[string]net.Listener{}}
 	for num := range size {
-		clu.peers = append(clu.peers, Peer{Name: fmt.Sprintf("c%d", num+1), Address: freePort(tst)})
+		clu.peers = append(clu.peers, Peer{Name: fmt.Sprintf("c%d", num+1), Address: clu.reserve()})
 	}
 	for _, per := range clu.peers {
 		clu.start(per.Name, per.Address, per.Name, adjust)
@@ -181,7 +193,7 @@
 	}
 	grp, err := New(opt)
 	must.NoError(clu.tst, err)
-	lis, err := net.Listen("tcp", addr)
+	lis, err := clu.listen(addr)
 	must.NoError(clu.tst, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	prc := &process{Group: grp, led: led, lis: &listener{Listener: lis}, trf: &traffic{}, cancel: cancel, err: make(chan error, 2)}
--- a/internal/control/member/group_test.go
+++ b/internal/control/member/group_test.go
@@ -162,7 +162,7 @@
 	must.Positive(tst, again.led.restores)
 	tst.Logf("caught up from disk and snapshot in %s", time.Since(began))
 	began = time.Now()
-	clu.start("c4", freePort(tst), "c4", func(opt *Options) { opt.InitialMembers = nil })
+	clu.start("c4", clu.reserve(), "c4", func(opt *Options) { opt.InitialMembers = nil })
 	req := &controlpb.MembersRequest{Name: "c4", Address: clu.prcs["c4"].opt.Address, Learner: true}
 	ans, err := clu.leader(settle).ChangeMembers(context.Background(), req)
 	must.NoError(tst, err)
--- a/internal/control/member/join_test.go
+++ b/internal/control/member/join_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"slices"
 	"testing"
 	"time"
@@ -49,9 +50,9 @@
 }
 
 func newSeeded(tst *testing.T) *cluster {
-	clu := &cluster{tst: tst, dir: tst.TempDir(), prcs: map[string]*process{}}
+	clu := &cluster{tst: tst, dir: tst.TempDir(), prcs: map[string]*process{}, reserved: map[string]net.Listener{}}
 	for num := range 6 {
-		clu.peers = append(clu.peers, Peer{Name: fmt.Sprintf("c%d", num+1), Address: freePort(tst)})
+		clu.peers = append(clu.peers, Peer{Name: fmt.Sprintf("c%d", num+1), Address: clu.reserve()})
 	}
 	for _, per := range clu.peers[:5] {
 		clu.seeded(per.Name, per.Name, true)
