agent/backend: grants, releases and missing answers are logged

Change: one line for each grant that is new, for each call without an answer or refused, and for keys that are given back, with the range, the token, the hold and the age of the decision; renewals are counted only.

--- a/internal/agent/backend/direct.go
+++ b/internal/agent/backend/direct.go
@@ -26,6 +26,7 @@
 type grantCall struct {
 	rng    GrantedRange
 	parts  []uint32
+	renews bool // the server holds the first row under this token
 	hold   time.Duration
 	sendBy time.Time // it is not written later
 	life   uint64    // of the server that it is meant for
@@ -130,9 +131,11 @@
 func (kys *keys) call(run []*controlpb.Shard, hold time.Duration, now time.Time, partitions uint32) *grantCall {
 	fst, _ := siskinrill.KeyRange(run[0].GetPartition(), partitions)
 	_, lst := siskinrill.KeyRange(run[len(run)-1].GetPartition(), partitions)
+	hld, renews := kys.held[run[0].GetPartition()]
 	gcl := &grantCall{
-		rng:  GrantedRange{First: fst, Last: lst, Token: run[0].GetToken(), Handover: kys.handover(run[0])},
-		hold: hold, sendBy: now.Add(grantTimeout), life: kys.life, rate: clockRate,
+		renews: renews && hld.offered && hld.token == run[0].GetToken(),
+		rng:    GrantedRange{First: fst, Last: lst, Token: run[0].GetToken(), Handover: kys.handover(run[0])},
+		hold:   hold, sendBy: now.Add(grantTimeout), life: kys.life, rate: clockRate,
 	}
 	if kys.flt.trueClock {
 		gcl.rate = 1
--- a/internal/agent/backend/grantloop.go
+++ b/internal/agent/backend/grantloop.go
@@ -126,21 +126,33 @@
 		cli.undialled(tgt, err)
 	case err != nil:
 		cli.cnt.Event("grant_unanswered")
+		gcl.log(ann).WithField("cause", err.Error()).Warn("backend: A grant has no answer and may be applied late.")
 		cli.keys.unanswered(gcl, !errors.Is(err, context.DeadlineExceeded))
 	case sts/100 == 2:
 		cli.cnt.Event("grant_answered")
+		if !gcl.renews {
+			gcl.log(ann).Info("backend: Keys are granted.")
+		}
 		cli.keys.granted(gcl)
 	case sts == http.StatusConflict:
 		cli.cnt.Event("grant_outranked")
-		if cli.keys.outranked(gcl) {
-			logrus.Warnf("backend: server %s has seen a higher token than %d for keys %d to %d", ann.ID, gcl.rng.Token, gcl.rng.First, gcl.rng.Last)
-		}
+		gcl.log(ann).Warn("backend: The server has seen a higher token for some key of a grant.")
+		cli.keys.outranked(gcl)
 	default:
 		cli.cnt.Event("grant_refused")
+		gcl.log(ann).WithField("status", sts).Warn("backend: A grant is refused.")
 		cli.keys.unsent(gcl)
 	}
 }
 
+// log returns a log entry with what decides on a grant.
+func (gcl *grantCall) log(ann *Announcement) *logrus.Entry {
+	return logrus.WithFields(logrus.Fields{
+		"server": ann.ID, "first": gcl.rng.First, "last": gcl.rng.Last, "token": gcl.rng.Token,
+		"hold_ms": gcl.hold.Milliseconds(), "age_ms": time.Since(gcl.sendBy.Add(-grantTimeout)).Milliseconds(), "renews": gcl.renews,
+	})
+}
+
 // undialled marks a server as failed whose port refuses connections; it has ended.
 func (cli *Client) undialled(tgt *target, err error) {
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -219,11 +231,14 @@
 	sts, handover, err := cli.send(ctx, tgt, newGate(time.Now().Add(releaseTimeout)), func() (*http.Request, error) {
 		return cli.opt.Grants.Release(tgt.base.String(), ann.ID, siskinrill.NewKeyGrant(fst, lst, refs[0].GetToken()))
 	})
+	log := logrus.WithFields(logrus.Fields{"server": ann.ID, "first": fst, "last": lst, "token": refs[0].GetToken()})
 	if err != nil || sts/100 != 2 {
 		cli.cnt.Event("release_unanswered")
+		log.WithField("status", sts).Warn("backend: A release has no answer.")
 		return false
 	}
 	cli.cnt.Event("release_answered")
+	log.WithField("handover", handover != "").Info("backend: Keys are given back.")
 	cli.keys.gaveBack(refs, handover)
 	return true
 }
