--- a/cmd/siskinrill/main_test.go
+++ b/cmd/siskinrill/main_test.go
@@ -136,7 +136,7 @@
 		"apply taken":      {"config apply --change-id taken --number 5 " + dir, 1, []string{"configuration 5 was refused: number_taken, change w1 has the number"}},
 		"dry run":          {"config apply --dry-run " + dir, 0, []string{"partitions = 32"}},
 		"show":             {"config show", 0, []string{"# Configuration 6", "[service.a]\npartitions = 16"}},
-		"status":           {"status", 0, []string{"leader c1, term 3", "a        0           0         0       0          1.25", "queue_full=4"}},
+		"status":           {"status", 0, []string{"leader c1, term 3", "a        0           0         0       0          1.25       direct", "queue_full=4"}},
 		"status as JSON":   {"status --json", 0, []string{`"imbalance"`, `"queue_full"`}},
 		"drain":            {"drain a-1", 0, []string{"a-1: 1 partitions", "a-1 is drained"}},
 		"drain unknown":    {"drain a-2", 1, []string{`no agent guards an upstream "a-2"; did you mean a-1?`}},
--- a/cmd/siskinrill/owner.go
+++ b/cmd/siskinrill/owner.go
@@ -38,8 +38,12 @@
 	if ans.GetSession() == 0 {
 		return whe + ", no owner"
 	}
-	return fmt.Sprintf(
+	txt := fmt.Sprintf(
 		"%s, upstream %s, agent %s, zone %s, session %d, token %d, %s",
 		whe, ans.GetUpstream(), ans.GetNode(), ans.GetZone(), ans.GetSession(), ans.GetToken(), ans.GetPhase(),
 	)
+	if ans.GetCarrier() == "" {
+		return txt
+	}
+	return txt + ", granted by " + ans.GetCarrier()
 }
--- a/cmd/siskinrill/status.go
+++ b/cmd/siskinrill/status.go
@@ -91,11 +91,11 @@
 
 func printServices(out io.Writer, svcs []*controlpb.ServiceStatus) {
 	tbl := newTable(out)
-	fmt.Fprintln(tbl, "SERVICE\tPARTITIONS\tNO OWNER\tMOVING\tOVERRIDES\tIMBALANCE")
+	fmt.Fprintln(tbl, "SERVICE\tPARTITIONS\tNO OWNER\tMOVING\tOVERRIDES\tIMBALANCE\tGRANTS")
 	for _, svc := range svcs {
 		fmt.Fprintf(
-			tbl, "%s\t%d\t%d\t%d\t%d\t%.2f\n",
-			svc.GetService(), svc.GetPartitions(), svc.GetOrphans(), svc.GetMoving(), svc.GetOverrides(), svc.GetImbalance(),
+			tbl, "%s\t%d\t%d\t%d\t%d\t%.2f\t%s\n",
+			svc.GetService(), svc.GetPartitions(), svc.GetOrphans(), svc.GetMoving(), svc.GetOverrides(), svc.GetImbalance(), either(svc.GetCarrier(), "-"),
 		)
 	}
 	_ = tbl.Flush()
--- a/internal/agent/backend/hold.go
+++ b/internal/agent/backend/hold.go
@@ -124,6 +124,28 @@
 	return rest
 }
 
+// counts returns the partitions that the server holds, those for which a grant without an answer may still be applied, and the shortest time that is left of a hold.
+func (kys *keys) counts() (held, late int, left time.Duration) {
+	now := time.Now()
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	for _, hld := range kys.held {
+		rest := hld.until.Sub(now)
+		if rest <= 0 {
+			continue
+		}
+		if held++; held == 1 || rest < left {
+			left = rest
+		}
+	}
+	for _, until := range kys.late {
+		if now.Before(until) {
+			late++
+		}
+	}
+	return held, late, left
+}
+
 // covered returns the partitions that lie whole in a range of keys.
 func covered(first, last, partitions uint32) []uint32 {
 	if partitions == 0 || first > last || last >= siskinrill.NumberKeys {
--- a/internal/config/file/file_test.go
+++ b/internal/config/file/file_test.go
@@ -61,6 +61,10 @@
 		"too deep":            {one: "[service.a.b]\nhold = \"1s\"", want: "1.toml:2: service.a.b.hold: unknown key"},
 		"two forms":           {one: "service.a = { hold = \"1s\" }\n[service.a]", want: "1.toml:2: "},
 		"array":               {one: "[service.a]\nhold = [1]", want: "1.toml:2: service.a.hold: must be a duration such as \"250ms\", not an array"},
+		"keys":                {one: "[service.a]\nkeys = \"numbers\"", want: "1.toml:2: service.a.keys: is \"numbers\"; allowed: text, number, none; did you mean number?"},
+		"grants":              {one: "[service.a]\nkeys = \"number\"\ngrants = \"post\"", want: "1.toml:3: service.a.grants: is \"post\"; allowed: heartbeat, direct"},
+		"grants of text keys": {one: "[service.a]\ngrants = \"direct\"", want: "1.toml:2: service.a.grants: is \"direct\"; needs keys = \"number\""},
+		"keys without use":    {one: "[service.a]\nkeys = \"none\"\npartitions = 64", want: "1.toml:3: service.a.partitions: is set, but keys = \"none\" divides nothing"},
 		"idempotency seconds": {one: "[service.a]\nidempotency_ttl = \"25h\"", want: "1.toml:2: service.a.idempotency_ttl: is 25h; allowed: 1s to 24h"},
 	} {
 		t.Run(nam, func(t *testing.T) {
@@ -161,3 +165,27 @@
 		rte.Source = ""
 	}
 }
+
+// TestKeys guards against keys that are divided, or granted, in another way than the file says.
+func TestKeys(t *testing.T) {
+	for nam, tcs := range map[string]struct {
+		text string
+		want *controlpb.Service
+	}{
+		"default": {text: "", want: &controlpb.Service{Partitions: 256}},
+		"number":  {text: `keys = "number"`, want: &controlpb.Service{Partitions: 256, KeyMode: controlpb.KeyMode_KEY_MODE_NUMBER}},
+		"direct": {text: "keys = \"number\"\ngrants = \"direct\"", want: &controlpb.Service{
+			Partitions: 256, KeyMode: controlpb.KeyMode_KEY_MODE_NUMBER, Carrier: controlpb.Carrier_CARRIER_DIRECT,
+		}},
+		"none": {text: `keys = "none"`, want: &controlpb.Service{KeyMode: controlpb.KeyMode_KEY_MODE_NONE}},
+	} {
+		t.Run(nam, func(t *testing.T) {
+			cnf, err := file.Parse(map[string][]byte{"1.toml": []byte("[service.a]\n" + tcs.text)})
+			must.NoError(t, err)
+			svc := cnf.GetServices()[0]
+			must.Eq(t, tcs.want.GetPartitions(), svc.GetPartitions())
+			must.Eq(t, tcs.want.GetKeyMode(), svc.GetKeyMode())
+			must.Eq(t, tcs.want.GetCarrier(), svc.GetCarrier())
+		})
+	}
+}
--- a/internal/config/file/section.go
+++ b/internal/config/file/section.go
@@ -46,6 +46,19 @@
 	"upload":         controlpb.RequestKind_REQUEST_KIND_UPLOAD,
 }
 
+// keyModes are how the keys of a service may be divided.
+var keyModes = map[string]controlpb.KeyMode{
+	"text":   controlpb.KeyMode_KEY_MODE_TEXT,
+	"number": controlpb.KeyMode_KEY_MODE_NUMBER,
+	"none":   controlpb.KeyMode_KEY_MODE_NONE,
+}
+
+// carriers are how backend servers may learn of the keys that they hold for a limited time.
+var carriers = map[string]controlpb.Carrier{
+	"heartbeat": controlpb.Carrier_CARRIER_HEARTBEAT,
+	"direct":    controlpb.Carrier_CARRIER_DIRECT,
+}
+
 func (mrg *merger) name(sec *source.Section) {
 	nam := sec.Path()[1]
 	if nam == "" || len(nam) > maxNameBytes || strings.Trim(nam, "abcdefghijklmnopqrstuvwxyz0123456789_-") != "" {
@@ -61,8 +74,11 @@
 		HoldMs: uint32(defaultHold / time.Millisecond), IdempotencyTtlS: uint32(defaultIdempotency / time.Second),
 		MaxOutstandingPerOwner: defaultOutstanding, Source: sec.Position().String(),
 	}
+	kys, grt := "text", "heartbeat"
 	sec.Decode(
 		mrg.checker,
+		source.Choice("keys", &kys, "text", "number", "none"),
+		source.Choice("grants", &grt, "heartbeat", "direct"),
 		source.Whole("partitions", &svc.Partitions, minPartitions, maxPartitions),
 		source.Whole("queue_limit", &svc.QueueLimit, 1, maxQueue),
 		source.Millis("ramp", &svc.RampMs, time.Millisecond, maxRamp),
@@ -74,9 +90,23 @@
 		source.Seconds("idempotency_ttl", &svc.IdempotencyTtlS, time.Second, maxIdempotency),
 		source.Whole("max_outstanding_per_owner", &svc.MaxOutstandingPerOwner, 1, maxOutstanding),
 	)
+	svc.KeyMode, svc.Carrier = keyModes[kys], carriers[grt]
+	mrg.checkKeys(sec, svc)
 	return svc
 }
 
+// checkKeys refuses settings that need keys which the service does not have.
+func (mrg *merger) checkKeys(sec *source.Section, svc *controlpb.Service) {
+	switch {
+	case svc.GetCarrier() == controlpb.Carrier_CARRIER_DIRECT && svc.GetKeyMode() != controlpb.KeyMode_KEY_MODE_NUMBER:
+		mrg.checker.Add(sec.At("grants"), sec.Name()+".grants", "is \"direct\"; needs keys = \"number\"")
+	case svc.GetKeyMode() == controlpb.KeyMode_KEY_MODE_NONE && sec.Has("partitions"):
+		mrg.checker.Add(sec.At("partitions"), sec.Name()+".partitions", "is set, but keys = \"none\" divides nothing")
+	case svc.GetKeyMode() == controlpb.KeyMode_KEY_MODE_NONE:
+		svc.Partitions = 0
+	}
+}
+
 func (mrg *merger) route(sec *source.Section) *controlpb.Route {
 	rte := &controlpb.Route{
 		Name: sec.Path()[1], TimeoutMs: uint32(defaultTimeout / time.Millisecond), Source: sec.Position().String(),
--- a/internal/control/operator/status.go
+++ b/internal/control/operator/status.go
@@ -99,7 +99,7 @@
 }
 
 func service(stt *controlpb.RegistryState, cnf *controlpb.Service, rows []*controlpb.UpstreamStatus) *controlpb.ServiceStatus {
-	out := &controlpb.ServiceStatus{Service: cnf.GetName(), Partitions: cnf.GetPartitions(), Imbalance: imbalance(cnf.GetName(), rows)}
+	out := &controlpb.ServiceStatus{Service: cnf.GetName(), Partitions: cnf.GetPartitions(), Imbalance: imbalance(cnf.GetName(), rows), Carrier: carrier(cnf)}
 	for _, tab := range stt.GetTables() {
 		if tab.GetService() != cnf.GetName() {
 			continue
@@ -166,7 +166,7 @@
 	}
 	ans := &controlpb.OwnerAnswer{
 		Service: tab.GetService(), Key: key, Partition: prt,
-		Session: tab.GetOwners()[prt], Token: tab.GetTokens()[prt], Phase: "owned",
+		Session: tab.GetOwners()[prt], Token: tab.GetTokens()[prt], Phase: "owned", Carrier: carrier(svc),
 	}
 	if ans.GetSession() == 0 {
 		ans.Phase = "orphan"
@@ -185,6 +185,14 @@
 	return ans
 }
 
+// carrier returns how backend servers of a service learn of keys that they hold for a limited time, empty if they hold none.
+func carrier(svc *controlpb.Service) string {
+	if svc.GetKeyMode() != controlpb.KeyMode_KEY_MODE_NUMBER {
+		return ""
+	}
+	return strings.ToLower(strings.TrimPrefix(svc.GetCarrier().String(), "CARRIER_"))
+}
+
 func phase(pha controlpb.Phase) string {
 	return strings.ToLower(strings.TrimPrefix(pha.String(), "PHASE_"))
 }
