--- a/cmd/siskinrill/main_test.go
+++ b/cmd/siskinrill/main_test.go
@@ -76,7 +76,7 @@
 		fak.apply(wri, req)
 	case "GET /v1/status":
 		fak.views++
-		fmt.Fprintf(wri, `{"term":"3","members":[{"member":{"name":"c1"},"leader":true}],"services":[{"service":"a","imbalance":1.25}],
+		fmt.Fprintf(wri, `{"term":"3","members":[{"member":{"name":"c1"},"leader":true}],"services":[{"service":"a","imbalance":1.25,"carrier":"direct"}],
 			"upstreams":[{"node":{"upstream":{"id":"a-1","service":"a","state":"UPSTREAM_STATE_SERVING"}},"partitions":%d,"refusals":{"queue_full":"4"}}]}`, max(0, 3-fak.views))
 	case "POST /v1/drain":
 		fmt.Fprint(wri, `{"partitions":3}`)
