agent/control: TestPowerLoss runs agents, registry and servers through power losses

Change: three agents with their real sessions and clients, the real registry and model servers go through losses of power of all processes, restarts of an agent, the leader or a server, and silence of a server, while the agents' tables come up to 2 s late; the judge sees what the servers hold.

--- /dev/null
+++ b/internal/agent/control/power_test.go
@@ -0,0 +1,425 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/agent/backend"
+	"github.com/siskinrill/siskinrill/internal/control/registry"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+const (
+	powerService    = "vitrine"
+	powerPartitions = 16
+	powerLease      = 3500 * time.Millisecond
+	// powerWait is how long a leader waits for the end of a lease, with its margin for clock rates.
+	powerWait = powerLease + powerLease/20 + 20*time.Millisecond
+)
+
+// plane is a control group of one process over the registry; it tells agents of changes late.
+type plane struct {
+	rnd *rand.Rand
+
+	mu      sync.Mutex
+	reg     *registry.Registry
+	down    bool
+	seen    map[uint64]time.Time // last renewal, by session
+	streams map[*planeStream]bool
+}
+
+// planeStream is an agent's connection to it.
+type planeStream struct {
+	pln     *plane
+	ctx     context.Context
+	cancel  context.CancelFunc
+	out     chan *controlpb.ControlMessage
+	session uint64
+	version uint64
+}
+
+func newPlane(rnd *rand.Rand) *plane {
+	pln := &plane{rnd: rnd, reg: registry.New(), seen: map[uint64]time.Time{}, streams: map[*planeStream]bool{}}
+	svc := &controlpb.Service{Name: powerService, Partitions: powerPartitions, KeyMode: controlpb.KeyMode_KEY_MODE_NUMBER, Connections: 4}
+	pln.apply(registry.ApplyConfiguration("one", "", &controlpb.Configuration{Number: 1, Services: []*controlpb.Service{svc}}))
+	return pln
+}
+
+// apply commits a command; the lock is held, or nobody else knows the plane.
+func (pln *plane) apply(cmd *controlpb.Command) uint64 {
+	idx := pln.reg.Index() + 1
+	pln.reg.Apply(idx, cmd)
+	return idx
+}
+
+func (pln *plane) dial(ctx context.Context, _ string) (stream, func(), error) {
+	pln.mu.Lock()
+	defer pln.mu.Unlock()
+	if pln.down {
+		return nil, nil, errors.New("refused")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	str := &planeStream{pln: pln, ctx: ctx, cancel: cancel, out: make(chan *controlpb.ControlMessage, 1000)}
+	pln.streams[str] = true
+	return str, cancel, nil
+}
+
+func (str *planeStream) Received() uint64 { return 0 }
+
+func (str *planeStream) Recv() (*controlpb.ControlMessage, error) {
+	select {
+	case msg := <-str.out:
+		return msg, nil
+	case <-str.ctx.Done():
+		return nil, io.EOF
+	}
+}
+
+func (str *planeStream) Send(msg *controlpb.AgentMessage) error {
+	pln := str.pln
+	pln.mu.Lock()
+	defer pln.mu.Unlock()
+	if pln.down || str.ctx.Err() != nil {
+		return io.EOF
+	}
+	switch knd := msg.GetKind().(type) {
+	case *controlpb.AgentMessage_Hello:
+		str.hello(knd.Hello)
+	case *controlpb.AgentMessage_Renew:
+		if pln.seen[str.session].IsZero() {
+			str.out <- &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Expired{Expired: &controlpb.Expired{}}}
+			return nil
+		}
+		pln.seen[str.session] = time.Now()
+		str.out <- &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_RenewAnswer{RenewAnswer: &controlpb.RenewAnswer{Sequence: knd.Renew.GetSequence()}}}
+	case *controlpb.AgentMessage_SetUpstream:
+		pln.apply(registry.SetUpstream(str.session, knd.SetUpstream))
+	case *controlpb.AgentMessage_Released:
+		pln.apply(registry.Released(str.session, knd.Released.GetShards()...))
+	}
+	return nil
+}
+
+// hello registers an agent or resumes its session; the lock is held.
+func (str *planeStream) hello(hlo *controlpb.Hello) {
+	pln := str.pln
+	str.session = hlo.GetSession()
+	if str.session == 0 {
+		str.session = pln.apply(registry.RegisterNode(hlo.GetNode()))
+		pln.seen[str.session] = time.Now()
+	}
+	if pln.seen[str.session].IsZero() {
+		str.out <- &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Expired{Expired: &controlpb.Expired{}}}
+		return
+	}
+	str.out <- &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Welcome{Welcome: &controlpb.Welcome{
+		Session: str.session, LeaseMs: uint32(powerLease.Milliseconds()), RenewMs: uint32((powerLease / 5).Milliseconds()),
+	}}}
+	str.version = hlo.GetVersion()
+	if str.version == 0 {
+		snp := pln.reg.Tables()
+		str.version = snp.GetVersion()
+		str.out <- &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Snapshot{Snapshot: snp}}
+	}
+	go str.follow()
+}
+
+// follow sends the changes, at times seconds late.
+func (str *planeStream) follow() {
+	for str.ctx.Err() == nil {
+		str.pln.mu.Lock()
+		late := time.Duration(str.pln.rnd.Intn(300)) * time.Millisecond
+		if str.pln.rnd.Intn(8) == 0 {
+			late += 2 * time.Second
+		}
+		str.pln.mu.Unlock()
+		time.Sleep(late)
+		str.pln.mu.Lock()
+		dif, ok := str.pln.reg.Since(str.version)
+		if ok && len(dif.GetChanges()) > 0 && str.ctx.Err() == nil {
+			str.version = dif.GetTo()
+			str.out <- &controlpb.ControlMessage{Kind: &controlpb.ControlMessage_Difference{Difference: dif}}
+		}
+		str.pln.mu.Unlock()
+	}
+}
+
+// tick expires sessions, grants what has no owner, and moves a row now and then.
+func (pln *plane) tick() {
+	pln.mu.Lock()
+	defer pln.mu.Unlock()
+	if pln.down {
+		return
+	}
+	for ses, at := range pln.seen {
+		if time.Since(at) > powerWait {
+			delete(pln.seen, ses)
+			pln.apply(registry.ExpireSessions(ses))
+		}
+	}
+	var asgs []*controlpb.Assignment
+	pln.reg.View(func(stt *controlpb.RegistryState) {
+		var usable []uint64
+		for _, nod := range stt.GetNodes() {
+			if nod.GetUpstream().GetState() == controlpb.UpstreamState_UPSTREAM_STATE_SERVING {
+				usable = append(usable, nod.GetSession())
+			}
+		}
+		for _, tab := range stt.GetTables() {
+			for par, own := range tab.GetOwners() {
+				asg := &controlpb.Assignment{Shard: &controlpb.ShardRef{Service: powerService, Partition: uint32(par), Token: tab.GetTokens()[par]}}
+				switch {
+				case len(usable) == 0 || own != 0 && pln.rnd.Intn(200) > 0:
+					continue
+				case own != 0:
+					asg.Kind = controlpb.AssignmentKind_ASSIGNMENT_KIND_MOVE
+				}
+				asg.Target = usable[pln.rnd.Intn(len(usable))]
+				asgs = append(asgs, asg)
+			}
+		}
+	})
+	if len(asgs) > 0 {
+		pln.apply(registry.Assign(asgs...))
+	}
+}
+
+// fail ends the leader, or starts the next one, for which all sessions count as renewed.
+func (pln *plane) fail(down bool) {
+	pln.mu.Lock()
+	defer pln.mu.Unlock()
+	pln.down = down
+	for ses := range pln.seen {
+		pln.seen[ses] = time.Now()
+	}
+	for str := range pln.streams {
+		str.cancel()
+		delete(pln.streams, str)
+	}
+}
+
+// host is an agent process and the backend server beside it, which outlives it.
+type host struct {
+	name   string
+	url    string
+	pln    *plane
+	wld    *powerWorld
+	cancel context.CancelFunc
+	ended  sync.WaitGroup
+
+	mu       sync.Mutex
+	cli      *backend.Client // nil without an agent
+	born     uint64
+	sequence uint64
+	held     map[uint32]uint64 // token by partition
+	until    time.Time
+	quiet    time.Time // it sends no heartbeat until then
+}
+
+// powerWorld judges what the servers hold.
+type powerWorld struct {
+	rnd    *rand.Rand
+	hosts  []*host
+	mu     sync.Mutex
+	tokens map[uint32]uint64 // highest token under which a server had a partition
+	last   map[uint32]string // start of the server that had it
+	err    error
+}
+
+// start begins an agent process.
+func (hst *host) start() {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ses := New(Options{Control: []string{"c1"}, Node: &controlpb.Node{Name: hst.name}, Logger: log})
+	ses.dial = hst.pln.dial
+	cli := backend.New(backend.Options{
+		OnUpstream: ses.SetUpstream, Owned: ses.Owned, Lease: ses.Expires, Service: ses.Service, Incoming: ses.Incoming,
+	}, siskinrill.NewCounters())
+	ctx, cancel := context.WithCancel(context.Background())
+	hst.cancel = cancel
+	hst.ended.Go(func() { _ = ses.Run(ctx) })
+	hst.ended.Go(func() { _ = cli.Run(ctx) })
+	hst.ended.Go(func() { hst.release(ctx, ses, cli) })
+	hst.mu.Lock()
+	defer hst.mu.Unlock()
+	hst.cli = cli
+}
+
+func (hst *host) stop() {
+	hst.mu.Lock()
+	hst.cli = nil
+	hst.mu.Unlock()
+	hst.cancel()
+	hst.ended.Wait()
+}
+
+// release gives the rows back that control moves.
+func (hst *host) release(ctx context.Context, ses *Session, cli *backend.Client) {
+	began := map[string]bool{}
+	for ctx.Err() == nil {
+		for _, row := range ses.Owned() {
+			ref := &controlpb.ShardRef{Service: powerService, Partition: row.GetPartition(), Token: row.GetToken()}
+			if row.GetPhase() != controlpb.Phase_PHASE_RELEASING || began[ref.String()] {
+				continue
+			}
+			began[ref.String()] = true
+			hst.ended.Go(func() {
+				if refs, done := cli.Revoke(ctx, []*controlpb.ShardRef{ref}); done {
+					ses.Release(refs)
+				}
+			})
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// beat sends a heartbeat and takes the keys of its answer.
+func (hst *host) beat() {
+	hst.mu.Lock()
+	cli := hst.cli
+	if cli == nil || time.Now().Before(hst.quiet) {
+		hst.mu.Unlock()
+		return
+	}
+	hst.sequence++
+	ann := &backend.Announcement{ID: hst.name, Service: powerService, URL: hst.url, Slots: 2, Incarnation: hst.born, Sequence: hst.sequence, HoldsKeys: true}
+	if time.Now().Before(hst.until) {
+		for par, tok := range hst.held {
+			fst, lst := siskinrill.KeyRange(par, powerPartitions)
+			ann.Holds = append(ann.Holds, backend.HeldRange{First: fst, Last: lst, Token: tok})
+		}
+	}
+	hst.mu.Unlock()
+	sent := time.Now()
+	std, err := cli.Announce(context.Background(), ann)
+	if err != nil || std.HoldMs == 0 || time.Since(sent) > time.Second {
+		return
+	}
+	hst.mu.Lock()
+	defer hst.mu.Unlock()
+	if ann.Incarnation != hst.born || ann.Sequence != hst.sequence {
+		return
+	}
+	old := hst.held
+	hst.held = map[uint32]uint64{}
+	hst.until = sent.Add(time.Duration(float64(std.HoldMs) * 1.02 * float64(time.Millisecond)))
+	for _, rng := range std.Holds {
+		for par := range uint32(powerPartitions) {
+			if fst, lst := siskinrill.KeyRange(par, powerPartitions); fst >= rng.First && lst <= rng.Last {
+				hst.held[par] = rng.Token
+				hst.wld.judge(hst, par, rng.Token, old[par] == rng.Token)
+			}
+		}
+	}
+}
+
+// judge checks a key that a server has just taken or held on to.
+func (wld *powerWorld) judge(hst *host, par uint32, tok uint64, renewed bool) {
+	wld.mu.Lock()
+	defer wld.mu.Unlock()
+	start := fmt.Sprintf("%s/%d", hst.name, hst.born)
+	if wld.err == nil && (tok < wld.tokens[par] || tok == wld.tokens[par] && wld.last[par] != start) {
+		wld.err = fmt.Errorf("partition %d goes to %s with token %d, renewed: %t; %s had it with %d", par, start, tok, renewed, wld.last[par], wld.tokens[par])
+	}
+	wld.tokens[par], wld.last[par] = max(tok, wld.tokens[par]), start
+}
+
+// disturb causes one fault.
+func (wld *powerWorld) disturb(pln *plane) {
+	hst := wld.hosts[wld.rnd.Intn(len(wld.hosts))]
+	switch wld.rnd.Intn(6) {
+	case 0: // all processes lose power; the servers go on
+		for _, one := range wld.hosts {
+			one.stop()
+		}
+		pln.fail(true)
+		time.Sleep(time.Duration(wld.rnd.Intn(2000)) * time.Millisecond)
+		if wld.rnd.Intn(2) == 0 {
+			pln.fail(false)
+		}
+		for _, num := range wld.rnd.Perm(len(wld.hosts)) {
+			time.Sleep(time.Duration(wld.rnd.Intn(300)) * time.Millisecond)
+			wld.hosts[num].start()
+		}
+		pln.fail(false)
+	case 1: // the agent starts again
+		hst.stop()
+		time.Sleep(time.Duration(wld.rnd.Intn(1000)) * time.Millisecond)
+		hst.start()
+	case 2: // the leader changes
+		pln.fail(true)
+		time.Sleep(time.Duration(wld.rnd.Intn(1000)) * time.Millisecond)
+		pln.fail(false)
+	case 3, 4: // the server is silent until it counts as failed, or nearly
+		hst.mu.Lock()
+		hst.quiet = time.Now().Add(4*time.Second + time.Duration(wld.rnd.Intn(2500))*time.Millisecond)
+		hst.mu.Unlock()
+	case 5: // the server starts anew, and holds nothing
+		hst.mu.Lock()
+		hst.born++
+		hst.sequence, hst.held, hst.until = 0, map[uint32]uint64{}, time.Time{}
+		hst.mu.Unlock()
+	}
+}
+
+// powerRun lets three hosts and the leader go through random faults, and returns the first broken rule.
+func powerRun(seed int64, url string) error {
+	wld := &powerWorld{rnd: rand.New(rand.NewSource(seed)), tokens: map[uint32]uint64{}, last: map[uint32]string{}}
+	pln := newPlane(rand.New(rand.NewSource(seed + 1)))
+	ctx, cancel := context.WithCancel(context.Background())
+	var ended sync.WaitGroup
+	ended.Go(func() {
+		for ctx.Err() == nil {
+			pln.tick()
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	for num := range 3 {
+		hst := &host{name: fmt.Sprintf("v%d", num), url: url, pln: pln, wld: wld, born: 1, held: map[uint32]uint64{}}
+		wld.hosts = append(wld.hosts, hst)
+		hst.start()
+		pause := 750*time.Millisecond + time.Duration(num)*40*time.Millisecond
+		ended.Go(func() {
+			for ctx.Err() == nil {
+				hst.beat()
+				time.Sleep(pause)
+			}
+		})
+	}
+	time.Sleep(3 * time.Second)
+	for range 8 {
+		wld.disturb(pln)
+		time.Sleep(time.Duration(wld.rnd.Intn(6000)) * time.Millisecond)
+	}
+	for _, hst := range wld.hosts {
+		hst.stop()
+	}
+	pln.fail(true)
+	cancel()
+	ended.Wait()
+	time.Sleep(5 * time.Second) // the goroutines of the connections end
+	return wld.err
+}
+
+// TestPowerLoss guards against a key that two servers hold, or that goes back to one under an old token, after all processes have lost power, an agent or the leader has started again, or a server was silent, while the agents' tables are late (OWNER 4 after all hosts had lost power).
+func TestPowerLoss(t *testing.T) {
+	srv := httptest.NewServer(nil)
+	defer srv.Close()
+	for seed := range int64(60) {
+		var err error
+		synctest.Test(t, func(*testing.T) { err = powerRun(seed, srv.URL) })
+		must.NoError(t, err, must.Sprintf("seed %d", seed))
+	}
+}
