bench/standin: stand-ins that take their keys from calls

Change: with holds_keys a stand-in serves numeric keys only while its agent has granted them by calls, answers a release once the work on the keys has ended, and may apply grants late without an answer (late_grants). Measured: TestKeysByCalls and TestLateGrants run the real client of an agent against it over loopback.

--- a/internal/bench/standin/announce.go
+++ b/internal/bench/standin/announce.go
@@ -33,6 +33,8 @@
 	HealthPath  string `json:"health_path"`
 	GrantsPath  string `json:"grants_path"`
 	Leaving     bool   `json:"leaving"`
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	HoldsKeys   bool   `json:"holds_keys,omitempty"`
 }
 
 // standing is the agent's answer to an announcement.
@@ -129,6 +131,9 @@
 		ID: srv.opt.ID, Service: srv.opt.Service, URL: "http://" + srv.addr, Slots: srv.opt.Slots,
 		Connections: srv.opt.Connections, ChecksFence: srv.opt.CheckFence, HealthPath: healthPath, Leaving: srv.leaving,
 	}
+	if srv.opt.HoldsKeys {
+		ann.HoldsKeys, ann.Incarnation = true, uint64(srv.born.UnixMilli())
+	}
 	if !srv.opt.NoGrants {
 		ann.GrantsPath = grantsPath
 	}
--- a/internal/bench/standin/faults.go
+++ b/internal/bench/standin/faults.go
@@ -28,6 +28,8 @@
 	LoseAnswers int `json:"lose_answers"`
 	// CutRequests is the number of requests whose connection is closed before they run.
 	CutRequests int `json:"cut_requests"`
+	// LateGrants is the number of grants of keys that get no answer and are applied 2 s late.
+	LateGrants int `json:"late_grants"`
 	// MisleadHealth makes the health endpoint and the announcements go on as if all was well.
 	MisleadHealth bool `json:"mislead_health"`
 	// MisleadLoad makes the load endpoint report an idle server.
@@ -165,3 +167,14 @@
 	}
 	writeJSON(wri, http.StatusOK, map[string]string{"control": srv.ControlURL()})
 }
+
+// lateGrant reports whether the next grant of keys is to be applied late, and counts it.
+func (fst *faultState) lateGrant() bool {
+	fst.mu.Lock()
+	defer fst.mu.Unlock()
+	if fst.flt.LateGrants <= 0 {
+		return false
+	}
+	fst.flt.LateGrants--
+	return true
+}
--- /dev/null
+++ b/internal/bench/standin/keys_test.go
@@ -0,0 +1,92 @@
+package standin_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/agent/backend"
+	"github.com/siskinrill/siskinrill/internal/bench/standin"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+)
+
+// keyAgent is the client of an agent that owns the partition with the keys 0 to 4095 of 16.
+type keyAgent struct {
+	cli *backend.Client
+	row *controlpb.Shard
+	ref *controlpb.ShardRef
+}
+
+func newKeyAgent(t *testing.T, srv *standin.Server) *keyAgent {
+	agt := &keyAgent{
+		row: &controlpb.Shard{Service: "vitrine", Owner: 7, Token: 5, Phase: controlpb.Phase_PHASE_OWNED},
+		ref: &controlpb.ShardRef{Service: "vitrine", Token: 5},
+	}
+	svc := &controlpb.Service{
+		Name: "vitrine", Partitions: 16, KeyMode: controlpb.KeyMode_KEY_MODE_NUMBER, Carrier: controlpb.Carrier_CARRIER_DIRECT, Connections: 8,
+	}
+	agt.cli = backend.New(backend.Options{
+		Owned:   func() []*controlpb.Shard { return []*controlpb.Shard{agt.row} },
+		Lease:   func() (time.Time, bool) { return time.Now().Add(3500 * time.Millisecond), true },
+		Service: func(string) *controlpb.Service { return svc },
+	}, siskinrill.NewCounters())
+	ctx, cancel := context.WithCancel(context.Background())
+	var end sync.WaitGroup
+	end.Go(func() { _ = agt.cli.Run(ctx) })
+	t.Cleanup(func() { cancel(); end.Wait() })
+	_, err := agt.cli.Announce(t.Context(), &backend.Announcement{
+		ID: "vitrine-1", Service: "vitrine", URL: srv.URL(), Slots: 2, Incarnation: 1, Sequence: 1, HoldsKeys: true,
+	})
+	must.NoError(t, err)
+	return agt
+}
+
+func (agt *keyAgent) awaitHeld(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	must.True(t, agt.cli.AwaitHold(ctx, agt.row))
+}
+
+func status(t *testing.T, srv *standin.Server, key string) int {
+	sts, _, _ := call(t, http.MethodGet, srv.URL()+"/catalogue/"+key, "", map[string]string{siskinrill.HeaderKey: key})
+	return sts
+}
+
+// TestKeysByCalls guards against an agent and a server that do not understand each other's calls, a key that is served without a grant, and one that is given back while a request for it runs.
+func TestKeysByCalls(t *testing.T) {
+	srv := newServer(t, standin.Options{HoldsKeys: true, Median: 300 * time.Millisecond})
+	must.Eq(t, http.StatusMisdirectedRequest, status(t, srv, "7"))
+	agt := newKeyAgent(t, srv)
+	agt.awaitHeld(t)
+	must.Eq(t, http.StatusMisdirectedRequest, status(t, srv, "4096"))
+	must.Eq(t, http.StatusMisdirectedRequest, status(t, srv, "charm"))
+	time.Sleep(3 * time.Second) // the hold of an earlier process would be over, and this one's has been renewed
+	done := make(chan int, 1)
+	go func() { done <- status(t, srv, "7") }()
+	time.Sleep(100 * time.Millisecond)
+	refs, ok := agt.cli.Revoke(t.Context(), []*controlpb.ShardRef{agt.ref})
+	must.True(t, ok)
+	must.StrContains(t, refs[0].GetHandover(), "0-4095-")
+	must.Eq(t, 1, len(done))
+	must.Eq(t, http.StatusOK, <-done)
+	must.Eq(t, http.StatusMisdirectedRequest, status(t, srv, "7"))
+}
+
+// TestLateGrants guards against a key that counts as free while the server may still take it from a grant that had no answer.
+func TestLateGrants(t *testing.T) {
+	srv := newServer(t, standin.Options{HoldsKeys: true})
+	code, _, _ := call(t, http.MethodPut, srv.ControlURL()+"/standin/faults", `{"late_grants": 2}`, nil)
+	must.Less(t, 300, code)
+	agt := newKeyAgent(t, srv)
+	agt.awaitHeld(t)
+	_, ok := agt.cli.Revoke(t.Context(), []*controlpb.ShardRef{agt.ref})
+	must.True(t, ok)
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		must.Eq(t, http.StatusMisdirectedRequest, status(t, srv, "7"))
+	}
+}
--- a/internal/bench/standin/options.go
+++ b/internal/bench/standin/options.go
@@ -34,6 +34,8 @@
 	Backlog int
 	// CheckFence makes the server refuse old fencing tokens and expired leases.
 	CheckFence bool
+	// HoldsKeys makes the server take numeric keys from calls of its agent and serve no others.
+	HoldsKeys bool
 	// NoGrants leaves out the endpoint for grants.
 	NoGrants bool
 	// Median is the median of the service time, which is log-normal; 0: none.
--- a/internal/bench/standin/server.go
+++ b/internal/bench/standin/server.go
@@ -23,6 +23,7 @@
 	flt   *faultState
 	fns   fences
 	wrm   warmKeys
+	hks   *heldKeys // nil unless it takes its keys from calls
 	slots chan struct{}
 	past  samples
 	born  time.Time
@@ -80,7 +81,14 @@
 	if !srv.opt.NoGrants {
 		srv.mux.HandleFunc("POST "+grantsPath, srv.putGrants)
 	}
-	srv.mux.HandleFunc("/", srv.request)
+	if !srv.opt.HoldsKeys {
+		srv.mux.HandleFunc("/", srv.request)
+		return
+	}
+	srv.hks = &heldKeys{}
+	srv.mux.HandleFunc("POST "+grantPath, srv.postGrant)
+	srv.mux.HandleFunc("POST "+releasePath, srv.postRelease)
+	srv.mux.HandleFunc("/", srv.holding(srv.request))
 }
 
 // ServeHTTP serves requests and the endpoints of the stand-in.
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -101,6 +101,7 @@
 	Connections uint32
 	ChecksFence bool
 	Grants      bool          // has the endpoint for grants
+	HoldsKeys   bool          // takes numeric keys from calls of the agent
 	ServiceTime time.Duration // median of a request
 	ColdKey     time.Duration // added to the first request for a key since its grant
 	ColdTime    time.Duration // from the start until requests take their normal time
@@ -219,6 +220,7 @@
 		source.Flag("checks_fence", &set.ChecksFence),
 		source.Duration("service_time", &set.ServiceTime, 0, time.Minute),
 		source.Flag("grants", &set.Grants),
+		source.Flag("holds_keys", &set.HoldsKeys),
 		source.Duration("cold_key", &set.ColdKey, 0, time.Minute),
 		source.Duration("cold_time", &set.ColdTime, 0, time.Hour),
 		source.Whole("cold_factor", &set.ColdFactor, 1, 100),
