agent/backend: the header of an answer is bounded

Cause: a backend server whose header never ends was read up to the default of 10 MB on each connection, so that 18 slots could take the 184 MB of a host's process. Change: 64 KiB for requests, probes and calls.

--- a/internal/agent/backend/options.go
+++ b/internal/agent/backend/options.go
@@ -33,6 +33,8 @@
 	tickInterval = 100 * time.Millisecond
 	// wholeAnswer is the longest answer that is read before Do returns; longer ones are streamed.
 	wholeAnswer = 64 << 10
+	// maxAnswerHeader is the longest header of an answer, in bytes.
+	maxAnswerHeader = 64 << 10
 	// maxFailures is how many requests in a row may end without an answer before the server counts as failed even though its health endpoint answers.
 	maxFailures = 8
 	// failedHold is the shortest time between a failure and the next use of the server; it doubles up to failedHoldMax, because a health endpoint that misleads would otherwise bring the server back at once.
--- a/internal/agent/backend/target.go
+++ b/internal/agent/backend/target.go
@@ -31,15 +31,17 @@
 		DialContext:         dial,
 		MaxConnsPerHost:     int(ann.Connections),
 		MaxIdleConnsPerHost: int(ann.Connections),
-		IdleConnTimeout:     opt.MaxIdle,
-		DisableCompression:  true,
+		// A server whose header never ends would take the default of 10 MB for each of its slots.
+		MaxResponseHeaderBytes: maxAnswerHeader,
+		IdleConnTimeout:        opt.MaxIdle,
+		DisableCompression:     true,
 	}
 	return &target{
 		base: loc, pool: pool, transport: opt.Transport(pool),
-		probes: &http.Transport{DialContext: dia.DialContext, DisableKeepAlives: true},
+		probes: &http.Transport{DialContext: dia.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxAnswerHeader},
 		calls: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: grantCalls, IdleConnTimeout: opt.MaxIdle,
-			DisableCompression: true, MaxResponseHeaderBytes: wholeAnswer,
+			DisableCompression: true, MaxResponseHeaderBytes: maxAnswerHeader,
 		},
 	}
 }
