agent/backend: an agent that hears its server before it knows the service does not take its keys for held for 10 s

Cause: the first heartbeat came before the configuration, so that the carrier was not known and the longest hold of heartbeat answers counted, 10.2 s. A key could not move away from a server for that long after each start of its agent: found by the new TestDirectGrants, which drains an upstream of a whole deployment (3 s without service where 2 s are allowed). Change: the time is decided by the carrier once the service is known. Measured: TestDirectGrants, TestServiceNotKnownYet; both fail without the change.

--- a/internal/agent/backend/direct_test.go
+++ b/internal/agent/backend/direct_test.go
@@ -379,3 +379,31 @@
 		must.Nil(t, changed)
 	})
 }
+
+// TestServiceNotKnownYet guards against an agent that takes the keys of its server for held for 10 s, since it heard the first heartbeat before the configuration that tells the carrier: nothing could move away from the server meanwhile.
+func TestServiceNotKnownYet(t *testing.T) {
+	const known = 500 * time.Millisecond // after the first heartbeat
+	for nam, tcs := range map[string]struct {
+		hear func(kys *keys)
+		want time.Duration // after the start
+	}{
+		"direct":    {hear: (*keys).hear, want: longestDirect},
+		"heartbeat": {hear: func(kys *keys) { kys.take(&Announcement{ID: "v1", Service: "vitrine"}, heldPartitions) }, want: longestHold},
+		"heartbeat, then direct": {hear: func(kys *keys) {
+			kys.take(&Announcement{ID: "v1", Service: "vitrine"}, heldPartitions)
+			kys.hear()
+		}, want: longestHold},
+	} {
+		t.Run(nam, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kys := newKeys()
+				began := time.Now()
+				kys.take(&Announcement{ID: "v1", Service: "vitrine"}, 0)
+				must.Eq(t, longestHold, kys.unknown.Sub(began))
+				time.Sleep(known)
+				tcs.hear(&kys)
+				must.Eq(t, tcs.want, kys.unknown.Sub(began))
+			})
+		})
+	}
+}
--- a/internal/agent/backend/hold.go
+++ b/internal/agent/backend/hold.go
@@ -40,7 +40,9 @@
 	kys.active, kys.direct = true, false
 	if kys.unknown.IsZero() {
 		kys.unknown = time.Now().Add(longestHold)
+		kys.guessed = partitions == 0
 	}
+	kys.guessed = kys.guessed && partitions == 0
 	for _, rng := range ann.Released {
 		for _, par := range covered(rng.First, rng.Last, partitions) {
 			kys.noteReleased(par, rng.Handover)
@@ -80,7 +82,8 @@
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
 	kys.active, kys.direct, kys.doubt = true, true, false
-	if kys.unknown.IsZero() {
+	if kys.unknown.IsZero() || kys.guessed {
+		kys.guessed = false
 		kys.unknown = kys.started.Add(longestDirect)
 		if kys.flt.forgetEarlier {
 			kys.unknown = kys.started
--- a/internal/agent/backend/keys.go
+++ b/internal/agent/backend/keys.go
@@ -31,6 +31,7 @@
 	changed chan struct{}
 	// unknown is until when the server may hold keys that an earlier process beside it has granted, zero before the first heartbeat.
 	unknown time.Time
+	guessed bool // the service was not known at the first heartbeat, so that the longest hold of either carrier counts
 
 	started time.Time            // of this process
 	direct  bool                 // the server takes its keys from calls
--- a/internal/process/dev/dev_test.go
+++ b/internal/process/dev/dev_test.go
@@ -17,6 +17,7 @@
 	"github.com/siskinrill/siskinrill"
 	adminhttp "github.com/siskinrill/siskinrill/internal/admin/http"
 	"github.com/siskinrill/siskinrill/internal/process/dev"
+	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
 // start runs a dev process and returns it with a function that stops it like SIGTERM.
@@ -188,3 +189,51 @@
 		must.NoError(t, stop())
 	}
 }
+
+// TestDirectGrants guards against keys granted by calls that work in parts only: control, agents and stand-ins that refuse every key without a grant serve while one upstream is drained and comes back.
+func TestDirectGrants(t *testing.T) {
+	const longest = 2 * time.Second // that a key may be without service
+	cfg := t.TempDir()
+	must.NoError(t, os.WriteFile(cfg+"/one.toml", []byte("[service.draw]\nkeys = \"number\"\ngrants = \"direct\"\n[route.r]\nmethod = \"GET\"\npath = \"/draw/{k}\"\nservice = \"draw\"\nkind = \"idempotent\"\n"), 0o600))
+	prc, stop := start(t, dev.Options{Config: cfg})
+	adm := adminhttp.NewClient(prc.Admin(), "")
+	keys := []string{"0", "300", "20000", "40000", "65535"}
+	served := func() map[string]string {
+		owners := map[string]string{}
+		for _, key := range keys {
+			begin := time.Now()
+			for {
+				res, ans := ask(t, "GET", "http://"+prc.Listen()+"/draw/"+key, nil)
+				if res.StatusCode == http.StatusOK {
+					owners[key] = ans.Upstream
+					break
+				}
+				must.Eq(t, "not_run", res.Header.Get(siskinrill.HeaderOutcome))
+				must.Less(t, longest, time.Since(begin), must.Sprintf("key %s is not served", key))
+			}
+			if took := time.Since(begin); took > 100*time.Millisecond {
+				t.Logf("key %s was served after %s", key, took)
+			}
+		}
+		return owners
+	}
+	own, err := adm.Owner(t.Context(), "draw", keys[0])
+	must.NoError(t, err)
+	must.Eq(t, "direct", own.GetCarrier())
+	must.Eq(t, own.GetUpstream(), served()[keys[0]])
+	// The agents have been there for the longest hold of an earlier process, so that nothing is held by a grant that they do not know.
+	time.Sleep(3 * time.Second)
+	_, err = adm.Drain(t.Context(), &controlpb.DrainRequest{Upstream: own.GetUpstream()})
+	must.NoError(t, err)
+	for end := time.Now().Add(5 * time.Second); ; {
+		owners := served()
+		if owners[keys[0]] != own.GetUpstream() {
+			break
+		}
+		must.True(t, time.Now().Before(end), must.Sprint("the drained upstream keeps its keys"))
+	}
+	_, err = adm.Drain(t.Context(), &controlpb.DrainRequest{Upstream: own.GetUpstream(), Undo: true})
+	must.NoError(t, err)
+	served()
+	must.NoError(t, stop())
+}
--- a/internal/process/dev/upstream.go
+++ b/internal/process/dev/upstream.go
@@ -33,7 +33,7 @@
 	for _, svc := range cfg.GetServices() {
 		fnd := all[svc.GetName()]
 		if fnd == nil {
-			fnd = extra(svc.GetName())
+			fnd = extra(svc)
 		}
 		out = append(out, fnd...)
 	}
@@ -82,15 +82,15 @@
 	return ups, err
 }
 
-func extra(svc string) []upstream {
+func extra(svc *controlpb.Service) []upstream {
 	var out []upstream
 	for num := range extraUpstreams {
-		nam := fmt.Sprintf("%s-%d", svc, num+1)
+		nam := fmt.Sprintf("%s-%d", svc.GetName(), num+1)
 		out = append(out, upstream{
 			agent: settings.Agent{Place: settings.Place{Name: "agent-" + nam, Zone: "in-west-a", Region: "in-west"}},
 			standin: settings.Standin{
-				ID: nam, Service: svc, Slots: 18, Connections: 120, ChecksFence: true, Grants: true,
-				ServiceTime: 4 * time.Millisecond, ColdFactor: 1,
+				ID: nam, Service: svc.GetName(), Slots: 18, Connections: 120, ChecksFence: true, Grants: true,
+				ServiceTime: 4 * time.Millisecond, ColdFactor: 1, HoldsKeys: svc.GetCarrier() == controlpb.Carrier_CARRIER_DIRECT,
 			},
 		})
 	}
