agent/backend: a server that started anew gets no keys by calls before control was told

Cause: the heartbeat of a new start let grants go on before control was told of that start; the rows of the earlier one, with their tokens, could be granted to it in between.

--- a/internal/agent/backend/announce.go
+++ b/internal/agent/backend/announce.go
@@ -65,6 +65,9 @@
 	left := cli.accept(ctx, ann)
 	rep := cli.takeHolds(ann)
 	cli.report()
+	// Control takes the rows of an earlier start of the server away; until it was told they must not be granted to this one.
+	cli.keys.trust()
+	cli.calls.kick()
 	if left && cli.opt.OnDrain != nil {
 		logrus.Infof("backend: server %s is leaving", ann.ID)
 		cli.opt.OnDrain()
--- a/internal/agent/backend/direct.go
+++ b/internal/agent/backend/direct.go
@@ -30,7 +30,7 @@
 	hold   time.Duration
 	sendBy time.Time // it is not written later
 	life   uint64    // of the server that it is meant for
-	rate   float64   // by which the server\'s clock may be slow
+	rate   float64   // by which the server's clock may be slow
 }
 
 // until returns when the grant has surely ended that arrived at a time at the latest.
--- a/internal/agent/backend/direct_test.go
+++ b/internal/agent/backend/direct_test.go
@@ -235,6 +235,7 @@
 			clear(wld.refs)
 		case 5, 6:
 			wld.kys.hear()
+			wld.kys.trust()
 			wld.lease = time.Now().Add(directLease)
 		default:
 			wld.grant()
@@ -299,7 +300,7 @@
 		held, looks := 0, 0
 		for range 600 {
 			wld.lease = time.Now().Add(directLease - 700*time.Millisecond)
-			wld.kys.hear()
+			wld.kys.trust()
 			wld.grant()
 			time.Sleep(tickInterval)
 			for _, row := range wld.rows {
@@ -349,6 +350,8 @@
 		kys.clear()
 		must.Eq(t, 0, kys.left())
 		kys.hear()
+		must.SliceEmpty(t, kys.due(rows, time.Now().Add(directLease), heldPartitions))
+		kys.trust()
 		calls = kys.due(rows, time.Now().Add(directLease), heldPartitions)
 		must.Len(t, 1, calls)
 		kys.clear()
--- a/internal/agent/backend/grantloop_test.go
+++ b/internal/agent/backend/grantloop_test.go
@@ -66,12 +66,16 @@
 	return len(csv.grants), len(csv.releases)
 }
 
+// firstBorn is the incarnation of the server at first.
+const firstBorn = 5
+
 // directAgent is a client beside a server that takes its keys from calls.
 type directAgent struct {
 	cli  *Client
 	mu   sync.Mutex
 	rows []*controlpb.Shard
 	told []controlpb.UpstreamState
+	born uint64 // start of the server that control was told first; the rows are those of that start
 }
 
 func newDirectAgent(t *testing.T, url string, rows ...*controlpb.Shard) *directAgent {
@@ -86,11 +90,20 @@
 			defer agt.mu.Unlock()
 			return agt.rows
 		},
-		Lease:   func() (time.Time, bool) { return time.Now().Add(directLease), true },
+		// As the session does, this ends the lease once control was told of another start of the server.
+		Lease: func() (time.Time, bool) {
+			agt.mu.Lock()
+			defer agt.mu.Unlock()
+			return time.Now().Add(directLease), agt.born == firstBorn
+		},
 		Service: func(string) *controlpb.Service { return svc },
 		OnUpstream: func(ups *controlpb.Upstream) {
+			if ups.GetIncarnation() != firstBorn {
+				time.Sleep(2 * tickInterval)
+			}
 			agt.mu.Lock()
 			defer agt.mu.Unlock()
+			agt.born = ups.GetIncarnation()
 			agt.told = append(agt.told, ups.GetState())
 		},
 	}, siskinrill.NewCounters())
@@ -104,7 +117,7 @@
 
 func (agt *directAgent) beat(t *testing.T, url string, seq uint64) {
 	std, err := agt.cli.Announce(t.Context(), &Announcement{
-		ID: "v1", Service: "vitrine", URL: url, Slots: 2, Incarnation: 5, Sequence: seq, HoldsKeys: true,
+		ID: "v1", Service: "vitrine", URL: url, Slots: 2, Incarnation: firstBorn, Sequence: seq, HoldsKeys: true,
 	})
 	must.NoError(t, err)
 	must.Eq(t, 0, std.HoldMs) // an answer without keys renews nothing
@@ -218,3 +231,20 @@
 		return len(agt.told) > 0 && agt.told[len(agt.told)-1] == controlpb.UpstreamState_UPSTREAM_STATE_FAILED
 	})
 }
+
+// TestRestartedServerGetsNoOldKeys guards against a server that starts anew and is granted the keys of its earlier start, under the same tokens, before control has been told.
+func TestRestartedServerGetsNoOldKeys(t *testing.T) {
+	for range 3 {
+		csv := newCallServer(t)
+		agt := newDirectAgent(t, csv.URL, row(1, 5))
+		awaitTrue(t, time.Second, "the row is not held", func() bool { return agt.cli.Held(row(1, 5)) })
+		before, _ := csv.counts()
+		_, err := agt.cli.Announce(t.Context(), &Announcement{
+			ID: "v1", Service: "vitrine", URL: csv.URL, Slots: 2, Incarnation: 6, Sequence: 1, HoldsKeys: true,
+		})
+		must.NoError(t, err)
+		time.Sleep(50 * time.Millisecond)
+		after, _ := csv.counts()
+		must.Eq(t, before, after)
+	}
+}
--- a/internal/agent/backend/hold.go
+++ b/internal/agent/backend/hold.go
@@ -81,7 +81,7 @@
 func (kys *keys) hear() {
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
-	kys.active, kys.direct, kys.doubt = true, true, false
+	kys.active, kys.direct = true, true
 	if kys.unknown.IsZero() || kys.guessed {
 		kys.guessed = false
 		kys.unknown = kys.started.Add(longestDirect)
@@ -91,6 +91,13 @@
 	}
 }
 
+// trust lets grants go on after a heartbeat whose start of the server control was told.
+func (kys *keys) trust() {
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	kys.doubt = false
+}
+
 func (kys *keys) noteReleased(par uint32, handover string) {
 	for key, rev := range kys.revoked {
 		if key.partition == par {
@@ -157,7 +164,6 @@
 	svc := cli.opt.Service(ann.Service)
 	if direct(svc) {
 		cli.keys.hear()
-		cli.calls.kick()
 		return nil
 	}
 	return cli.keys.take(ann, svc.GetPartitions())
--- a/internal/agent/backend/keys.go
+++ b/internal/agent/backend/keys.go
@@ -39,7 +39,7 @@
 	calls   map[uint32]int       // grants on their way, by partition
 	late    map[uint32]time.Time // until when a grant without an answer may be applied, by partition
 	refused map[grantKey]refusal
-	doubt   bool // the server may have started anew; its next heartbeat tells
+	doubt   bool // the server may have started anew, or has and control was not told yet
 	flt     keyFaults
 }
 
@@ -73,7 +73,7 @@
 	clear(kys.late)
 	clear(kys.refused)
 	kys.life++
-	kys.doubt = false
+	kys.doubt = true
 	if kys.active {
 		kys.unknown = time.Now()
 	}
