agent/control: TestPowerLoss runs without sockets of the host

Change: the client takes a function that opens its connections, TCP by default, and the test gives it pipes in memory.

--- a/internal/agent/backend/options.go
+++ b/internal/agent/backend/options.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -67,6 +69,8 @@
 	Grants siskinrill.GrantCalls
 	// Transport wraps the connections for requests, to translate headers; default: none.
 	Transport func(pool http.RoundTripper) http.RoundTripper
+	// Dial opens connections to the backend server, TCP by default.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// MaxIdle is the longest idle time of a connection that is used again, 200 ms by default; older ones may have gone silent.
 	MaxIdle time.Duration
 	// MaxRanges is the most ranges of keys in the answer to a heartbeat, unlimited by default; further ones are left out. A handover of up to 24 bytes counts as a range.
@@ -80,6 +84,9 @@
 	if opt.Grants == nil {
 		opt.Grants = ownCalls{}
 	}
+	if opt.Dial == nil {
+		opt.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	if opt.Transport == nil {
 		opt.Transport = func(pool http.RoundTripper) http.RoundTripper { return pool }
 	}
--- a/internal/agent/backend/target.go
+++ b/internal/agent/backend/target.go
@@ -19,9 +19,8 @@
 // newTarget returns the pools for an announcement that was checked.
 func newTarget(ann *Announcement, opt Options) *target {
 	loc, _ := url.Parse(ann.URL)
-	dia := &net.Dialer{Timeout: dialTimeout}
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		con, err := dia.DialContext(ctx, network, addr)
+		con, err := opt.Dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
@@ -38,7 +37,7 @@
 	}
 	return &target{
 		base: loc, pool: pool, transport: opt.Transport(pool),
-		probes: &http.Transport{DialContext: dia.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxAnswerHeader},
+		probes: &http.Transport{DialContext: opt.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxAnswerHeader},
 		calls: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: grantCalls, IdleConnTimeout: opt.MaxIdle,
 			DisableCompression: true, MaxResponseHeaderBytes: maxAnswerHeader,
--- a/internal/agent/control/power_test.go
+++ b/internal/agent/control/power_test.go
@@ -5,7 +5,8 @@
 	"fmt"
 	"io"
 	"math/rand"
-	"net/http/httptest"
+	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -213,7 +214,7 @@
 // host is an agent process and the backend server beside it, which outlives it.
 type host struct {
 	name   string
-	url    string
+	pip    *pipes
 	pln    *plane
 	wld    *powerWorld
 	cancel context.CancelFunc
@@ -228,6 +229,35 @@
 	quiet    time.Time // it sends no heartbeat until then
 }
 
+// pipes is the network between the agents and the health endpoints of their servers, in memory so that it lies in the bubble.
+type pipes struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (pip *pipes) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	one, two := net.Pipe()
+	select {
+	case pip.conns <- two:
+		return one, nil
+	case <-pip.closed:
+	case <-ctx.Done():
+	}
+	return nil, net.ErrClosed
+}
+
+func (pip *pipes) Accept() (net.Conn, error) {
+	select {
+	case cnn := <-pip.conns:
+		return cnn, nil
+	case <-pip.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (pip *pipes) Close() error   { return nil }
+func (pip *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
 // powerWorld judges what the servers hold.
 type powerWorld struct {
 	rnd    *rand.Rand
@@ -245,7 +275,7 @@
 	ses := New(Options{Control: []string{"c1"}, Node: &controlpb.Node{Name: hst.name}, Logger: log})
 	ses.dial = hst.pln.dial
 	cli := backend.New(backend.Options{
-		OnUpstream: ses.SetUpstream, Owned: ses.Owned, Lease: ses.Expires, Service: ses.Service, Incoming: ses.Incoming,
+		OnUpstream: ses.SetUpstream, Owned: ses.Owned, Lease: ses.Expires, Service: ses.Service, Incoming: ses.Incoming, Dial: hst.pip.dial,
 	}, siskinrill.NewCounters())
 	ctx, cancel := context.WithCancel(context.Background())
 	hst.cancel = cancel
@@ -294,7 +324,7 @@
 		return
 	}
 	hst.sequence++
-	ann := &backend.Announcement{ID: hst.name, Service: powerService, URL: hst.url, Slots: 2, Incarnation: hst.born, Sequence: hst.sequence, HoldsKeys: true}
+	ann := &backend.Announcement{ID: hst.name, Service: powerService, URL: "http://127.0.0.1:9", Slots: 2, Incarnation: hst.born, Sequence: hst.sequence, HoldsKeys: true}
 	if time.Now().Before(hst.until) {
 		for par, tok := range hst.held {
 			fst, lst := siskinrill.KeyRange(par, powerPartitions)
@@ -375,7 +405,10 @@
 }
 
 // powerRun lets three hosts and the leader go through random faults, and returns the first broken rule.
-func powerRun(seed int64, url string) error {
+func powerRun(seed int64) error {
+	pip := &pipes{conns: make(chan net.Conn), closed: make(chan struct{})}
+	srv := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: time.Minute}
+	go func() { _ = srv.Serve(pip) }()
 	wld := &powerWorld{rnd: rand.New(rand.NewSource(seed)), tokens: map[uint32]uint64{}, last: map[uint32]string{}}
 	pln := newPlane(rand.New(rand.NewSource(seed + 1)))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -387,7 +420,7 @@
 		}
 	})
 	for num := range 3 {
-		hst := &host{name: fmt.Sprintf("v%d", num), url: url, pln: pln, wld: wld, born: 1, held: map[uint32]uint64{}}
+		hst := &host{name: fmt.Sprintf("v%d", num), pip: pip, pln: pln, wld: wld, born: 1, held: map[uint32]uint64{}}
 		wld.hosts = append(wld.hosts, hst)
 		hst.start()
 		pause := 750*time.Millisecond + time.Duration(num)*40*time.Millisecond
@@ -409,17 +442,17 @@
 	pln.fail(true)
 	cancel()
 	ended.Wait()
+	close(pip.closed)
+	_ = srv.Close()
 	time.Sleep(5 * time.Second) // the goroutines of the connections end
 	return wld.err
 }
 
 // TestPowerLoss guards against a key that two servers hold, or that goes back to one under an old token, after all processes have lost power, an agent or the leader has started again, or a server was silent, while the agents' tables are late (OWNER 4 after all hosts had lost power).
 func TestPowerLoss(t *testing.T) {
-	srv := httptest.NewServer(nil)
-	defer srv.Close()
 	for seed := range int64(60) {
 		var err error
-		synctest.Test(t, func(*testing.T) { err = powerRun(seed, srv.URL) })
+		synctest.Test(t, func(*testing.T) { err = powerRun(seed) })
 		must.NoError(t, err, must.Sprintf("seed %d", seed))
 	}
 }
