--- a/internal/agent/backend/direct.go
+++ b/internal/agent/backend/direct.go
@@ -29,7 +29,7 @@
 	renews bool // the server holds the first row under this token
 	hold   time.Duration
 	sendBy time.Time // it is not written later
-	life   uint64    // of the server that it is meant for
+	life   uint64    // start of the server that it is meant for
 	rate   float64   // by which the server's clock may be slow
 }
 
--- a/internal/agent/backend/doc.go
+++ b/internal/agent/backend/doc.go
@@ -1,6 +1,12 @@
 // Package backend speaks HTTP with the backend server on this host: announcements, grants, requests,
 // and the detection of its failure.
 //
+// # Keys that are held for a limited time
+//
+// Some servers hold their keys only while they are granted, by the answers to their heartbeats or by
+// calls of this package. keys.go has the state that both share, hold.go what heartbeats change,
+// direct.go what calls change, revoke.go when a key is free, and grantloop.go the calls themselves.
+//
 // # What was written
 //
 // Each connection asks the gate of its current request before it writes. The gate refuses the first
--- a/internal/agent/backend/keys.go
+++ b/internal/agent/backend/keys.go
@@ -7,12 +7,12 @@
 	"github.com/siskinrill/siskinrill"
 )
 
-// heldKeys is a partition that the server holds by an answer to a heartbeat.
+// heldKeys is a partition that the server holds by an answer to a heartbeat or by a call.
 type heldKeys struct {
 	token   uint64
 	offered bool      // by this process; another one before it may have granted the rest
 	direct  bool      // by a call
-	from    time.Time // when the server has surely read the answer
+	from    time.Time // when the server has surely taken it
 	until   time.Time // by the slowest clock that the server may have
 }
 
@@ -22,10 +22,10 @@
 	token     uint64
 }
 
-// keys are the partitions that the server holds by its heartbeats, and those that it is to give back.
+// keys are the partitions that the server holds for a limited time, and those that it is to give back. Both carriers of grants, answers to heartbeats and calls, share them.
 type keys struct {
 	mu      sync.Mutex
-	active  bool // the server has announced that it takes its keys by heartbeats
+	active  bool // the server has announced that it holds its keys for a limited time
 	held    map[uint32]heldKeys
 	revoked map[grantKey]*revocation
 	changed chan struct{}
