agent/control: a confirmation that a request sees first still lets the next report go out

Cause: the look at a pending report also forgot it once it was confirmed. Expires looks with each request, so that a request between the update of the tables and the wake-up left nothing to wake up for: control was not told that the server serves again until the next connection or report. Change: only confirm forgets the report. Measured: TestConfirmationSeenEarly gets no report of serving without the change.

--- a/internal/agent/control/giveup.go
+++ b/internal/agent/control/giveup.go
@@ -35,13 +35,13 @@
 	ses.givenUp = &giveUp{session: num, since: since, upstream: proto.CloneOf(ups)}
 }
 
-// pendingGiveUp returns the report that control has not confirmed, nil for none; the session's lock is held.
+// pendingGiveUp returns the report that control has not confirmed, nil for none; the session's lock is held. It forgets nothing, so that confirm still finds what waits.
 func (ses *Session) pendingGiveUp() *giveUp {
 	gvu := ses.givenUp
 	if gvu == nil || gvu.session != ses.lease.number() || gvu.confirmed(ses.table.node(gvu.session).GetUpstream()) {
-		ses.givenUp = nil
+		return nil
 	}
-	return ses.givenUp
+	return gvu
 }
 
 // confirmed reports whether the agent's tables show that control has heard the report. A failure that they show may be an earlier one, but not if it is newer than what they showed then.
@@ -68,8 +68,10 @@
 // confirm lets the wishes be sent that wait for a confirmation which a change of the tables may have brought.
 func (ses *Session) confirm() {
 	ses.mu.Lock()
-	waits := ses.givenUp != nil
-	confirmed := waits && ses.pendingGiveUp() == nil
+	confirmed := ses.givenUp != nil && ses.pendingGiveUp() == nil
+	if confirmed {
+		ses.givenUp = nil
+	}
 	ses.mu.Unlock()
 	if confirmed {
 		ses.notify()
--- a/internal/agent/control/giveup_test.go
+++ b/internal/agent/control/giveup_test.go
@@ -122,3 +122,24 @@
 		})
 	}
 }
+
+// TestConfirmationSeenEarly guards against a server that control never hears to be back, because a request looked at the lease between the update of the tables and the wake-up of what waits for it.
+func TestConfirmationSeenEarly(t *testing.T) {
+	within(t, func(ctl *fakeControl, ses *Session) {
+		ses.SetUpstream(upstream(1, controlpb.UpstreamState_UPSTREAM_STATE_SERVING))
+		ses.SetUpstream(upstream(1, controlpb.UpstreamState_UPSTREAM_STATE_FAILED))
+		ses.SetUpstream(upstream(1, controlpb.UpstreamState_UPSTREAM_STATE_SERVING))
+		time.Sleep(10 * time.Millisecond)
+		must.Eq(t, []string{"FAILED 1"}, ctl.upstreams())
+		failed := upstream(1, controlpb.UpstreamState_UPSTREAM_STATE_FAILED)
+		failed.SinceIndex = 51
+		must.NoError(t, ses.table.apply(&controlpb.Difference{From: 50, To: 51, Changes: []*controlpb.Change{
+			{Kind: &controlpb.Change_SetNode{SetNode: &controlpb.Node{Session: 101, Name: "a", Upstream: failed}}},
+		}}))
+		_, valid := ses.Expires()
+		must.True(t, valid)
+		ses.confirm()
+		time.Sleep(10 * time.Millisecond)
+		must.Eq(t, []string{"SERVING 1"}, ctl.upstreams())
+	})
+}
