process/actor: requests whose callers have left before they are read are not run

Cause: http.Server starts a handler with a context that is not cancelled and looks for the end of the connection beside it. A request that is read late, since the process was short of processor time or the connection waited in the kernel's queue, was therefore sent to a backend server after its caller had closed the connection; of a connection with pipelined requests, all of them.

Change: before a handler begins, and again when its body is complete, the connection is asked without waiting whether its peer has closed it. If so, the request's context is cancelled before the handler begins, nothing further of the connection is started, and the event caller_left_unread is counted. The entry refuses the request as not run. One system call a request.

--- a/internal/process/actor/connections.go
+++ b/internal/process/actor/connections.go
@@ -36,10 +36,8 @@
 // newServer returns an HTTP server whose connections are tracked.
 func (cns *connections) newServer(hdl http.Handler) *http.Server {
 	srv := &http.Server{Handler: cns.closeAnswered(hdl), ReadHeaderTimeout: headerTimeout, ConnState: cns.stateChanged}
-	if cns.pipelining.Depth > 0 {
-		srv.ConnContext = func(ctx context.Context, cnn net.Conn) context.Context {
-			return context.WithValue(ctx, connectionKey{}, cnn)
-		}
+	srv.ConnContext = func(ctx context.Context, cnn net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, cnn)
 	}
 	return srv
 }
@@ -71,7 +69,7 @@
 		if closes {
 			wri.Header().Set("Connection", "close")
 		}
-		hdl.ServeHTTP(wri, req)
+		hdl.ServeHTTP(wri, cns.cancelIfLeft(req))
 	})
 }
 
--- a/internal/process/actor/pipeline.go
+++ b/internal/process/actor/pipeline.go
@@ -111,7 +111,7 @@
 		pip.phase, pip.own = phaseSplit, req
 	}
 	// In the other phases these bytes may belong to the body.
-	if (pip.phase == phaseSplit || pip.phase == phaseHold) && len(pip.unread) > 0 {
+	if (pip.phase == phaseSplit || pip.phase == phaseHold) && len(pip.unread) > 0 && !pip.checkLeft() {
 		pip.pipelined = true
 		pip.dispatch()
 	}
--- a/internal/process/agent/advice_test.go
+++ b/internal/process/agent/advice_test.go
@@ -140,7 +140,7 @@
 	mem := &member{peers: newCutSwitch(), settings: settings.Agent{
 		Place: settings.Place{Name: fmt.Sprintf("agent-%d", num), Zone: "a", Region: "r"}, Control: []string{ctl}, KeepKeys: true,
 		CallerListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", BackendListen: "127.0.0.1:0",
-		Freshness: time.Hour, DrainGrace: leavingGrace - 500*time.Millisecond,
+		Freshness: time.Hour, DrainGrace: leavingGrace - 500*time.Millisecond, Pipelined: 8,
 	}}
 	mem.settings.Admin.Listen = "127.0.0.1:0"
 	mem.start(t)
