host/egress: long answers leave room on the host's link

Cause: answers to downloads and other long answers were written as fast as flow control let them, up to 128 KB for each of a dozen streams. They queue on the host's one link in front of everything else that leaves it, so that first messages of requests and resets of streams arrived 0.5 s to 0.7 s late.

Without counting processor time it is the same.

Change: answers from 8 KB on are paced over all connections of a host together to three quarters of its link's speed (setting link_mbps), in chunks of 16 KiB that take turns. The platform's settings state the speed.

--- a/internal/agent/caller/answer.go
+++ b/internal/agent/caller/answer.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/host/egress"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
@@ -30,7 +33,7 @@
 	problemPrefix = "urn:siskinrill:problem:"
 	// defaultRetryAfter is advised where it is not known when a retry can succeed.
 	defaultRetryAfter = time.Second
-	copyBufferSize    = 32 << 10
+	copyBufferSize    = 16 << 10
 )
 
 var statuses = map[siskinrill.Reason]int{
@@ -165,8 +168,9 @@
 		hdr.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	wri.WriteHeader(int(hea.GetStatus()))
+	out := &pacedWriter{Writer: wri, ctx: req.Context(), pacer: han.opt.Pacer}
 	if len(hea.GetBody()) > 0 {
-		_, _ = wri.Write(hea.GetBody())
+		_, _ = out.Write(hea.GetBody())
 	}
 	if ans.Body() == nil {
 		cal.countDownload("download_complete")
@@ -179,7 +183,7 @@
 	defer func() { _ = ctl.SetWriteDeadline(time.Time{}) }()
 	buf, _ := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
-	if err := copyBody(wri, ans.Body(), *buf, length-int64(len(hea.GetBody()))); err != nil {
+	if err := copyBody(out, ans.Body(), *buf, length-int64(len(hea.GetBody()))); err != nil {
 		han.counters.Event(truncationEvent(err))
 		cal.countDownload("download_cut")
 		panic(http.ErrAbortHandler)
@@ -194,6 +198,29 @@
 	}
 }
 
+// pacedWriter writes an answer at the rate that the host's link allows.
+type pacedWriter struct {
+	io.Writer
+	ctx   context.Context
+	pacer *egress.Pacer
+}
+
+// Write writes a part of the answer when its turn has come.
+func (pwr *pacedWriter) Write(buf []byte) (int, error) {
+	total := 0
+	for part := range slices.Chunk(buf, copyBufferSize) {
+		if err := pwr.pacer.Wait(pwr.ctx, len(part)); err != nil {
+			return total, err
+		}
+		num, err := pwr.Writer.Write(part)
+		total += num
+		if err != nil {
+			return total, err
+		}
+	}
+	return total, nil
+}
+
 // callerError is a failure to write an answer to the caller.
 type callerError struct {
 	cause error
--- a/internal/agent/caller/handler_test.go
+++ b/internal/agent/caller/handler_test.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -20,6 +21,7 @@
 
 	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/agent/peer"
+	"github.com/siskinrill/siskinrill/internal/host/egress"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
@@ -432,3 +434,23 @@
 	bdy.after = 0
 	return bdy.body.Read(buf)
 }
+
+// TestAnswersToCallersPaced guards against long answers to callers that fill the link of their host.
+func TestAnswersToCallersPaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const mbps, long = 8, 300 << 10 // 750 KB a second
+		var out bytes.Buffer
+		pwr := &pacedWriter{Writer: &out, ctx: t.Context(), pacer: egress.NewPacer(mbps)}
+		begin := time.Now()
+		_, err := pwr.Write(make([]byte, long))
+		must.NoError(t, err)
+		must.Eq(t, long, out.Len())
+		must.Between(t, 300*time.Millisecond, time.Since(begin), 450*time.Millisecond)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		pwr.ctx = ctx
+		num, err := pwr.Write(make([]byte, long))
+		must.ErrorIs(t, err, context.Canceled)
+		must.Less(t, long, num)
+	})
+}
--- a/internal/agent/caller/options.go
+++ b/internal/agent/caller/options.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/siskinrill/siskinrill/internal/host/egress"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
@@ -30,6 +31,8 @@
 	// ZoneSpillover keeps requests of services without keys in the zone of the agent while it has room, and sends away
 	// only the excess. Otherwise any upstream is picked, with a fixed penalty for other zones.
 	ZoneSpillover bool
+	// Pacer limits the rate of long answers; nil does not limit it.
+	Pacer *egress.Pacer
 	// MaxWaiting limits the requests that wait for an owner at the same time, 4,096 by default; further ones
 	// are refused immediately.
 	MaxWaiting int
--- a/internal/agent/peer/server.go
+++ b/internal/agent/peer/server.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/host/egress"
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
 
@@ -24,6 +25,7 @@
 	peerpb.UnimplementedPeerServiceServer
 	owner siskinrill.Owner
 	lease siskinrill.Lease
+	pacer *egress.Pacer
 	hooks serverHooks
 }
 
@@ -37,6 +39,9 @@
 	return &Server{owner: own, lease: lea}
 }
 
+// SetPacer limits the rate of long answers; it must be called before the server serves.
+func (srv *Server) SetPacer(pac *egress.Pacer) { srv.pacer = pac }
+
 // Register adds the peer service to a gRPC server.
 func (srv *Server) Register(reg grpc.ServiceRegistrar) { peerpb.RegisterPeerServiceServer(reg, srv) }
 
@@ -96,7 +101,7 @@
 	}
 	ctx, cancel := context.WithTimeout(str.Context(), time.Duration(opn.GetTimeoutMs())*time.Millisecond)
 	defer cancel()
-	rpl := &reply{stream: str, owner: srv.owner, method: opn.GetMethod(), skipEnd: srv.hooks.skipEnd}
+	rpl := &reply{stream: str, owner: srv.owner, method: opn.GetMethod(), pacer: srv.pacer, skipEnd: srv.hooks.skipEnd}
 	var bdy io.Reader
 	if !opn.GetBodyEnd() {
 		bdy = &requestBody{reply: rpl, stream: str, length: opn.GetBodyLength(), total: int64(len(opn.GetBody()))}
@@ -115,6 +120,7 @@
 	stream  peerpb.PeerService_ForwardServer
 	owner   siskinrill.Owner
 	method  string
+	pacer   *egress.Pacer
 	skipEnd bool
 }
 
@@ -145,7 +151,7 @@
 	if ans.Body() == nil || hea.GetBodyEnd() {
 		return rpl.sendBuffered(hea)
 	}
-	if lng := hea.GetBodyLength(); lng >= 0 && lng <= maxInlineAnswerBody {
+	if lng := hea.GetBodyLength(); lng >= 0 && lng <= int64(rpl.maxInline()) {
 		bdy := make([]byte, lng)
 		num := copy(bdy, hea.GetBody())
 		if err := readExactly(ans.Body(), bdy[num:]); err != nil {
@@ -165,17 +171,27 @@
 	if lng := hea.GetBodyLength(); lng >= 0 && lng != int64(len(bdy)) && !rpl.bodyless(hea.GetStatus()) {
 		return status.Errorf(codes.DataLoss, "answer has %d bytes, its head tells %d", len(bdy), lng)
 	}
-	if len(bdy) <= maxInlineAnswerBody {
+	inline := rpl.maxInline()
+	if len(bdy) <= inline {
 		return rpl.sendResponse(completeResponse(hea, bdy))
 	}
 	fst := &peerpb.Response{
 		Status: hea.GetStatus(), Headers: hea.GetHeaders(),
-		BodyLength: int64(len(bdy)), Body: bdy[:maxInlineAnswerBody],
+		BodyLength: int64(len(bdy)), Body: bdy[:inline],
 	}
 	if err := rpl.sendResponse(fst); err != nil {
 		return err
 	}
-	return rpl.sendRest(bytes.NewReader(bdy[maxInlineAnswerBody:]), maxInlineAnswerBody)
+	return rpl.sendRest(bytes.NewReader(bdy[inline:]), int64(inline))
+}
+
+// maxInline returns the length of the part of an answer that the first message may contain. Answers that are paced are sent
+// in chunks, so that they take turns.
+func (rpl *reply) maxInline() int {
+	if rpl.pacer != nil {
+		return chunkSize
+	}
+	return maxInlineAnswerBody
 }
 
 // bodyless reports whether an answer may declare a length without a body.
@@ -193,6 +209,9 @@
 
 // sendResponse sends a copy of the first message of an answer, because the original may be shared with a stored record.
 func (rpl *reply) sendResponse(rsp *peerpb.Response) error {
+	if err := rpl.pacer.Wait(rpl.stream.Context(), len(rsp.GetBody())); err != nil {
+		return err
+	}
 	msg := &peerpb.Response{
 		Status: rsp.GetStatus(), Headers: rsp.GetHeaders(), BodyLength: rsp.GetBodyLength(),
 		Body: rsp.GetBody(), BodyEnd: rsp.GetBodyEnd(), Load: rpl.owner.CurrentLoad(),
@@ -206,6 +225,9 @@
 		if dat.GetEnd() && rpl.skipEnd {
 			return nil
 		}
+		if err := rpl.pacer.Wait(rpl.stream.Context(), len(dat.GetBytes())); err != nil {
+			return err
+		}
 		return rpl.send(&peerpb.OwnerMessage{Kind: &peerpb.OwnerMessage_Data{Data: dat}})
 	})
 	if err != nil {
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -26,6 +26,8 @@
 	maxFreshness = 1000 * time.Hour
 	// maxPipelined is the number of requests that run ahead in the whole process at most.
 	maxPipelined = 256
+	// maxLinkMbps is the speed of the fastest links in Mbit/s.
+	maxLinkMbps = 1e6
 )
 
 // Log holds the settings of the section [log].
@@ -94,8 +96,10 @@
 	Pipelined uint32
 	// ZoneSpillover keeps requests of services without keys in the agent's zone while it has room.
 	ZoneSpillover bool
-	Admin         Admin
-	Log           Log
+	// LinkMbps is the speed of the host's network link in Mbit/s, 0 for not known. Long answers take a part of it only.
+	LinkMbps float64
+	Admin    Admin
+	Log      Log
 }
 
 // Standin holds the settings of a stand-in backend server.
@@ -196,6 +200,7 @@
 			source.Flag("unframed", &set.Unframed),
 			source.Uint32("pipelined", &set.Pipelined, 0, maxPipelined),
 			source.Flag("zone_spillover", &set.ZoneSpillover),
+			source.Number("link_mbps", &set.LinkMbps, 0, maxLinkMbps),
 		)...,
 	)
 	doc.decodeCommon(&set.Admin, &set.Log)
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -21,6 +21,7 @@
 	"github.com/siskinrill/siskinrill/internal/agent/owner"
 	"github.com/siskinrill/siskinrill/internal/agent/peer"
 	"github.com/siskinrill/siskinrill/internal/config/settings"
+	"github.com/siskinrill/siskinrill/internal/host/egress"
 	"github.com/siskinrill/siskinrill/internal/process/actor"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
@@ -135,8 +136,11 @@
 	prc.owner = owner.New(owner.Options{Slots: prc.backend.Slots, Warmup: prc.backend.Warmup, Region: set.Region, DrainGrace: set.DrainGrace}, ses, prc.pool, prc.backend, prc.counters)
 	prc.session.SetLoadSource(prc.owner)
 	prc.server = grpc.NewServer(peer.ServerOptions()...)
-	peer.NewServer(prc.owner, prc.session).Register(prc.server)
-	hdl := caller.New(caller.Options{Logger: opt.Logger, RequestIDHeader: opt.RequestIDHeader, DrainGrace: set.DrainGrace, Zone: set.Zone, ZoneSpillover: set.ZoneSpillover}, prc.session, prc.pool, prc.owner, prc.counters)
+	pac := egress.NewPacer(set.LinkMbps)
+	peers := peer.NewServer(prc.owner, prc.session)
+	peers.SetPacer(pac)
+	peers.Register(prc.server)
+	hdl := caller.New(caller.Options{Logger: opt.Logger, RequestIDHeader: opt.RequestIDHeader, DrainGrace: set.DrainGrace, Zone: set.Zone, ZoneSpillover: set.ZoneSpillover, Pacer: pac}, prc.session, prc.pool, prc.owner, prc.counters)
 	prc.entry = hdl
 	prc.callers = prc.trackRequests(hdl)
 	if opt.Translate != nil {
