quarantine: requests that crash backend servers are refused after three crashes

Cause: an agent knew that its server had ended and which runs had failed, but nobody put the two together, and nothing that one agent knew of a request reached another. net/http's own repeat of a request on a lost connection ended in a refused dial, which did not mark the server as failed.

Change: the agent beside a server that ends without having said so reports the requests whose connections failed and which that start has not answered before. The registry counts the crashes of each request, by service, method, path, body and caller; after three, all agents refuse it at once as not run (reason quarantined).

--- a/internal/admin/http/client.go
+++ b/internal/admin/http/client.go
@@ -89,6 +89,16 @@
 	return &ans, decodeAnswer(cod, dat, &ans)
 }
 
+// Release ends the quarantine of a request.
+func (cli *Client) Release(ctx context.Context, fingerprint uint64) (*controlpb.ReleaseAnswer, error) {
+	var ans controlpb.ReleaseAnswer
+	cod, dat, err := cli.request(ctx, http.MethodDelete, fmt.Sprintf("/v1/quarantine/%016x", fingerprint), nil)
+	if err != nil {
+		return nil, err
+	}
+	return &ans, decodeAnswer(cod, dat, &ans)
+}
+
 // Members returns the members of the control group with their lag.
 func (cli *Client) Members(ctx context.Context) (*controlpb.StatusAnswer, error) {
 	var ans controlpb.StatusAnswer
--- a/internal/admin/http/handler.go
+++ b/internal/admin/http/handler.go
@@ -9,6 +9,7 @@
 	"mime"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 	"unicode/utf8"
 
@@ -53,6 +54,7 @@
 	hdl.mux.HandleFunc("POST /v1/drain", hdl.drain)
 	hdl.mux.HandleFunc("POST /v1/zones/{zone}/drain", hdl.drainZone)
 	hdl.mux.HandleFunc("DELETE /v1/zones/{zone}/drain", hdl.drainZone)
+	hdl.mux.HandleFunc("DELETE /v1/quarantine/{request}", hdl.release)
 	hdl.mux.HandleFunc("GET /v1/members", hdl.members)
 	hdl.mux.HandleFunc("POST /v1/members", hdl.changeMembers)
 	hdl.mux.HandleFunc("GET /v1/ready", hdl.ready)
@@ -137,6 +139,17 @@
 	respond(wri, ans, err)
 }
 
+// release ends the quarantine of the request with a fingerprint of 16 hexadecimal digits.
+func (hdl *Handler) release(wri http.ResponseWriter, req *http.Request) {
+	fpr, err := strconv.ParseUint(req.PathValue("request"), 16, 64)
+	if err != nil {
+		writeProblem(wri, http.StatusBadRequest, "bad_request", "the request is not a fingerprint of 16 hexadecimal digits")
+		return
+	}
+	ans, err := hdl.options.Operator.Release(req.Context(), &controlpb.ReleaseRequest{Request: fpr})
+	respond(wri, ans, err)
+}
+
 func (hdl *Handler) members(wri http.ResponseWriter, req *http.Request) {
 	sta, err := hdl.options.Operator.Status(req.Context())
 	ans := &controlpb.StatusAnswer{
--- a/internal/admin/http/http_test.go
+++ b/internal/admin/http/http_test.go
@@ -65,6 +65,10 @@
 	return &controlpb.ApplyAnswer{Record: rec}, mem.redirect(ctx)
 }
 
+func (mem *member) Release(ctx context.Context, req *controlpb.ReleaseRequest) (*controlpb.ReleaseAnswer, error) {
+	return &controlpb.ReleaseAnswer{Known: req.GetRequest() == 0xc0ffee}, mem.redirect(ctx)
+}
+
 func (mem *member) DrainZone(ctx context.Context, req *controlpb.DrainZoneRequest) (*controlpb.DrainZoneAnswer, error) {
 	return &controlpb.DrainZoneAnswer{Zone: &controlpb.ZoneStatus{Zone: req.GetZone(), Drained: !req.GetUndo()}}, mem.redirect(ctx)
 }
@@ -208,6 +212,11 @@
 		must.Eq(t, "north 1/2", drn.GetZone().GetZone())
 		must.Eq(t, !undo, drn.GetZone().GetDrained())
 	}
+	for fpr, known := range map[uint64]bool{0xc0ffee: true, 1: false} {
+		rel, err := cli.Release(t.Context(), fpr)
+		must.NoError(t, err)
+		must.Eq(t, known, rel.GetKnown())
+	}
 	rdy, err := cli.Ready(t.Context())
 	must.NoError(t, err)
 	must.True(t, rdy.Ready)
--- a/internal/admin/http/operator.go
+++ b/internal/admin/http/operator.go
@@ -109,6 +109,16 @@
 	return ans, err
 }
 
+// Release ends the quarantine of a request; an order that is sent again has no further effect.
+func (opr *Operator) Release(ctx context.Context, req *controlpb.ReleaseRequest) (*controlpb.ReleaseAnswer, error) {
+	var ans *controlpb.ReleaseAnswer
+	err := opr.call(ctx, callOptions{}, func(ctx context.Context, cli controlpb.OperatorServiceClient) (err error) {
+		ans, err = cli.Release(ctx, req)
+		return err
+	})
+	return ans, err
+}
+
 // ChangeMembers changes the membership of the control group and waits until a new member has caught up.
 func (opr *Operator) ChangeMembers(ctx context.Context, req *controlpb.MembersRequest) (*controlpb.MembersAnswer, error) {
 	var ans *controlpb.MembersAnswer
--- a/internal/agent/backend/announce.go
+++ b/internal/agent/backend/announce.go
@@ -151,6 +151,7 @@
 	if leaving {
 		cli.state = controlpb.UpstreamState_UPSTREAM_STATE_DRAINING
 	}
+	cli.crashes.serverAccepted()
 	startsLeaving := leaving && !cli.leaving
 	cli.leaving = leaving
 	return startsLeaving
@@ -181,6 +182,9 @@
 // handleRestart resets the state that belongs to the server's previous incarnation; the caller holds the
 // mutex.
 func (cli *Client) handleRestart() {
+	if !cli.leaving {
+		cli.crashes.recordCrash()
+	}
 	cli.backoffUntil = time.Time{}
 	cli.leaving = false
 	cli.advice = advice{}
--- a/internal/agent/backend/answer.go
+++ b/internal/agent/backend/answer.go
@@ -34,6 +34,7 @@
 		return nil, rnn.classifyReadError(err)
 	}
 	rnn.end()
+	rnn.cli.crashes.recordAnswer(rnn.att)
 	hea.Body = buf
 	hea.BodyLength = int64(len(buf)) // an answer to HEAD states the length of a body that it does not have
 	hea.BodyEnd = true
@@ -59,6 +60,9 @@
 	if rsn != siskinrill.ReasonCallerGone {
 		rnn.cli.mtr.fail()
 	}
+	if rsn == siskinrill.ReasonBackendBadAnswer || rsn == siskinrill.ReasonBackendLost {
+		rnn.cli.crashes.recordLost(rnn.att)
+	}
 	return siskinrill.Unknown(rsn, err)
 }
 
@@ -73,6 +77,9 @@
 // Read reads from the answer; an interrupted answer is counted and returned as a refusal.
 func (abd *answerBody) Read(buf []byte) (int, error) {
 	num, err := abd.res.Body.Read(buf)
+	if err == io.EOF {
+		abd.rnn.cli.crashes.recordAnswer(abd.rnn.att)
+	}
 	if err == nil || err == io.EOF {
 		return num, err
 	}
--- a/internal/agent/backend/backend_test.go
+++ b/internal/agent/backend/backend_test.go
@@ -18,9 +18,10 @@
 
 // pair is a client connected to a stand-in backend server over loopback.
 type pair struct {
-	cli *backend.Client
-	cnt *siskinrill.Counters
-	srv *standin.Server
+	agent string // IP:port of the listener for announcements
+	cli   *backend.Client
+	cnt   *siskinrill.Counters
+	srv   *standin.Server
 }
 
 func newPair(t *testing.T, opt standin.Options, bop backend.Options) *pair {
@@ -30,6 +31,7 @@
 	agt := httptest.NewServer(pai.cli.Handler())
 	opt.ID, opt.Service = "checkout-1", "checkout"
 	opt.Agent = strings.TrimPrefix(agt.URL, "http://")
+	pai.agent = opt.Agent
 	srv, err := standin.New(opt)
 	must.NoError(t, err)
 	pai.srv = srv
--- a/internal/agent/backend/client.go
+++ b/internal/agent/backend/client.go
@@ -32,6 +32,7 @@
 	latestStart time.Time
 	leaving     bool
 	advice      advice
+	crashes     *crashes
 	cold        coldLimit
 	granted     map[string]uint64   // by fence partition
 	runs        map[*run]struct{}   // requests in flight
@@ -52,7 +53,7 @@
 
 // New returns a client that has no server until the first announcement.
 func New(opt Options, cnt *siskinrill.Counters) *Client {
-	return &Client{opt: opt.withDefaults(), cnt: cnt, granted: map[string]uint64{}, runs: map[*run]struct{}{}, keys: newKeys(), calls: newCalls(), pollNow: make(chan struct{}, 1)}
+	return &Client{opt: opt.withDefaults(), cnt: cnt, crashes: newCrashes(opt), granted: map[string]uint64{}, runs: map[*run]struct{}{}, keys: newKeys(), calls: newCalls(), pollNow: make(chan struct{}, 1)}
 }
 
 // Stats returns the agent's own statistics about the backend server.
@@ -164,7 +165,7 @@
 	if cause != causeRefused {
 		cli.reportFrom = later(time.Now().Add(cli.keys.remaining()), cli.latestStart)
 	}
-	idt, reportFrom := cli.ann.ID, cli.reportFrom
+	idt, reportFrom, leaving := cli.ann.ID, cli.reportFrom, cli.leaving
 	for rnn := range cli.runs {
 		rnn.serverFailed()
 	}
@@ -172,6 +173,9 @@
 	cli.cnt.Event("backend_failed_" + cause)
 	logrus.Warnf("backend: server %s marked as failed: %s", idt, cause)
 	tgt.close()
+	if cause == causeRefused && !leaving {
+		cli.crashes.recordCrash()
+	}
 	cli.report()
 	if wait := time.Until(reportFrom); wait > 0 {
 		time.AfterFunc(wait, cli.report)
--- a/internal/agent/backend/do.go
+++ b/internal/agent/backend/do.go
@@ -143,8 +143,13 @@
 	if !started {
 		return rnn.refuseUnwritten(err)
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		// net/http has lost the connection and sent the request again by itself.
+		rnn.cli.fail(rnn.tgt, causeRefused)
+	}
 	switch {
 	case rnn.failed.Load():
+		rnn.cli.crashes.recordLost(rnn.att)
 		return siskinrill.Unknown(siskinrill.ReasonBackendLost, err)
 	case rnn.callerFailed() || errors.Is(rnn.ctx.Err(), context.Canceled):
 		return siskinrill.Unknown(siskinrill.ReasonCallerGone, err)
@@ -154,6 +159,7 @@
 		}
 		return siskinrill.Unknown(siskinrill.ReasonBackendTimeout, err)
 	default:
+		rnn.cli.crashes.recordLost(rnn.att)
 		rnn.cli.mtr.fail()
 		return siskinrill.Unknown(siskinrill.ReasonBackendLost, err)
 	}
--- a/internal/agent/backend/options.go
+++ b/internal/agent/backend/options.go
@@ -61,6 +61,10 @@
 type Options struct {
 	// OnUpstream receives the backend server and its state whenever they change; calls do not overlap.
 	OnUpstream func(ups *controlpb.Upstream)
+	// OnCrash receives the requests that ran at the backend server when it crashed; default: nothing is recorded.
+	OnCrash func(rep *controlpb.CrashReport)
+	// CallerHeaders are the canonical names of the headers that tell callers apart; default: none.
+	CallerHeaders []string
 	// OnDrain is called once when the backend server announces that it is leaving.
 	OnDrain func()
 	// Draining reports whether this upstream is draining, for the answer to announcements; default: only if
--- a/internal/agent/caller/call.go
+++ b/internal/agent/caller/call.go
@@ -22,6 +22,9 @@
 // serve makes attempts until there is an answer or a refusal that another attempt cannot change.
 func (cal *call) serve() (*siskinrill.Answer, *siskinrill.Refusal) {
 	for {
+		if ref := cal.refuseQuarantined(); ref != nil {
+			return nil, ref
+		}
 		tgt, ref := cal.locate()
 		if ref != nil {
 			return nil, ref
--- a/internal/agent/caller/fakes_test.go
+++ b/internal/agent/caller/fakes_test.go
@@ -42,10 +42,11 @@
 	service         *controlpb.Service
 	nodes           map[uint64]*controlpb.Node
 
-	upstreams []*controlpb.Node
-	drained   []string // zones
-	allowed   []string // regions of the routes
-	row       atomic.Pointer[row]
+	upstreams   []*controlpb.Node
+	drained     []string                        // zones
+	allowed     []string                        // regions of the routes
+	quarantined atomic.Pointer[map[uint64]bool] // requests by fingerprint
+	row         atomic.Pointer[row]
 }
 
 const entrySession = 7
@@ -426,3 +427,7 @@
 	}
 	return "0"
 }
+
+func (ses *fakeSession) AnyQuarantined() bool { return ses.quarantined.Load() != nil }
+
+func (ses *fakeSession) Quarantined(req uint64) bool { return (*ses.quarantined.Load())[req] }
--- a/internal/agent/caller/options.go
+++ b/internal/agent/caller/options.go
@@ -16,6 +16,8 @@
 	Logger *logrus.Logger
 	// RequestIDHeader is the header with the caller's request id for the log, X-Request-Id by default.
 	RequestIDHeader string
+	// CallerHeaders are the canonical names of the headers that tell callers apart; default: none.
+	CallerHeaders []string
 	// Grace is how long past its deadline a request that must not run twice waits to learn whether it ran, 100
 	// ms by default.
 	Grace time.Duration
--- a/internal/agent/control/apply.go
+++ b/internal/agent/control/apply.go
@@ -53,6 +53,7 @@
 	tbl.services, tbl.routes, tbl.index = services, routes, idx
 	tbl.nodes, tbl.rows, tbl.members = nodes, rws, mem
 	tbl.zones.replace(snp.GetDrainedZones())
+	tbl.quarantine.replace(snp.GetQuarantined())
 	tbl.advance(snp.GetVersion())
 	return nil
 }
@@ -146,6 +147,8 @@
 		tbl.members = addresses(knd.Members)
 	case *controlpb.Change_SetZoneDrain:
 		tbl.zones.apply(knd.SetZoneDrain)
+	case *controlpb.Change_SetQuarantine:
+		tbl.quarantine.apply(knd.SetQuarantine)
 	}
 }
 
--- a/internal/agent/control/requests.go
+++ b/internal/agent/control/requests.go
@@ -12,6 +12,7 @@
 	upstream *controlpb.Upstream
 	leaving  bool
 	refs     map[refKey]bool
+	crashes  map[uint64]int // number of requests reported, by server
 }
 
 // sendRequests sends the agent's requests that have not been sent on this connection.
@@ -37,6 +38,12 @@
 		snt.leaving = true
 		msgs = append(msgs, &controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Drain{Drain: true}})
 	}
+	for _, rep := range ses.table.quarantine.recent() {
+		if snt.crashes[rep.GetServer()] != len(rep.GetRequests()) {
+			snt.crashes[rep.GetServer()] = len(rep.GetRequests())
+			msgs = append(msgs, &controlpb.AgentMessage{Kind: &controlpb.AgentMessage_CrashReport{CrashReport: rep}})
+		}
+	}
 	if rel := snt.unsentReleases(); rel != nil {
 		msgs = append(msgs, &controlpb.AgentMessage{Kind: &controlpb.AgentMessage_Released{Released: rel}})
 	}
--- a/internal/agent/control/serve.go
+++ b/internal/agent/control/serve.go
@@ -154,7 +154,7 @@
 	defer rnw.Stop()
 	rpt := time.NewTicker(exc.ses.opt.Report)
 	defer rpt.Stop()
-	sent := &sentState{exc: exc, refs: map[refKey]bool{}}
+	sent := &sentState{exc: exc, refs: map[refKey]bool{}, crashes: map[uint64]int{}}
 	reported := time.Now()
 	err := exc.sendRenewal()
 	if err == nil {
@@ -283,6 +283,7 @@
 		ses.dropConfirmedReleases()
 		ses.clearConfirmed()
 	case *controlpb.ControlMessage_Difference:
+		ses.logQuarantines(knd.Difference)
 		if err := ses.table.apply(knd.Difference); err != nil {
 			ses.opt.Counters.Event(eventGap)
 			ses.table.requestSnapshot()
--- a/internal/agent/control/table.go
+++ b/internal/agent/control/table.go
@@ -48,6 +48,7 @@
 	limits           *controlpb.RequestLimits
 	servingByService map[string][]*controlpb.Node // index by service, nil until built after a change of the nodes
 	zones            drainedZones
+	quarantine       quarantine
 }
 
 func newTable() *table {
--- a/internal/agent/owner/fake_test.go
+++ b/internal/agent/owner/fake_test.go
@@ -30,18 +30,19 @@
 type fakeSession struct {
 	anySession
 
-	mu        sync.Mutex
-	session   uint64
-	expires   time.Time
-	version   uint64
-	changed   chan struct{}
-	rows      map[string]*controlpb.Shard // by partition number or override key
-	drain     bool
-	zoneSince time.Time // of the order to drain the zone, zero for none
-	svc       *controlpb.Service
-	released  []*controlpb.ShardRef
-	nodes     []*controlpb.Node // registered agents, nil for none but this one
-	onRelease func(refs []*controlpb.ShardRef)
+	mu          sync.Mutex
+	session     uint64
+	expires     time.Time
+	version     uint64
+	changed     chan struct{}
+	rows        map[string]*controlpb.Shard // by partition number or override key
+	drain       bool
+	zoneSince   time.Time // of the order to drain the zone, zero for none
+	svc         *controlpb.Service
+	released    []*controlpb.ShardRef
+	nodes       []*controlpb.Node // registered agents, nil for none but this one
+	onRelease   func(refs []*controlpb.ShardRef)
+	quarantined map[uint64]bool // requests by fingerprint
 }
 
 func newFakeSession() *fakeSession {
@@ -303,3 +304,6 @@
 		test(t, bnc)
 	})
 }
+
+func (fse *fakeSession) AnyQuarantined() bool        { return len(fse.quarantined) > 0 }
+func (fse *fakeSession) Quarantined(req uint64) bool { return fse.quarantined[req] }
--- a/internal/agent/owner/handle.go
+++ b/internal/agent/owner/handle.go
@@ -134,6 +134,9 @@
 	if ref := own.markRunning(tck); ref != nil {
 		return siskinrill.Grant{}, ref
 	}
+	if own.quarantined(tck) {
+		return siskinrill.Grant{}, siskinrill.NotRun(siskinrill.ReasonQuarantined)
+	}
 	opn := tck.att.Open()
 	if own.flt.noLastCheck {
 		row := own.ses.Shard(opn.GetService(), opn.GetKey())
--- a/internal/agent/owner/options.go
+++ b/internal/agent/owner/options.go
@@ -50,6 +50,8 @@
 	Warmup func() (time.Duration, bool)
 	// Region is the region of this agent; default: none.
 	Region string
+	// CallerHeaders are the canonical names of the headers that tell callers apart; default: none.
+	CallerHeaders []string
 	// DrainGrace is how long a draining upstream still accepts requests; default 2.5 s.
 	DrainGrace time.Duration
 	// MaxRecords is the maximum number of attempt records, of running requests and of ended ones that must not run
--- a/internal/bench/replay/session.go
+++ b/internal/bench/replay/session.go
@@ -78,3 +78,6 @@
 
 // ZoneDrainAge returns false for the same reason.
 func (ses *session) ZoneDrainAge() (time.Duration, bool) { return 0, false }
+
+// AnyQuarantined returns false: servers of a replay do not crash.
+func (ses *session) AnyQuarantined() bool { return false }
--- a/internal/bench/standin/options.go
+++ b/internal/bench/standin/options.go
@@ -52,6 +52,8 @@
 	ColdRate float64
 	// ColdCrash closes the server when it gets more than it tolerates; otherwise it counts an overrun.
 	ColdCrash bool
+	// CrashPath is the start of the paths of requests that close the server while they run; default: none.
+	CrashPath string
 	// ColdKey is the extra service time of a request for a key that is not cached; 0: none.
 	ColdKey time.Duration
 	// WarmKeys is the maximum number of cached keys; default 100,000.
--- a/internal/bench/standin/request.go
+++ b/internal/bench/standin/request.go
@@ -21,6 +21,8 @@
 	// statusClientClosed marks runs whose client disconnected or whose deadline passed.
 	statusClientClosed = 499
 	maxPadding         = 64 << 20 // bytes of padding that a request may ask for
+	// crashDelay is how long a request runs that crashes the server.
+	crashDelay = 10 * time.Millisecond
 )
 
 // reply is the answer to a request.
@@ -154,6 +156,11 @@
 	firstRun.duplicate = false
 	seq := srv.ledger.startRun(srv.newRow(req, firstRun.faultName()))
 	bdy := readBody(req.Body)
+	if srv.opt.CrashPath != "" && strings.HasPrefix(req.URL.Path, srv.opt.CrashPath) {
+		time.Sleep(crashDelay)
+		srv.Close()
+		panic(http.ErrAbortHandler)
+	}
 	ctx, cancel := withDeadline(req)
 	defer cancel()
 	status := srv.simulateWork(ctx, srv.coldKeyDelay(req.Header.Get(siskinrill.HeaderFencePartition), req.Header.Get(siskinrill.HeaderKey)))
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -96,6 +96,8 @@
 	Pipelined uint32
 	// ZoneSpillover keeps requests of services without keys in the agent's zone while it has room.
 	ZoneSpillover bool
+	// CallerHeaders are the headers that tell callers apart, nil for the default of Authorization.
+	CallerHeaders []string
 	// LinkMbps is the speed of the host's network link in Mbit/s, 0 for not known. Long answers take a part of it only.
 	LinkMbps float64
 	Admin    Admin
@@ -201,6 +203,7 @@
 			source.Uint32("pipelined", &set.Pipelined, 0, maxPipelined),
 			source.Flag("zone_spillover", &set.ZoneSpillover),
 			source.Number("link_mbps", &set.LinkMbps, 0, maxLinkMbps),
+			source.Texts("caller_headers", &set.CallerHeaders),
 		)...,
 	)
 	doc.decodeCommon(&set.Admin, &set.Log)
--- a/internal/control/agent/commands.go
+++ b/internal/control/agent/commands.go
@@ -28,6 +28,9 @@
 		stm.enqueue(func() *controlpb.Command { return cmd })
 	case *controlpb.AgentMessage_SetUpstream:
 		stm.enqueueUpstream(knd.SetUpstream)
+	case *controlpb.AgentMessage_CrashReport:
+		cmd := registry.RecordCrash(knd.CrashReport)
+		stm.enqueue(func() *controlpb.Command { return cmd })
 	case *controlpb.AgentMessage_Drain:
 		stm.setLeaving(knd.Drain)
 	}
--- a/internal/control/agent/term.go
+++ b/internal/control/agent/term.go
@@ -18,6 +18,7 @@
 	group         sync.WaitGroup
 	hub           *hub
 	loads         *loads
+	suspects      suspectAges // used by the tick loop only
 	bulk          *bulkLimiter
 	tickRequested chan struct{} // requests an immediate tick
 	renewalQueued chan struct{} // signals a queued renewal
--- a/internal/control/agent/tick.go
+++ b/internal/control/agent/tick.go
@@ -35,6 +35,7 @@
 			lastTick = now
 			trm.closeBlocked(now)
 			trm.notifyMembers()
+			trm.lowerSuspicions(now)
 		case <-trm.tickRequested:
 		case <-trm.ctx.Done():
 			return
--- a/internal/control/operator/status.go
+++ b/internal/control/operator/status.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/control/agent"
@@ -34,6 +35,9 @@
 		ans.Commit, ans.ConfigurationNumber = stt.GetIndex(), stt.GetConfiguration().GetNumber()
 		ans.Upstreams = upstreamStatuses(stt, stats)
 		ans.Zones = zoneStatuses(stt, ans.GetUpstreams())
+		for _, sus := range stt.GetSuspects() {
+			ans.Suspects = append(ans.Suspects, proto.CloneOf(sus))
+		}
 		for _, cnf := range stt.GetConfiguration().GetServices() {
 			ans.Services = append(ans.Services, serviceStatus(stt, cnf, ans.GetUpstreams()))
 		}
--- a/internal/control/registry/commands.go
+++ b/internal/control/registry/commands.go
@@ -52,3 +52,21 @@
 func SetDrain(ups string, drn bool) *controlpb.Command {
 	return &controlpb.Command{Kind: &controlpb.Command_SetDrain{SetDrain: &controlpb.SetDrain{Upstream: ups, Drain: drn}}}
 }
+
+// RecordCrash returns the command that counts the crash of a server for the requests that ran there.
+func RecordCrash(rep *controlpb.CrashReport) *controlpb.Command {
+	return &controlpb.Command{Kind: &controlpb.Command_CrashReport{CrashReport: rep}}
+}
+
+// LowerSuspicion returns the command that ends the quarantine of requests, and forgets those that are not in quarantine,
+// unless they have crashed a server after a log index.
+func LowerSuspicion(idx uint64, reqs ...uint64) *controlpb.Command {
+	low := &controlpb.LowerSuspicion{Requests: reqs, Index: idx}
+	return &controlpb.Command{Kind: &controlpb.Command_LowerSuspicion{LowerSuspicion: low}}
+}
+
+// ForgetSuspects returns the command that forgets requests and ends their quarantine.
+func ForgetSuspects(reqs ...uint64) *controlpb.Command {
+	low := &controlpb.LowerSuspicion{Requests: reqs, Forget: true}
+	return &controlpb.Command{Kind: &controlpb.Command_LowerSuspicion{LowerSuspicion: low}}
+}
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -63,6 +63,10 @@
 		reg.setDrain(knd.SetDrain)
 	case *controlpb.Command_SetZoneDrain:
 		reg.setZoneDrain(idx, knd.SetZoneDrain)
+	case *controlpb.Command_CrashReport:
+		reg.recordCrash(idx, knd.CrashReport)
+	case *controlpb.Command_LowerSuspicion:
+		reg.lowerSuspicion(idx, knd.LowerSuspicion)
 	}
 	return nil, 0
 }
@@ -100,6 +104,7 @@
 		Configuration: forAgents(reg.state.GetConfiguration()),
 		Nodes:         append([]*controlpb.Node(nil), reg.state.GetNodes()...),
 		DrainedZones:  append([]string(nil), reg.state.GetDrainedZones()...),
+		Quarantined:   reg.quarantined(),
 	}
 	for _, svc := range reg.state.GetConfiguration().GetServices() {
 		if tab := reg.table(svc.GetName()); tab != nil {
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -114,6 +114,18 @@
 		gua.Node(gua.Session()).GetUpstream().GetLeaving()
 }
 
+// canonicalHeaders returns the canonical names of the headers that tell callers apart.
+func canonicalHeaders(names []string) []string {
+	if names == nil {
+		return []string{"Authorization"}
+	}
+	var out []string
+	for _, name := range names {
+		out = append(out, http.CanonicalHeaderKey(name))
+	}
+	return out
+}
+
 // New assembles an agent and opens its listeners.
 func New(opt Options) (*Process, error) {
 	if err := opt.listen(); err != nil {
@@ -121,26 +133,27 @@
 	}
 	prc := &Process{options: opt, counters: siskinrill.NewCounters()}
 	set := opt.Settings
+	callerHeaders := canonicalHeaders(set.CallerHeaders)
 	prc.session = control.New(control.Options{
 		Node: newNode(opt), Control: set.Control, Logger: opt.Logger, Counters: prc.counters,
 		Lease: maxLease, Renew: maxLease, Freshness: set.Freshness, Report: set.ReportEvery,
 	})
 	prc.pool = peer.NewPool(peer.Options{Logger: opt.Logger, Counters: prc.counters})
 	prc.backend = backend.New(backend.Options{
-		OnUpstream: prc.session.SetUpstream, Draining: prc.session.Draining,
+		OnUpstream: prc.session.SetUpstream, OnCrash: prc.session.ReportCrash, CallerHeaders: callerHeaders, Draining: prc.session.Draining,
 		MayStop: func() bool { return prc.owner.Idle() },
 		Owned:   prc.session.Owned, Lease: prc.session.Expires, Service: prc.session.Service, Incoming: prc.session.Incoming,
 		Grants: opt.Grants, Transport: opt.Transport, MaxIdle: set.BackendIdle, MaxRanges: int(set.MaxRanges), Unframed: set.Unframed,
 	}, prc.counters)
 	ses := ownerSession{embeddedSession: prc.session, backend: prc.backend}
-	prc.owner = owner.New(owner.Options{Slots: prc.backend.Slots, Warmup: prc.backend.Warmup, Region: set.Region, DrainGrace: set.DrainGrace}, ses, prc.pool, prc.backend, prc.counters)
+	prc.owner = owner.New(owner.Options{Slots: prc.backend.Slots, Warmup: prc.backend.Warmup, Region: set.Region, DrainGrace: set.DrainGrace, CallerHeaders: callerHeaders}, ses, prc.pool, prc.backend, prc.counters)
 	prc.session.SetLoadSource(prc.owner)
 	prc.server = grpc.NewServer(peer.ServerOptions()...)
 	pac := egress.NewPacer(set.LinkMbps)
 	peers := peer.NewServer(prc.owner, prc.session)
 	peers.SetPacer(pac)
 	peers.Register(prc.server)
-	hdl := caller.New(caller.Options{Logger: opt.Logger, RequestIDHeader: opt.RequestIDHeader, DrainGrace: set.DrainGrace, Zone: set.Zone, ZoneSpillover: set.ZoneSpillover, Pacer: pac}, prc.session, prc.pool, prc.owner, prc.counters)
+	hdl := caller.New(caller.Options{Logger: opt.Logger, RequestIDHeader: opt.RequestIDHeader, CallerHeaders: callerHeaders, DrainGrace: set.DrainGrace, Zone: set.Zone, ZoneSpillover: set.ZoneSpillover, Pacer: pac}, prc.session, prc.pool, prc.owner, prc.counters)
 	prc.entry = hdl
 	prc.callers = prc.trackRequests(hdl)
 	if opt.Translate != nil {
--- a/reason.go
+++ b/reason.go
@@ -63,6 +63,8 @@
 	ReasonIdempotencyKeyReused Reason = "idempotency_key_reused"
 	// ReasonRetryBudget means that a retry was possible but the retry budget was exhausted.
 	ReasonRetryBudget Reason = "retry_budget"
+	// ReasonQuarantined means that the request has crashed several backend servers and is not run until its quarantine ends.
+	ReasonQuarantined Reason = "quarantined"
 	// ReasonRecordsFull means that the owner has reached its limit of attempt records.
 	ReasonRecordsFull Reason = "records_full"
 	// ReasonDuplicateAttempt means that an attempt arrived again while it was running or after it had ended.
--- a/session.go
+++ b/session.go
@@ -10,6 +10,7 @@
 type Session interface {
 	Lease
 	RoutingTable
+	Quarantine
 	// Owned returns copies of the rows that this session owns, including those that are being released.
 	Owned() []*controlpb.Shard
 	// Release reports to control that no request of the shards is in flight and none will be dispatched.
@@ -26,6 +27,8 @@
 	// ZoneDrainAge returns for how long the zone of this agent may have been drained, and false if it is not. It is an
 	// upper limit: without earlier contact with control the order may have any age.
 	ZoneDrainAge() (time.Duration, bool)
+	// ReportCrash reports to control which requests ran at the backend server when it crashed.
+	ReportCrash(rep *controlpb.CrashReport)
 }
 
 // LoadSource collects the load figures that an agent reports to control.
