--- a/internal/agent/backend/announce_test.go
+++ b/internal/agent/backend/announce_test.go
@@ -101,6 +101,12 @@
 		"no slots":       `{"id":"a","service":"s","url":"http://127.0.0.1:9","connections":1}`,
 		"no connections": `{"id":"a","service":"s","url":"http://127.0.0.1:9","slots":1}`,
 		"no host":        `{"id":"a","service":"s","url":"http://","slots":1,"connections":1}`,
+		"port too large": `{"id":"a","service":"s","url":"http://127.0.0.1:65536","slots":1,"connections":1}`,
+		"port 0":         `{"id":"a","service":"s","url":"http://127.0.0.1:0","slots":1,"connections":1}`,
+		"too many slots": `{"id":"a","service":"s","url":"http://127.0.0.1:9","slots":4000000000,"connections":1}`,
+		"connections":    `{"id":"a","service":"s","url":"http://127.0.0.1:9","slots":1,"connections":4000000000}`,
+		"large number":   `{"id":"a","service":"s","url":"http://127.0.0.1:9","slots":1,"connections":1,"sequence":1e999}`,
+		"nested":         `{"id":"a","service":"s","url":"http://127.0.0.1:9","slots":1,"connections":1,"holds":` + strings.Repeat("[", 30_000) + strings.Repeat("]", 30_000) + `}`,
 		"other scheme":   `{"id":"a","service":"s","url":"ftp://127.0.0.1","slots":1,"connections":1}`,
 	}
 	for name, body := range tests {
@@ -109,6 +115,8 @@
 			code, _ := announce(t.Context(), cli, body)
 			must.Eq(t, http.StatusBadRequest, code)
 			must.Eq(t, 0, cli.Slots())
+			code, _ = announce(t.Context(), cli, announcement("b", false))
+			must.Eq(t, http.StatusOK, code, must.Sprint("the server of this agent is refused because of it"))
 		})
 	}
 }
--- a/internal/agent/backend/announcement.go
+++ b/internal/agent/backend/announcement.go
@@ -2,9 +2,19 @@
 
 import (
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill"
+)
+
+const (
+	// maxSlots is the maximum number of slots, and of connections, of a backend server.
+	maxSlots = 1 << 16
+	// maxSequence is the largest sequence number that a JSON number of any sender holds exactly.
+	maxSequence = 1<<53 - 1
 )
 
 // Announcement is a heartbeat of a backend server, and the JSON body of POST /announce.
@@ -86,6 +96,7 @@
 // Error returns the reason.
 func (ane *AnnouncementError) Error() string { return ane.reason }
 
+// check reports what makes an announcement invalid.
 func (ann *Announcement) check() error {
 	if ann.ID == "" || ann.Service == "" {
 		return errors.New("id and service are required")
@@ -97,8 +108,31 @@
 	if loc.Scheme != "http" || loc.Host == "" {
 		return errors.Errorf("url %q is not an http URL with a host", ann.URL)
 	}
-	if ann.Slots == 0 || ann.Connections == 0 {
-		return errors.New("slots and connections must be over 0")
+	if prt := loc.Port(); prt != "" {
+		if num, err := strconv.ParseUint(prt, 10, 16); err != nil || num == 0 {
+			return errors.Errorf("url %q has a port out of range; allowed: 1 to 65535", ann.URL)
+		}
+	}
+	if ann.Slots == 0 || ann.Connections == 0 || ann.Slots > maxSlots || ann.Connections > maxSlots {
+		return errors.Errorf("slots and connections are %d and %d; allowed: 1 to %d", ann.Slots, ann.Connections, maxSlots)
+	}
+	if ann.Sequence > maxSequence {
+		return errors.Errorf("sequence is %d; allowed: up to %d", ann.Sequence, uint64(maxSequence))
+	}
+	return ann.checkRanges()
+}
+
+// checkRanges reports a range that contains no key or ends behind the last one.
+func (ann *Announcement) checkRanges() error {
+	for _, rng := range ann.Holds {
+		if rng.First > rng.Last || rng.Last >= siskinrill.NumericKeyCount {
+			return errors.Errorf("holds %d to %d, which is no range of keys", rng.First, rng.Last)
+		}
+	}
+	for _, rng := range ann.Released {
+		if rng.First > rng.Last || rng.Last >= siskinrill.NumericKeyCount {
+			return errors.Errorf("released %d to %d, which is no range of keys", rng.First, rng.Last)
+		}
 	}
 	return nil
 }
