backend, platform: an earlier refusal that arrives again proves nothing

What operators of similar systems saw: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that the server ran.

Cause: on the platform a refusal without an attempt id was accepted on any connection, and an attempt that is sent again to the server that has refused it has the id of the refused one, so that the second copy fits.

Retries, which the entry marks, are sent on connections of their own.

--- a/internal/agent/backend/do.go
+++ b/internal/agent/backend/do.go
@@ -103,7 +103,7 @@
 	if err != nil {
 		return nil, siskinrill.NewRefusal(siskinrill.ReasonBadRequest, peerpb.Outcome_OUTCOME_NOT_RUN, err)
 	}
-	res, err := rnn.tgt.transport.RoundTrip(req)
+	res, err := rnn.transport().RoundTrip(req)
 	if err != nil {
 		return nil, rnn.classifyFailure(err)
 	}
@@ -118,6 +118,15 @@
 	return rnn.answer(res)
 }
 
+// transport returns the connections for this attempt. The server may have refused an earlier attempt of a retried request,
+// and write that refusal once more on a connection that is kept.
+func (rnn *run) transport() http.RoundTripper {
+	if rnn.att.Open().GetRetry() {
+		return rnn.tgt.retries
+	}
+	return rnn.tgt.transport
+}
+
 // serverFailed prevents the request from starting. An idempotent request ends immediately, so that it can be
 // retried elsewhere; any other that was started is left to the server until its deadline.
 func (rnn *run) serverFailed() {
--- a/internal/agent/backend/target.go
+++ b/internal/agent/backend/target.go
@@ -12,6 +12,7 @@
 	base      *url.URL
 	pool      *http.Transport
 	transport http.RoundTripper // the pool, or a wrapper that translates headers
+	retries   http.RoundTripper // opens a connection for each retry, on which no earlier answer can arrive a second time
 	probes    http.RoundTripper // separate, so that an exhausted pool does not make the server look failed
 	polls     http.RoundTripper // separate, on one connection that is kept between two polls of the health path
 	calls     *http.Transport   // separate, so that grants and releases don't queue behind requests
@@ -39,6 +40,10 @@
 	}
 	return &target{
 		base: loc, pool: pool, transport: opt.Transport(pool),
+		retries: opt.Transport(&http.Transport{
+			DialContext: dial, MaxConnsPerHost: int(ann.Connections), DisableKeepAlives: true, DisableCompression: true,
+			MaxResponseHeaderBytes: maxAnswerHeader,
+		}),
 		probes: opt.Transport(&http.Transport{DialContext: opt.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxAnswerHeader}),
 		polls: opt.Transport(&http.Transport{
 			DialContext: opt.Dial, MaxConnsPerHost: 1, IdleConnTimeout: pollIdle, MaxResponseHeaderBytes: maxAnswerHeader,
