tests: one harness for stated limits, leaving servers and crashes

The tests of stated rate limits and of leaving servers had the same loops over services and disturbances, the tests of refusals by rate the same count, the tests of cold servers the same start, and the new test of crashing servers repeated the options of its stand-ins. They share these now. The bounds, checks and cases are unchanged. New in process/agent breaks its long calls by topic.

--- a/internal/agent/backend/cold_test.go
+++ b/internal/agent/backend/cold_test.go
@@ -285,13 +285,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer time.Sleep(time.Second) // a poll in progress ends
-				defer cancel()
-				cbn := newColdBench()
-				go func() { _ = cbn.cli.Run(ctx) }()
-				cbn.announce(t, 5, true)
-				time.Sleep(time.Second)
+				cbn, end := runColdBench(t)
+				defer end()
 				must.False(t, cbn.cold())
 				test(t, cbn)
 			})
@@ -299,6 +294,19 @@
 	}
 }
 
+// runColdBench returns a bench whose client runs and knows a warm server, and a function that ends the client.
+func runColdBench(t *testing.T) (*coldBench, func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cbn := newColdBench()
+	go func() { _ = cbn.cli.Run(ctx) }()
+	cbn.announce(t, 5, true)
+	time.Sleep(time.Second)
+	return cbn, func() {
+		cancel()
+		time.Sleep(time.Second) // a poll in progress ends
+	}
+}
+
 // TestUnnoticedColdness guards against a warm server that becomes cold at any moment and gets more requests in a second than a
 // cold one tolerates, until its agent has learned of it and for a second after that.
 func TestUnnoticedColdness(t *testing.T) {
@@ -306,13 +314,8 @@
 	for _, rate := range []int{13, 26, 33, 51, 66} {
 		for shift := range 10 {
 			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer time.Sleep(time.Second) // a poll in progress ends
-				defer cancel()
-				cbn := newColdBench()
-				go func() { _ = cbn.cli.Run(ctx) }()
-				cbn.announce(t, 5, true)
-				time.Sleep(time.Second)
+				cbn, end := runColdBench(t)
+				defer end()
 				cold, sent := time.Duration(shift)*37*time.Millisecond, 0
 				for now := time.Duration(0); now < cold+time.Second; now += time.Second / time.Duration(rate) {
 					if now >= cold && cbn.srv.until.Load() == 0 {
--- a/internal/agent/owner/startrate_test.go
+++ b/internal/agent/owner/startrate_test.go
@@ -129,17 +129,7 @@
 		bnc.bck.advice.Store(&peerpb.Advice{Limited: true, RateLimit: 2})
 		time.Sleep(2 * tickInterval)
 		synctest.Wait()
-		refused := 0
-		for _, out := range outs {
-			select {
-			case err := <-out:
-				if err != nil {
-					must.Eq(t, siskinrill.ReasonBackendRateLimited, reasonOf(err))
-					refused++
-				}
-			default:
-			}
-		}
+		refused := countRateLimited(t, outs)
 		must.Between(t, 4, refused, 7)
 		bnc.bck.advice.Store(nil)
 		time.Sleep(time.Second)
@@ -234,17 +224,7 @@
 				bnc.bck.cold.Store(lmt)
 				time.Sleep(2 * tickInterval)
 				synctest.Wait()
-				refused := 0
-				for _, out := range outs {
-					select {
-					case err := <-out:
-						if err != nil {
-							must.Eq(t, siskinrill.ReasonBackendRateLimited, reasonOf(err))
-							refused++
-						}
-					default:
-					}
-				}
+				refused := countRateLimited(t, outs)
 				must.Between(t, tcs.refused-1, refused, tcs.refused)
 				time.Sleep(time.Minute)
 				synctest.Wait()
@@ -343,3 +323,19 @@
 		must.NotNil(t, own.forecast(tck), must.Sprintf("admitted, starts in %v", own.starts.wait(6, time.Now())))
 	})
 }
+
+// countRateLimited returns how many of the attempts that have ended were refused, all of them for the rate limit.
+func countRateLimited(t *testing.T, outs []<-chan error) int {
+	refused := 0
+	for _, out := range outs {
+		select {
+		case err := <-out:
+			if err != nil {
+				must.Eq(t, siskinrill.ReasonBackendRateLimited, reasonOf(err))
+				refused++
+			}
+		default:
+		}
+	}
+	return refused
+}
--- a/internal/process/agent/advice_test.go
+++ b/internal/process/agent/advice_test.go
@@ -144,11 +144,7 @@
 	}}
 	mem.settings.Admin.Listen = "127.0.0.1:0"
 	mem.start(t)
-	srv, err := standin.New(standin.Options{
-		ID: fmt.Sprintf("%s-%d", svc, num), Service: svc, Agent: mem.backend, Median: 5 * time.Millisecond,
-		CheckFence: tested.GetKeyMode() != controlpb.KeyMode_KEY_MODE_NONE, // without keys there are no fencing tokens
-		HoldsKeys:  svc == tested.GetName() && tested.GetCarrier() == controlpb.Carrier_CARRIER_DIRECT,
-	})
+	srv, err := standin.New(mem.standinOptions(num, svc, tested))
 	must.NoError(t, err)
 	t.Cleanup(srv.Close)
 	run(t, srv.Run)
@@ -156,6 +152,15 @@
 	return mem
 }
 
+// standinOptions returns the options of the stand-in beside the agent with a number.
+func (mem *member) standinOptions(num int, svc string, tested *controlpb.Service) standin.Options {
+	return standin.Options{
+		ID: fmt.Sprintf("%s-%d", svc, num), Service: svc, Agent: mem.backend, Median: 5 * time.Millisecond,
+		CheckFence: tested.GetKeyMode() != controlpb.KeyMode_KEY_MODE_NONE, // without keys there are no fencing tokens
+		HoldsKeys:  svc == tested.GetName() && tested.GetCarrier() == controlpb.Carrier_CARRIER_DIRECT,
+	}
+}
+
 // start starts the agent, at its previous addresses for callers and for the backend server if it has run before.
 func (mem *member) start(t *testing.T) {
 	cal, err := actor.Listen(mem.settings.CallerListen)
@@ -286,7 +291,8 @@
 
 // disturbance is what happens to the fleet while a backend server states something.
 type disturbance struct {
-	do func(t *testing.T, flt *fleet)
+	do       func(t *testing.T, flt *fleet)
+	disturbs bool // do has an effect
 	// restarts means that requests that began at the agent of the server do not count: it has forgotten what it has
 	// passed on, and learns it again with the first answer or request of another agent.
 	restarts bool
@@ -295,13 +301,13 @@
 func disturbances() map[string]disturbance {
 	return map[string]disturbance{
 		"undisturbed": {do: func(*testing.T, *fleet) {}},
-		"agent of the server restarts twice": {restarts: true, do: func(t *testing.T, flt *fleet) {
+		"agent of the server restarts twice": {disturbs: true, restarts: true, do: func(t *testing.T, flt *fleet) {
 			flt.members[0].restart(t)
 			time.Sleep(1500 * time.Millisecond)
 			flt.members[0].restart(t)
 		}},
-		"control lost": {do: func(_ *testing.T, flt *fleet) { flt.stopControl() }},
-		"agent of the server cut off from the others": {do: func(_ *testing.T, flt *fleet) {
+		"control lost": {disturbs: true, do: func(_ *testing.T, flt *fleet) { flt.stopControl() }},
+		"agent of the server cut off from the others": {disturbs: true, do: func(_ *testing.T, flt *fleet) {
 			for range 2 {
 				flt.members[0].peers.cut()
 				time.Sleep(1200 * time.Millisecond)
@@ -332,64 +338,64 @@
 	}
 }
 
-// TestStatedRateLimit guards against sending a backend server more requests than it states in its answers that it accepts,
-// summed over all agents, also after a restart of its agent and without control.
-func TestStatedRateLimit(t *testing.T) {
+// eachDisturbance runs a test with a fleet under load for each kind of service and each disturbance; header is one that answers
+// are checked for.
+func eachDisturbance(t *testing.T, header string, test func(t *testing.T, flt *fleet, obs *observations, dst disturbance)) {
 	for svcName, svc := range testedServices() {
-		for name, disturb := range disturbances() {
+		for name, dst := range disturbances() {
 			t.Run(svcName+", "+name, func(t *testing.T) {
 				t.Parallel()
 				flt := startFleet(t, svc)
-				obs := flt.load(t.Context(), siskinrill.HeaderRateLimit)
-				limited := flt.members[0].standin
+				obs := flt.load(t.Context(), header)
 				await(t, func() bool {
-					return len(limited.Ledger(0, 100)) >= 20 && len(flt.members[1].standin.Ledger(0, 100)) >= 20
+					return len(flt.members[0].standin.Ledger(0, 100)) >= 20 && len(flt.members[1].standin.Ledger(0, 100)) >= 20
 				})
-				must.NoError(t, limited.SetFaults(standin.Faults{RateLimit: statedLimit, SlowFactor: slowFactor}))
-				awaitWithin(t, setupTimeout, func() bool { return !obs.firstStated().IsZero() })
-				start := obs.firstStated().Add(limitGrace)
-				time.Sleep(time.Until(start))
-				disturb.do(t, flt)
-				time.Sleep(limitWindow + time.Second)
-				allowed := int(1.5*statedLimit*limitWindow.Seconds()) + 5
-				got := standin.MaxStarts(flt.counted(t, disturb), start, limitWindow)
-				all := standin.MaxStarts(limited.Ledger(0, 100_000), start, limitWindow)
-				t.Logf("%d requests in %s, allowed %d; %d with all that do not count", got, limitWindow, allowed, all)
-				must.LessEq(t, allowed, got)
-				if name == "undisturbed" {
-					obs.requireEarlyRefusals(t, start)
-				}
+				test(t, flt, obs, dst)
 			})
 		}
 	}
 }
 
+// stateInAnswers makes the first member's backend server state something in its answers, and returns when the first of these
+// arrived.
+func (flt *fleet) stateInAnswers(t *testing.T, obs *observations, fls standin.Faults) time.Time {
+	must.NoError(t, flt.members[0].standin.SetFaults(fls))
+	awaitWithin(t, setupTimeout, func() bool { return !obs.firstStated().IsZero() })
+	return obs.firstStated()
+}
+
+// TestStatedRateLimit guards against sending a backend server more requests than it states in its answers that it accepts,
+// summed over all agents, also after a restart of its agent and without control.
+func TestStatedRateLimit(t *testing.T) {
+	eachDisturbance(t, siskinrill.HeaderRateLimit, func(t *testing.T, flt *fleet, obs *observations, dst disturbance) {
+		start := flt.stateInAnswers(t, obs, standin.Faults{RateLimit: statedLimit, SlowFactor: slowFactor}).Add(limitGrace)
+		time.Sleep(time.Until(start))
+		dst.do(t, flt)
+		time.Sleep(limitWindow + time.Second)
+		allowed := int(1.5*statedLimit*limitWindow.Seconds()) + 5
+		got := standin.MaxStarts(flt.counted(t, dst), start, limitWindow)
+		all := standin.MaxStarts(flt.members[0].standin.Ledger(0, 100_000), start, limitWindow)
+		t.Logf("%d requests in %s, allowed %d; %d with all that do not count", got, limitWindow, allowed, all)
+		must.LessEq(t, allowed, got)
+		if !dst.disturbs {
+			obs.requireEarlyRefusals(t, start)
+		}
+	})
+}
+
 // TestStatedLeaving guards against requests to a backend server long after an answer that stated that it is leaving,
 // although its announcements do not, also after a restart of its agent and without control.
 func TestStatedLeaving(t *testing.T) {
-	for svcName, svc := range testedServices() {
-		for name, disturb := range disturbances() {
-			t.Run(svcName+", "+name, func(t *testing.T) {
-				t.Parallel()
-				flt := startFleet(t, svc)
-				obs := flt.load(t.Context(), siskinrill.HeaderLeaving)
-				leaving := flt.members[0].standin
-				await(t, func() bool {
-					return len(leaving.Ledger(0, 100)) >= 20 && len(flt.members[1].standin.Ledger(0, 100)) >= 20
-				})
-				must.NoError(t, leaving.SetFaults(standin.Faults{StateLeaving: true}))
-				awaitWithin(t, setupTimeout, func() bool { return !obs.firstStated().IsZero() })
-				disturb.do(t, flt)
-				end := obs.firstStated().Add(leavingGrace)
-				time.Sleep(time.Until(end) + 3*time.Second)
-				late := 0
-				for _, row := range flt.counted(t, disturb) {
-					if row.StartedUnixUs > end.UnixMicro() {
-						late++
-					}
-				}
-				must.Zero(t, late, must.Sprint("requests after the grace"))
-			})
+	eachDisturbance(t, siskinrill.HeaderLeaving, func(t *testing.T, flt *fleet, obs *observations, dst disturbance) {
+		end := flt.stateInAnswers(t, obs, standin.Faults{StateLeaving: true}).Add(leavingGrace)
+		dst.do(t, flt)
+		time.Sleep(time.Until(end) + 3*time.Second)
+		late := 0
+		for _, row := range flt.counted(t, dst) {
+			if row.StartedUnixUs > end.UnixMicro() {
+				late++
+			}
 		}
-	}
+		must.Zero(t, late, must.Sprint("requests after the grace"))
+	})
 }
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -140,20 +140,26 @@
 	})
 	prc.pool = peer.NewPool(peer.Options{Logger: opt.Logger, Counters: prc.counters})
 	prc.backend = backend.New(backend.Options{
-		OnUpstream: prc.session.SetUpstream, OnCrash: prc.session.ReportCrash, CallerHeaders: callerHeaders, Draining: prc.session.Draining,
+		OnUpstream: prc.session.SetUpstream, Draining: prc.session.Draining,
+		OnCrash: prc.session.ReportCrash, CallerHeaders: callerHeaders,
 		MayStop: func() bool { return prc.owner.Idle() },
 		Owned:   prc.session.Owned, Lease: prc.session.Expires, Service: prc.session.Service, Incoming: prc.session.Incoming,
 		Grants: opt.Grants, Transport: opt.Transport, MaxIdle: set.BackendIdle, MaxRanges: int(set.MaxRanges), Unframed: set.Unframed,
 	}, prc.counters)
 	ses := ownerSession{embeddedSession: prc.session, backend: prc.backend}
-	prc.owner = owner.New(owner.Options{Slots: prc.backend.Slots, Warmup: prc.backend.Warmup, Region: set.Region, DrainGrace: set.DrainGrace, CallerHeaders: callerHeaders}, ses, prc.pool, prc.backend, prc.counters)
+	prc.owner = owner.New(owner.Options{
+		Slots: prc.backend.Slots, Warmup: prc.backend.Warmup, Region: set.Region, DrainGrace: set.DrainGrace, CallerHeaders: callerHeaders,
+	}, ses, prc.pool, prc.backend, prc.counters)
 	prc.session.SetLoadSource(prc.owner)
 	prc.server = grpc.NewServer(peer.ServerOptions()...)
 	pac := egress.NewPacer(set.LinkMbps)
 	peers := peer.NewServer(prc.owner, prc.session)
 	peers.SetPacer(pac)
 	peers.Register(prc.server)
-	hdl := caller.New(caller.Options{Logger: opt.Logger, RequestIDHeader: opt.RequestIDHeader, CallerHeaders: callerHeaders, DrainGrace: set.DrainGrace, Zone: set.Zone, ZoneSpillover: set.ZoneSpillover, Pacer: pac}, prc.session, prc.pool, prc.owner, prc.counters)
+	hdl := caller.New(caller.Options{
+		Logger: opt.Logger, RequestIDHeader: opt.RequestIDHeader, CallerHeaders: callerHeaders, DrainGrace: set.DrainGrace,
+		Zone: set.Zone, ZoneSpillover: set.ZoneSpillover, Pacer: pac,
+	}, prc.session, prc.pool, prc.owner, prc.counters)
 	prc.entry = hdl
 	prc.callers = prc.trackRequests(hdl)
 	if opt.Translate != nil {
--- a/internal/process/agent/quarantine_test.go
+++ b/internal/process/agent/quarantine_test.go
@@ -32,6 +32,18 @@
 	srvs []*standin.Server // all that were ever started
 }
 
+// startCrashing replaces the stand-ins of the tested service by such that requests can crash.
+func startCrashing(t *testing.T, flt *fleet, svc *controlpb.Service) *crashingServers {
+	csv := &crashingServers{}
+	for pos, mem := range flt.members[:2] {
+		mem.standin.Close()
+		opt := mem.standinOptions(pos+1, svc.GetName(), svc)
+		opt.Numbered, opt.CrashPath = true, crashPath
+		csv.start(t.Context(), mem, opt)
+	}
+	return csv
+}
+
 // start runs the stand-in of a member until the context ends, and starts it again after each crash.
 func (csv *crashingServers) start(ctx context.Context, mem *member, opt standin.Options) {
 	go func() {
@@ -93,15 +105,7 @@
 		t.Run(svcName, func(t *testing.T) {
 			t.Parallel()
 			flt := startFleet(t, svc)
-			csv := &crashingServers{}
-			for pos, mem := range flt.members[:2] {
-				mem.standin.Close()
-				csv.start(t.Context(), mem, standin.Options{
-					ID: fmt.Sprintf("%s-%d", svc.GetName(), pos+1), Service: svc.GetName(), Agent: mem.backend, Median: 5 * time.Millisecond, Numbered: true,
-					CheckFence: svc.GetKeyMode() != controlpb.KeyMode_KEY_MODE_NONE, HoldsKeys: svc.GetCarrier() == controlpb.Carrier_CARRIER_DIRECT,
-					CrashPath: crashPath,
-				})
-			}
+			csv := startCrashing(t, flt, svc)
 			quarantined := func(mem *member) bool {
 				sts, rsn := ask(t, mem.url, crashPath+"1", "mallory", 7)
 				return sts == http.StatusServiceUnavailable && rsn == string(siskinrill.ReasonQuarantined)
@@ -135,14 +139,9 @@
 // caller is run.
 func TestQuarantineOfOneCaller(t *testing.T) {
 	t.Parallel()
-	flt := startFleet(t, testedServices()["without keys"])
-	csv := &crashingServers{}
-	for pos, mem := range flt.members[:2] {
-		mem.standin.Close()
-		csv.start(t.Context(), mem, standin.Options{
-			ID: fmt.Sprintf("tested-%d", pos+1), Service: "tested", Agent: mem.backend, Median: 5 * time.Millisecond, Numbered: true, CrashPath: crashPath,
-		})
-	}
+	svc := testedServices()["without keys"]
+	flt := startFleet(t, svc)
+	csv := startCrashing(t, flt, svc)
 	awaitWithin(t, setupTimeout, func() bool {
 		_, rsn := ask(t, flt.members[2].url, crashPath+"1", "mallory", 7)
 		return rsn == string(siskinrill.ReasonQuarantined)
