caller: the withdrawal for a caller that has left is repeated until it arrives

A non-idempotent request that waits at an owner is withdrawn when its caller leaves.

Cause: the withdrawal was sent once, with a limit of 1 s. If it was lost, the request ran although nobody waited for it.

Change: it is repeated until the owner answers or the attempt ends, as at a stop of the entry.

Result: TestCallerGone, case "queued, withdrawals lost", failed before (one run in place of none) and passes.

--- a/internal/agent/caller/handler_test.go
+++ b/internal/agent/caller/handler_test.go
@@ -169,15 +169,24 @@
 }
 
 // TestCallerGone guards against aborting a running non-idempotent request when its caller disconnects, and
-// against running a queued one afterwards.
+// against running a queued one afterwards, also if the first withdrawals are lost.
 func TestCallerGone(t *testing.T) {
-	for runs, flt := range []fault{{queueTime: time.Second}, {runTime: time.Second}} {
-		bubble(t, fmt.Sprint(runs), func(t *testing.T, fix *fixture) {
-			fix.own.script["r1"] = []fault{flt}
+	for name, tcs := range map[string]struct {
+		fault           fault
+		lostWithdrawals int
+		runs            int
+	}{
+		"queued":                   {fault: fault{queueTime: time.Second}},
+		"queued, withdrawals lost": {fault: fault{queueTime: time.Second}, lostWithdrawals: 2},
+		"running":                  {fault: fault{runTime: time.Second}, runs: 1},
+	} {
+		bubble(t, name, func(t *testing.T, fix *fixture) {
+			fix.own.script["r1"] = []fault{tcs.fault}
+			fix.own.lostWithdrawals = tcs.lostWithdrawals
 			ctx, cancel := context.WithCancel(t.Context())
 			time.AfterFunc(500*time.Millisecond, cancel)
 			must.Eq(t, time.Second, fix.send(newRequest("POST", "r1", nil).WithContext(ctx)).latency)
-			must.Eq(t, runs, fix.own.runs["r1"])
+			must.Eq(t, tcs.runs, fix.own.runs["r1"])
 			must.Eq(t, "1", fix.count("events", "caller_gone"))
 		})
 	}
--- a/internal/agent/caller/retry.go
+++ b/internal/agent/caller/retry.go
@@ -164,12 +164,14 @@
 	// If the caller disconnects, a request that may have started runs to its end; only a queued attempt is withdrawn.
 	detached := context.WithoutCancel(cal.req.Context())
 	ctx, cancel := cal.han.attemptContext(detached, cal.attemptEnd(tgt))
+	attemptCtx, endAttempt := context.WithCancel(detached)
 	unregister := context.AfterFunc(cal.req.Context(), func() {
 		cal.han.counters.Event("caller_gone")
-		cal.withdrawQueued(detached, tgt, opn.GetAttempt())
+		cal.withdrawUntil(attemptCtx, tgt, opn.GetAttempt())
 	})
 	ans, ref := cal.send(ctx, tgt, opn)
 	unregister()
+	endAttempt()
 	if ref == nil || ref.NotRun() || !answerLost(ref.Reason()) {
 		return cancelOnClose(ans, ref, cancel)
 	}
--- a/internal/agent/caller/withdraw.go
+++ b/internal/agent/caller/withdraw.go
@@ -80,13 +80,6 @@
 	return cal.han.session.Node(tgt.shard.GetOwner()) == nil
 }
 
-// withdrawQueued withdraws a queued attempt whose caller has disconnected; an attempt that has started runs to its end.
-func (cal *call) withdrawQueued(ctx context.Context, tgt target, aid *peerpb.AttemptId) {
-	ctx, cancel := context.WithTimeout(ctx, maxWithdrawWait)
-	defer cancel()
-	_, _ = cal.withdraw(ctx, tgt, aid, 0)
-}
-
 // sleep pauses and reports whether the context is still active.
 func sleep(ctx context.Context, dur time.Duration) bool {
 	tmr := time.NewTimer(dur)
