--- a/internal/agent/owner/fake_test.go
+++ b/internal/agent/owner/fake_test.go
@@ -42,7 +42,7 @@
 	released    []*controlpb.ShardRef
 	nodes       []*controlpb.Node // registered agents, nil for none but this one
 	onRelease   func(refs []*controlpb.ShardRef)
-	quarantined map[uint64]bool // requests by fingerprint
+	quarantined atomic.Pointer[map[uint64]bool] // requests by fingerprint
 }
 
 func newFakeSession() *fakeSession {
@@ -305,5 +305,6 @@
 	})
 }
 
-func (fse *fakeSession) AnyQuarantined() bool        { return len(fse.quarantined) > 0 }
-func (fse *fakeSession) Quarantined(req uint64) bool { return fse.quarantined[req] }
+func (fse *fakeSession) AnyQuarantined() bool { return fse.quarantined.Load() != nil }
+
+func (fse *fakeSession) Quarantined(req uint64) bool { return (*fse.quarantined.Load())[req] }
--- a/internal/agent/owner/quarantine_test.go
+++ b/internal/agent/owner/quarantine_test.go
@@ -21,7 +21,7 @@
 		deadly := open(2, "ab")
 		deadly.Target = "/deadly"
 		second := bnc.start(t.Context(), deadly)
-		bnc.ses.quarantined = map[uint64]bool{fingerprint.OfAttempt(deadly, nil): true}
+		bnc.ses.quarantined.Store(&map[uint64]bool{fingerprint.OfAttempt(deadly, nil): true})
 		must.NoError(t, <-first)
 		err := <-second
 		must.Eq(t, siskinrill.ReasonQuarantined, reasonOf(err))
