fingerprint: one place says what identifies a request

Cause: the agent's memory of answered requests had a list of its own of what identifies a request, without the service and the length of the body, beside that of the fingerprint. A field added to one could be forgotten in the other.

Change: both hashes take the same bytes. The timer that ends old crash reports calls a method named for it.

Result: TestFingerprint holds for both hashes. Nothing a caller sees changes.

--- a/internal/agent/backend/crash.go
+++ b/internal/agent/backend/crash.go
@@ -86,25 +86,9 @@
 	crs.answered[0][key] = struct{}{}
 }
 
-// localKey returns a hash of a request that is cheap and only valid in this process.
+// localKey returns a hash of a request that is only valid in this process.
 func (crs *crashes) localKey(att *siskinrill.Attempt) uint64 {
-	opn := att.Open()
-	var has maphash.Hash
-	has.SetSeed(crs.seed)
-	for _, txt := range []string{opn.GetMethod(), opn.GetTarget()} {
-		_, _ = has.WriteString(txt)
-		_ = has.WriteByte(0)
-	}
-	for _, fld := range opn.GetHeaders() {
-		if slices.Contains(crs.callerHeaders, fld.GetName()) {
-			for _, val := range fld.GetValues() {
-				_, _ = has.WriteString(val)
-				_ = has.WriteByte(0)
-			}
-		}
-	}
-	_, _ = has.Write(opn.GetBody()[:min(len(opn.GetBody()), fingerprint.MaxBody)])
-	return has.Sum64()
+	return fingerprint.LocalOfAttempt(att.Open(), crs.callerHeaders, crs.seed)
 }
 
 // recordLost records a run that was sent to the server and lost its connection.
--- a/internal/agent/control/quarantine.go
+++ b/internal/agent/control/quarantine.go
@@ -75,7 +75,14 @@
 	qua.reports = append(qua.reports, crashReport{msg: msg, at: time.Now()})
 	qua.reports = qua.reports[max(0, len(qua.reports)-maxCrashReports):]
 	qua.update()
-	time.AfterFunc(siskinrill.SuspicionTime, func() { qua.recent() })
+	time.AfterFunc(siskinrill.SuspicionTime, qua.expire)
+}
+
+// expire ends what the oldest reports have brought about.
+func (qua *quarantine) expire() {
+	qua.mu.Lock()
+	defer qua.mu.Unlock()
+	qua.update()
 }
 
 // recent returns copies of the reports that still count, oldest first.
--- a/internal/agent/fingerprint/fingerprint.go
+++ b/internal/agent/fingerprint/fingerprint.go
@@ -3,8 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"hash"
-	"io"
+	"hash/maphash"
 	"slices"
 
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
@@ -24,34 +23,65 @@
 	Length  int64  // of the complete body, -1 if not known
 }
 
+// usualSize is the size in bytes of the identity of most requests without their bodies.
+const usualSize = 512
+
 // Of returns the fingerprint of a request; callerHeaders are the canonical names of the headers that tell callers apart.
 // The hash is cryptographic, because a caller could otherwise send requests that have the fingerprint of another's.
 func Of(req Request, callerHeaders []string) uint64 {
 	dig := sha256.New()
-	write(dig, req.Service)
-	write(dig, req.Method)
-	write(dig, req.Target)
+	_, _ = dig.Write(req.appendHead(nil, callerHeaders))
+	_, _ = dig.Write(req.countedBody())
+	return binary.BigEndian.Uint64(dig.Sum(nil))
+}
+
+// local returns a hash of the same that is cheaper and only valid with the seed.
+func local(req Request, callerHeaders []string, seed maphash.Seed) uint64 {
+	var dig maphash.Hash
+	dig.SetSeed(seed)
+	var arr [usualSize]byte
+	_, _ = dig.Write(req.appendHead(arr[:0], callerHeaders))
+	_, _ = dig.Write(req.countedBody())
+	return dig.Sum64()
+}
+
+// appendHead appends all that identifies the request but its body. Texts have their lengths, so that no two lists of texts
+// give the same bytes.
+func (req *Request) appendHead(buf []byte, callerHeaders []string) []byte {
+	buf = appendText(buf, req.Service)
+	buf = appendText(buf, req.Method)
+	buf = appendText(buf, req.Target)
 	for _, name := range callerHeaders {
 		for _, val := range values(req.Headers, name) {
-			write(dig, val)
+			buf = appendText(buf, val)
 		}
-		write(dig, "")
+		buf = appendText(buf, "")
 	}
-	writeInt(dig, knownLength(req.Length))
-	_, _ = dig.Write(req.Body[:min(len(req.Body), MaxBody)])
-	return binary.BigEndian.Uint64(dig.Sum(nil))
+	return binary.BigEndian.AppendUint64(buf, uint64(knownLength(req.Length)))
 }
 
+// countedBody returns the part of the body that identifies the request.
+func (req *Request) countedBody() []byte { return req.Body[:min(len(req.Body), MaxBody)] }
+
 // OfAttempt returns the fingerprint of an attempt whose body has been received as far as MaxBody.
 func OfAttempt(opn *peerpb.Open, callerHeaders []string) uint64 {
+	return Of(requestOf(opn), callerHeaders)
+}
+
+// LocalOfAttempt returns a hash of the same that is cheaper and only valid with the seed.
+func LocalOfAttempt(opn *peerpb.Open, callerHeaders []string, seed maphash.Seed) uint64 {
+	return local(requestOf(opn), callerHeaders, seed)
+}
+
+func requestOf(opn *peerpb.Open) Request {
 	lng := opn.GetBodyLength()
 	if opn.GetBodyEnd() {
 		lng = int64(len(opn.GetBody()))
 	}
-	return Of(Request{
+	return Request{
 		Service: opn.GetService(), Method: opn.GetMethod(), Target: opn.GetTarget(),
 		Headers: opn.GetHeaders(), Body: opn.GetBody(), Length: lng,
-	}, callerHeaders)
+	}
 }
 
 // knownLength returns the length of a body, -1 if it is longer than MaxBody: of such a body the entry may not know it.
@@ -70,14 +100,6 @@
 	return fields[pos].GetValues()
 }
 
-// write adds a text with its length, so that no two lists of texts give the same bytes.
-func write(dig hash.Hash, txt string) {
-	writeInt(dig, int64(len(txt)))
-	_, _ = io.WriteString(dig, txt)
-}
-
-func writeInt(dig hash.Hash, num int64) {
-	var buf [8]byte
-	binary.BigEndian.PutUint64(buf[:], uint64(num))
-	_, _ = dig.Write(buf[:])
+func appendText(buf []byte, txt string) []byte {
+	return append(binary.BigEndian.AppendUint64(buf, uint64(len(txt))), txt...)
 }
--- a/internal/agent/fingerprint/fingerprint_test.go
+++ b/internal/agent/fingerprint/fingerprint_test.go
@@ -1,6 +1,7 @@
 package fingerprint
 
 import (
+	"hash/maphash"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -10,19 +11,24 @@
 
 var callerHeaders = []string{"Caller"}
 
-func request(change func(req *Request)) uint64 {
+func request(change func(req *Request)) uint64 { return Of(changed(change), callerHeaders) }
+
+// changed returns a request with a change.
+func changed(change func(req *Request)) Request {
 	req := Request{
 		Service: "vitrine", Method: "GET", Target: "/items/7?page=2", Body: []byte("body"), Length: 4,
 		Headers: []*peerpb.HeaderField{{Name: "Attempt", Values: []string{"1"}}, {Name: "Caller", Values: []string{"shop"}}},
 	}
 	change(&req)
-	return Of(req, callerHeaders)
+	return req
 }
 
 // TestFingerprint guards against a request that is not recognised when it comes again with another id, and against callers
 // who are refused because of a request of another.
 func TestFingerprint(t *testing.T) {
 	want := request(func(*Request) {})
+	seed := maphash.MakeSeed()
+	wantLocal := local(changed(func(*Request) {}), callerHeaders, seed)
 	for nam, tcs := range map[string]struct {
 		change func(req *Request)
 		same   bool
@@ -41,6 +47,7 @@
 	} {
 		t.Run(nam, func(t *testing.T) {
 			must.Eq(t, tcs.same, request(tcs.change) == want)
+			must.Eq(t, tcs.same, local(changed(tcs.change), callerHeaders, seed) == wantLocal)
 		})
 	}
 }
