backend: a test of the limit of cold servers changed the client's state beside its polls

Cause: the case staged its state by setting the client's fields, without the mutex, at the moment of a poll. The product takes the mutex for every access; it is not changed.

Change: the case is a test of its own, TestColdLimitConfiguredLater. The agent really has no configuration until the check, so that nothing of the client is set from outside. The condition is the same; the test fails if StartLimit does not read the configuration.

--- a/internal/agent/backend/cold_test.go
+++ b/internal/agent/backend/cold_test.go
@@ -131,11 +131,12 @@
 
 // coldBench is a client with a server whose service has a limit of 12 requests a second for 3 s.
 type coldBench struct {
-	cli      *Client
-	cnt      *siskinrill.Counters
-	srv      *coldBackend
-	draining atomic.Bool
-	sequence uint64
+	cli          *Client
+	cnt          *siskinrill.Counters
+	srv          *coldBackend
+	draining     atomic.Bool
+	unconfigured atomic.Bool // the agent has not received the configuration of the service
+	sequence     uint64
 }
 
 // sentBetweenPolls is a number of requests after which the agent asks the server again.
@@ -145,7 +146,12 @@
 	cbn := &coldBench{srv: &coldBackend{}, cnt: siskinrill.NewCounters()}
 	svc := &controlpb.Service{Name: "stodvar", KeyMode: controlpb.KeyMode_KEY_MODE_NONE, ColdMs: 3000, ColdRate: 12}
 	cbn.cli = New(Options{
-		Service:   func(string) *controlpb.Service { return svc },
+		Service: func(string) *controlpb.Service {
+			if cbn.unconfigured.Load() {
+				return nil
+			}
+			return svc
+		},
 		Draining:  cbn.draining.Load,
 		Transport: func(http.RoundTripper) http.RoundTripper { return cbn.srv },
 	}, cbn.cnt)
@@ -259,12 +265,6 @@
 			cbn.srv.lost.Store(false)
 			cbn.after(t, 2*coldPollInterval, false)
 		},
-		"configured later": func(t *testing.T, cbn *coldBench) {
-			cbn.cli.coldKnown.Store(false)
-			cbn.cli.coldEnabled.Store(false)
-			cbn.cli.cold.rate = 0
-			must.True(t, cbn.cold())
-		},
 		"health path lost": func(t *testing.T, cbn *coldBench) {
 			cbn.srv.becomeCold(time.Second)
 			cbn.send(sentBetweenPolls)
@@ -285,8 +285,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				cbn, end := runColdBench(t)
-				defer end()
+				cbn := newColdBench()
+				defer cbn.run(t)()
 				must.False(t, cbn.cold())
 				test(t, cbn)
 			})
@@ -294,14 +294,26 @@
 	}
 }
 
-// runColdBench returns a bench whose client runs and knows a warm server, and a function that ends the client.
-func runColdBench(t *testing.T) (*coldBench, func()) {
+// TestColdLimitConfiguredLater guards against a restarted agent that gets the configuration after the first announcement and
+// takes a cold server for a warm one.
+func TestColdLimitConfiguredLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cbn := newColdBench()
+		cbn.unconfigured.Store(true)
+		defer cbn.run(t)()
+		must.False(t, cbn.cold())
+		cbn.unconfigured.Store(false)
+		must.True(t, cbn.cold())
+	})
+}
+
+// run runs the client until the returned function is called, and announces a warm server.
+func (cbn *coldBench) run(t *testing.T) func() {
 	ctx, cancel := context.WithCancel(t.Context())
-	cbn := newColdBench()
 	go func() { _ = cbn.cli.Run(ctx) }()
 	cbn.announce(t, 5, true)
 	time.Sleep(time.Second)
-	return cbn, func() {
+	return func() {
 		cancel()
 		time.Sleep(time.Second) // a poll in progress ends
 	}
@@ -314,8 +326,8 @@
 	for _, rate := range []int{13, 26, 33, 51, 66} {
 		for shift := range 10 {
 			synctest.Test(t, func(t *testing.T) {
-				cbn, end := runColdBench(t)
-				defer end()
+				cbn := newColdBench()
+				defer cbn.run(t)()
 				cold, sent := time.Duration(shift)*37*time.Millisecond, 0
 				for now := time.Duration(0); now < cold+time.Second; now += time.Second / time.Duration(rate) {
 					if now >= cold && cbn.srv.until.Load() == 0 {
