--- a/internal/control/assign/grant.go
+++ b/internal/control/assign/grant.go
@@ -33,14 +33,19 @@
 			orphans = append(orphans, int32(pos))
 		}
 	}
+	wrk.placeAll(controlpb.AssignmentKind_ASSIGNMENT_KIND_GRANT, orphans)
+}
+
+// placeAll places rows at the least loaded upstreams, the heaviest rows first, at most RowsPerTick of them.
+func (wrk *workspace) placeAll(kind controlpb.AssignmentKind, rows []int32) {
 	if wrk.hasNumericKeys() {
-		wrk.placeRanges(controlpb.AssignmentKind_ASSIGNMENT_KIND_GRANT, orphans)
+		wrk.placeRanges(kind, rows)
 		return
 	}
-	wrk.sortByLoad(orphans)
-	for _, pos := range orphans[:min(len(orphans), wrk.limits.RowsPerTick)] {
+	wrk.sortByLoad(rows)
+	for _, pos := range rows[:min(len(rows), wrk.limits.RowsPerTick)] {
 		rwo := &wrk.rows[pos]
-		wrk.place(controlpb.AssignmentKind_ASSIGNMENT_KIND_GRANT, rwo, wrk.leastLoaded(rwo.load))
+		wrk.place(kind, rwo, wrk.leastLoaded(rwo.load))
 	}
 }
 
@@ -85,13 +90,5 @@
 			rows = append(rows, int32(pos))
 		}
 	}
-	if wrk.hasNumericKeys() {
-		wrk.placeRanges(controlpb.AssignmentKind_ASSIGNMENT_KIND_MOVE, rows)
-		return
-	}
-	wrk.sortByLoad(rows)
-	for _, pos := range rows[:min(len(rows), wrk.limits.RowsPerTick)] {
-		rwo := &wrk.rows[pos]
-		wrk.place(controlpb.AssignmentKind_ASSIGNMENT_KIND_MOVE, rwo, wrk.leastLoaded(rwo.load))
-	}
+	wrk.placeAll(controlpb.AssignmentKind_ASSIGNMENT_KIND_MOVE, rows)
 }
