--- a/internal/agent/caller/body.go
+++ b/internal/agent/caller/body.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/siskinrill/siskinrill/internal/wire/chunk"
 )
 
 // Bodies up to this length are buffered completely, so that an attempt can be repeated.
@@ -117,7 +119,7 @@
 		return buf, true, nil
 	}
 	buf := make([]byte, maxBufferedBody)
-	num, err := fill(rdr, buf)
+	num, err := chunk.Fill(rdr, buf)
 	if err == io.EOF {
 		return buf[:num], true, nil
 	}
@@ -127,20 +129,6 @@
 	return buf, false, nil
 }
 
-// fill reads until buf is full or the reader fails; unlike io.ReadFull it distinguishes io.EOF from the
-// io.ErrUnexpectedEOF of a truncated body.
-func fill(rdr io.Reader, buf []byte) (int, error) {
-	num := 0
-	for num < len(buf) {
-		got, err := rdr.Read(buf[num:])
-		num += got
-		if err != nil {
-			return num, err
-		}
-	}
-	return num, nil
-}
-
 // prepareResend revokes the reader of the last attempt and reports whether another attempt can send the complete body.
 func (bdy *body) prepareResend() bool {
 	return bdy.rest == nil || bdy.attemptReader == nil || bdy.attemptReader.revoke()
--- a/internal/agent/peer/body.go
+++ b/internal/agent/peer/body.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/siskinrill/siskinrill/internal/wire/chunk"
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
 
@@ -30,7 +31,7 @@
 	buf, _ := chunks.Get().(*[]byte)
 	defer chunks.Put(buf)
 	for {
-		num, err := fill(bdy, *buf)
+		num, err := chunk.Fill(bdy, *buf)
 		total += int64(num)
 		dat := &peerpb.Data{Bytes: (*buf)[:num]}
 		// A truncated body may wrap io.EOF as its cause; only the unwrapped one marks the end.
@@ -47,20 +48,6 @@
 	}
 }
 
-// fill reads until buf is full or the reader fails; unlike io.ReadFull it distinguishes io.EOF from the
-// io.ErrUnexpectedEOF of a truncated body.
-func fill(rdr io.Reader, buf []byte) (int, error) {
-	num := 0
-	for num < len(buf) {
-		got, err := rdr.Read(buf[num:])
-		num += got
-		if err != nil {
-			return num, err
-		}
-	}
-	return num, nil
-}
-
 // readExactly fills buf and returns an error unless the body ends there.
 func readExactly(bdy io.Reader, buf []byte) error {
 	if _, err := io.ReadFull(bdy, buf); err != nil {
--- /dev/null
+++ b/internal/wire/chunk/doc.go
@@ -0,0 +1,2 @@
+// Package chunk reads bodies of requests and answers in chunks.
+package chunk
