--- a/internal/agent/backend/grantcalls.go
+++ b/internal/agent/backend/grantcalls.go
@@ -35,14 +35,14 @@
 
 // Grant returns a POST to GrantPath.
 func (defaultGrantCalls) Grant(base, upstream string, grt siskinrill.KeyGrant, hold time.Duration, handover string) (*http.Request, error) {
-	return newKeyCall(base+GrantPath, upstream, KeyCall{
+	return NewKeyCall(base+GrantPath, siskinrill.HeaderUpstream, upstream, KeyCall{
 		First: grt.First(), Last: grt.Last(), Token: grt.Token(), HoldMs: uint32(hold.Milliseconds()), Handover: handover,
 	})
 }
 
 // Release returns a POST to ReleasePath.
 func (defaultGrantCalls) Release(base, upstream string, grt siskinrill.KeyGrant) (*http.Request, error) {
-	return newKeyCall(base+ReleasePath, upstream, KeyCall{First: grt.First(), Last: grt.Last(), Token: grt.Token()})
+	return NewKeyCall(base+ReleasePath, siskinrill.HeaderUpstream, upstream, KeyCall{First: grt.First(), Last: grt.Last(), Token: grt.Token()})
 }
 
 // Handover returns the header Siskinrill-Handover.
@@ -50,7 +50,8 @@
 	return res.Header.Get(siskinrill.HeaderHandover)
 }
 
-func newKeyCall(loc, upstream string, bdy KeyCall) (*http.Request, error) {
+// NewKeyCall returns a POST of a JSON body to a backend server, whose id a header carries; loc is the complete URL.
+func NewKeyCall(loc, header, upstream string, bdy any) (*http.Request, error) {
 	buf, err := json.Marshal(bdy)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode key call")
@@ -60,6 +61,6 @@
 		return nil, errors.Wrap(err, "create key call")
 	}
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(siskinrill.HeaderUpstream, upstream)
+	req.Header.Set(header, upstream)
 	return req, nil
 }
