backend: releases of keys end with the revocation that they belong to

Cause: releases were counted in the group of calls that the client waits for when it ends. A revocation that begins at that moment adds to a group that is being waited for, which sync.WaitGroup does not allow and which may end the process by a panic, while an agent stops.

Evidence: TestReleaseWhileClientEnds, with the race detector, failed on the code before.

Change: the releases are in a group of their revocation, which cancels them and waits for them; the client waits for its grants only.

--- a/internal/agent/backend/grantloop.go
+++ b/internal/agent/backend/grantloop.go
@@ -37,7 +37,6 @@
 	triggered    chan struct{} // signals that the rows have changed
 	grantSlots   chan struct{} // semaphore of grant calls
 	releaseSlots chan struct{} // semaphore of release calls
-	running      sync.WaitGroup
 }
 
 func newCalls() calls {
@@ -55,7 +54,8 @@
 // grantLoop grants and renews the rows of this agent on a server that is granted keys by calls, until the
 // context ends.
 func (cli *Client) grantLoop(ctx context.Context) {
-	defer cli.calls.running.Wait()
+	var grants sync.WaitGroup
+	defer grants.Wait()
 	tck := time.NewTicker(tickInterval)
 	defer tck.Stop()
 	for {
@@ -65,11 +65,12 @@
 		case <-cli.calls.triggered:
 		case <-tck.C:
 		}
-		cli.sendDueGrants(ctx)
+		cli.sendDueGrants(ctx, &grants)
 	}
 }
 
-func (cli *Client) sendDueGrants(ctx context.Context) {
+// sendDueGrants sends the grants that are due in goroutines of a group.
+func (cli *Client) sendDueGrants(ctx context.Context, grp *sync.WaitGroup) {
 	tgt, ann := cli.usableServer()
 	if tgt == nil || !cli.keys.grantedByCalls() || cli.opt.Owned == nil || cli.opt.Lease == nil {
 		return
@@ -85,7 +86,7 @@
 		return
 	}
 	for _, gcl := range cli.keys.dueGrants(rows, exp, svc.GetPartitions()) {
-		cli.calls.running.Go(func() { cli.grant(ctx, tgt, ann, gcl) })
+		grp.Go(func() { cli.grant(ctx, tgt, ann, gcl) })
 	}
 }
 
@@ -185,10 +186,10 @@
 	return res.StatusCode, cli.opt.Grants.Handover(res), nil
 }
 
-// releaseKeys releases rows in the background until they are free or the context ends.
-func (cli *Client) releaseKeys(ctx context.Context, refs []*controlpb.ShardRef) {
+// releaseKeys releases rows in goroutines of a group until they are free or the context ends.
+func (cli *Client) releaseKeys(ctx context.Context, refs []*controlpb.ShardRef, grp *sync.WaitGroup) {
 	for _, run := range contiguousRefs(refs) {
-		cli.calls.running.Go(func() { cli.releaseRange(ctx, run) })
+		grp.Go(func() { cli.releaseRange(ctx, run) })
 	}
 }
 
--- a/internal/agent/backend/grantloop_test.go
+++ b/internal/agent/backend/grantloop_test.go
@@ -364,3 +364,24 @@
 	case <-time.After(300 * time.Millisecond):
 	}
 }
+
+// TestReleaseWhileClientEnds guards against releases that begin while the client waits for its calls, which the race
+// detector reports and which may end the process.
+func TestReleaseWhileClientEnds(t *testing.T) {
+	cli := New(Options{}, siskinrill.NewCounters())
+	cli.keys.holdsKeys, cli.keys.direct = true, true
+	cli.keys.inFlight[1] = 1 // a grant, which the release waits for
+	runCtx, stop := context.WithCancel(t.Context())
+	revokeCtx, cancel := context.WithCancel(t.Context())
+	var running, revoking sync.WaitGroup
+	running.Go(func() { _ = cli.Run(runCtx) })
+	revoking.Go(func() {
+		_, done := cli.Revoke(revokeCtx, []*controlpb.ShardRef{refOf(row(1, 5))})
+		must.False(t, done)
+	})
+	time.Sleep(2 * tickInterval)
+	stop()
+	time.AfterFunc(tickInterval, cancel)
+	running.Wait()
+	revoking.Wait()
+}
--- a/internal/agent/backend/revoke.go
+++ b/internal/agent/backend/revoke.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
@@ -36,6 +37,8 @@
 	if !kys.revoke(refs) {
 		return refs, true
 	}
+	var releases sync.WaitGroup
+	defer releases.Wait()
 	releaseCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	releasing := false
@@ -44,7 +47,7 @@
 		// heartbeat, and may change.
 		if !releasing && kys.grantedByCalls() {
 			releasing = true
-			cli.releaseKeys(releaseCtx, refs)
+			cli.releaseKeys(releaseCtx, refs, &releases)
 		}
 		at, changed := kys.pending(refs)
 		if changed == nil {
