--- a/internal/agent/backend/announcement.go
+++ b/internal/agent/backend/announcement.go
@@ -125,12 +125,12 @@
 // checkRanges reports a range that contains no key or ends behind the last one.
 func (ann *Announcement) checkRanges() error {
 	for _, rng := range ann.Holds {
-		if rng.First > rng.Last || rng.Last >= siskinrill.NumericKeyCount {
+		if !siskinrill.ValidKeyRange(rng.First, rng.Last) {
 			return errors.Errorf("holds %d to %d, which is no range of keys", rng.First, rng.Last)
 		}
 	}
 	for _, rng := range ann.Released {
-		if rng.First > rng.Last || rng.Last >= siskinrill.NumericKeyCount {
+		if !siskinrill.ValidKeyRange(rng.First, rng.Last) {
 			return errors.Errorf("released %d to %d, which is no range of keys", rng.First, rng.Last)
 		}
 	}
--- a/internal/agent/backend/keys.go
+++ b/internal/agent/backend/keys.go
@@ -126,7 +126,7 @@
 
 // partitionsWithin returns the partitions that lie entirely within a range of keys.
 func partitionsWithin(first, last, partitions uint32) []uint32 {
-	if partitions == 0 || first > last || last >= siskinrill.NumericKeyCount {
+	if partitions == 0 || !siskinrill.ValidKeyRange(first, last) {
 		return nil
 	}
 	var out []uint32
--- a/internal/bench/standin/keys.go
+++ b/internal/bench/standin/keys.go
@@ -104,7 +104,7 @@
 func readKeyRequest(wri http.ResponseWriter, req *http.Request) (keyRequest, bool) {
 	var cll keyRequest
 	err := json.NewDecoder(http.MaxBytesReader(wri, req.Body, 64<<10)).Decode(&cll)
-	if err != nil || cll.First > cll.Last || cll.Last >= siskinrill.NumericKeyCount || cll.Token == 0 {
+	if err != nil || !siskinrill.ValidKeyRange(cll.First, cll.Last) || cll.Token == 0 {
 		http.Error(wri, "first, last and token are needed", http.StatusBadRequest)
 		return cll, false
 	}
--- a/key.go
+++ b/key.go
@@ -50,6 +50,9 @@
 	return rangeStart(par, partitions), rangeStart(par+1, partitions) - 1
 }
 
+// ValidKeyRange reports whether a range, both ends included, is one of numeric keys.
+func ValidKeyRange(first, last uint32) bool { return first <= last && last < NumericKeyCount }
+
 // rangeStart returns the lowest key whose partition is par or above, which rounds par*65536/partitions up.
 func rangeStart(par, partitions uint32) uint32 {
 	num := uint64(partitions)
