--- a/internal/agent/backend/target.go
+++ b/internal/agent/backend/target.go
@@ -12,11 +12,11 @@
 	base      *url.URL
 	pool      *http.Transport
 	transport http.RoundTripper // the pool, or a wrapper that translates headers
-	retries   http.RoundTripper // opens a connection for each retry, on which no earlier answer can arrive a second time
+	retries   http.RoundTripper // opens a connection for each retry
 	probes    http.RoundTripper // separate, so that an exhausted pool does not make the server look failed
 	polls     http.RoundTripper // separate, on one connection that is kept between two polls of the health path
 	calls     *http.Transport   // separate, so that grants and releases don't queue behind requests
-	releases  *http.Transport   // opens a connection for each release, on which no earlier answer can arrive a second time
+	releases  *http.Transport   // opens a connection for each release
 }
 
 // newTarget returns the target of an announcement that has been validated.
@@ -38,12 +38,10 @@
 		IdleConnTimeout:        opt.MaxIdle,
 		DisableCompression:     true,
 	}
+	retries := newSingleUse(dial)
+	retries.MaxConnsPerHost = int(ann.Connections)
 	return &target{
-		base: loc, pool: pool, transport: opt.Transport(pool),
-		retries: opt.Transport(&http.Transport{
-			DialContext: dial, MaxConnsPerHost: int(ann.Connections), DisableKeepAlives: true, DisableCompression: true,
-			MaxResponseHeaderBytes: maxAnswerHeader,
-		}),
+		base: loc, pool: pool, transport: opt.Transport(pool), retries: opt.Transport(retries), releases: newSingleUse(dial),
 		probes: opt.Transport(&http.Transport{DialContext: opt.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxAnswerHeader}),
 		polls: opt.Transport(&http.Transport{
 			DialContext: opt.Dial, MaxConnsPerHost: 1, IdleConnTimeout: pollIdle, MaxResponseHeaderBytes: maxAnswerHeader,
@@ -52,9 +50,14 @@
 			DialContext: dial, MaxIdleConnsPerHost: maxGrantCalls, IdleConnTimeout: opt.MaxIdle,
 			DisableCompression: true, MaxResponseHeaderBytes: maxAnswerHeader,
 		},
-		releases: &http.Transport{
-			DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxAnswerHeader,
-		},
+	}
+}
+
+// newSingleUse returns a transport that opens a connection for each request, on which no earlier answer can arrive a second
+// time.
+func newSingleUse(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{
+		DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxAnswerHeader,
 	}
 }
 
