--- a/internal/agent/backend/attempt.go
+++ b/internal/agent/backend/attempt.go
@@ -1,18 +1,19 @@
 package backend
 
 import (
-	"fmt"
 	"net/http"
 
+	"github.com/go-faster/errors"
+
 	"github.com/siskinrill/siskinrill"
 )
 
 // checkAttempt returns a refusal of unknown outcome if an answer may belong to an earlier attempt on its connection: it names
 // another attempt, or it names none where that proves too little. A server may write an earlier answer once more.
 func (rnn *run) checkAttempt(res *http.Response) *siskinrill.Refusal {
-	sent, named := attemptName(rnn.att.Open()), res.Header.Get(siskinrill.HeaderAttempt)
+	named := res.Header.Get(siskinrill.HeaderAttempt)
 	res.Header.Del(siskinrill.HeaderAttempt) // not for callers
-	if named == sent || named == "" && !rnn.needsName(res) {
+	if named == rnn.name || named == "" && !rnn.needsName(res) {
 		return nil
 	}
 	res.Body.Close()
@@ -20,7 +21,7 @@
 	rnn.cli.cnt.Event("backend_unmatched_answer")
 	rnn.cli.mtr.fail()
 	rnn.cli.crashes.recordLost(rnn.att)
-	return siskinrill.Unknown(siskinrill.ReasonBackendBadAnswer, fmt.Errorf("the answer names attempt %q instead of %q", named, sent))
+	return siskinrill.Unknown(siskinrill.ReasonBackendBadAnswer, errors.Errorf("the answer names attempt %q instead of %q", named, rnn.name))
 }
 
 // needsName reports whether an answer that names no attempt must not be accepted. A refusal as not run may come from a server
--- a/internal/agent/backend/do.go
+++ b/internal/agent/backend/do.go
@@ -24,6 +24,7 @@
 	tgt         *target
 	att         *siskinrill.Attempt
 	bdy         io.ReadCloser
+	name        string      // attempt id as the server gets it
 	upstream    string      // id of the server that must run the request
 	incarnation uint64      // of the server, 0 if it states none
 	sent        atomic.Bool // the complete request was written
@@ -39,7 +40,7 @@
 func (cli *Client) Do(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error) {
 	ctx, cancel := withTimeout(ctx, att.Open())
 	grt = limitStart(grt)
-	rnn := &run{cli: cli, att: att, bdy: newBody(att), gat: newGate(grt.Expires()), cancel: cancel}
+	rnn := &run{cli: cli, att: att, name: attemptName(att.Open()), bdy: newBody(att), gat: newGate(grt.Expires()), cancel: cancel}
 	rnn.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: rnn.gotConn, WroteRequest: rnn.wrote})
 	rnn.tgt = cli.begin(rnn)
 	if rnn.tgt == nil {
--- a/internal/agent/backend/request.go
+++ b/internal/agent/backend/request.go
@@ -90,6 +90,7 @@
 		req.Header.Set(siskinrill.HeaderIdempotencyKey, opn.GetIdempotencyKey())
 	}
 	setFence(req.Header, opn, grt)
+	req.Header.Set(siskinrill.HeaderAttempt, rnn.name)
 	req.Header.Set(siskinrill.HeaderUpstream, rnn.upstream)
 	if dln, ok := rnn.ctx.Deadline(); ok {
 		req.Header.Set(siskinrill.HeaderTimeout, max(time.Until(dln), time.Millisecond).Round(time.Millisecond).String())
@@ -102,7 +103,6 @@
 	hdr.Set(siskinrill.HeaderFencePartition, fencePartition(grt.Shard()))
 	hdr.Set(siskinrill.HeaderFenceExpires, strconv.FormatInt(grt.Expires().UnixMilli(), 10))
 	hdr.Set(siskinrill.HeaderKey, opn.GetKey())
-	hdr.Set(siskinrill.HeaderAttempt, attemptName(opn))
 }
 
 // attemptName returns the attempt id as the backend server gets it.
