--- a/internal/agent/backend/answer.go
+++ b/internal/agent/backend/answer.go
@@ -61,7 +61,7 @@
 		rnn.cli.mtr.fail()
 	}
 	if rsn == siskinrill.ReasonBackendBadAnswer || rsn == siskinrill.ReasonBackendLost {
-		rnn.cli.crashes.recordLost(rnn.att)
+		return rnn.lost(rsn, err)
 	}
 	return siskinrill.Unknown(rsn, err)
 }
--- a/internal/agent/backend/attempt.go
+++ b/internal/agent/backend/attempt.go
@@ -20,8 +20,7 @@
 	rnn.tgt.pool.CloseIdleConnections() // further answers on them may be out of step with their requests
 	rnn.cli.cnt.Event("backend_unmatched_answer")
 	rnn.cli.mtr.fail()
-	rnn.cli.crashes.recordLost(rnn.att)
-	return siskinrill.Unknown(siskinrill.ReasonBackendBadAnswer, errors.Errorf("the answer names attempt %q instead of %q", named, rnn.name))
+	return rnn.lost(siskinrill.ReasonBackendBadAnswer, errors.Errorf("the answer names attempt %q instead of %q", named, rnn.name))
 }
 
 // needsName reports whether an answer that names no attempt must not be accepted. A refusal as not run may come from a server
--- a/internal/agent/backend/do.go
+++ b/internal/agent/backend/do.go
@@ -164,8 +164,7 @@
 	}
 	switch {
 	case rnn.failed.Load():
-		rnn.cli.crashes.recordLost(rnn.att)
-		return siskinrill.Unknown(siskinrill.ReasonBackendLost, err)
+		return rnn.lost(siskinrill.ReasonBackendLost, err)
 	case rnn.callerFailed() || errors.Is(rnn.ctx.Err(), context.Canceled):
 		return siskinrill.Unknown(siskinrill.ReasonCallerGone, err)
 	case rnn.ctx.Err() != nil:
@@ -174,12 +173,17 @@
 		}
 		return siskinrill.Unknown(siskinrill.ReasonBackendTimeout, err)
 	default:
-		rnn.cli.crashes.recordLost(rnn.att)
 		rnn.cli.mtr.fail()
-		return siskinrill.Unknown(siskinrill.ReasonBackendLost, err)
+		return rnn.lost(siskinrill.ReasonBackendLost, err)
 	}
 }
 
+// lost returns the refusal for a run whose answer was lost, which may have crashed the server.
+func (rnn *run) lost(rsn siskinrill.Reason, err error) *siskinrill.Refusal {
+	rnn.cli.crashes.recordLost(rnn.att)
+	return siskinrill.Unknown(rsn, err)
+}
+
 // refuseUnwritten returns the refusal for a request of which no byte was written; a refused connection also
 // marks the server as failed.
 func (rnn *run) refuseUnwritten(err error) *siskinrill.Refusal {
