bench/rawserver: tests of servers that break HTTP share one server

The checks are the same; without the check of attempts, TestEarlierAnswerRepeated, TestEarlierRefusalRepeated and TestAnswerOfAnotherAttempt fail as before.

--- a/internal/agent/backend/attempt_test.go
+++ b/internal/agent/backend/attempt_test.go
@@ -1,7 +1,6 @@
 package backend_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +13,7 @@
 
 	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/agent/backend"
+	"github.com/siskinrill/siskinrill/internal/bench/rawserver"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
@@ -21,39 +21,17 @@
 // repeatingServer writes its first answer once more in front of each later answer of the same connection. Its runs take 30 ms.
 // It returns its address.
 func repeatingServer(t *testing.T, first, later func(attempt string) string) string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = lis.Close() })
-	go func() {
-		for {
-			cnn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go repeatFirst(cnn, first, later)
-		}
-	}()
-	return "http://" + lis.Addr().String()
-}
-
-func repeatFirst(cnn net.Conn, first, later func(attempt string) string) {
-	defer cnn.Close()
-	buf, earlier := bufio.NewReader(cnn), ""
-	for {
-		req, err := http.ReadRequest(buf)
-		if err != nil {
-			return
-		}
-		attempt := req.Header.Get(siskinrill.HeaderAttempt)
-		if earlier == "" {
-			earlier = first(attempt)
-			_, _ = io.WriteString(cnn, earlier)
-			continue
+	srv, err := rawserver.Start(rawserver.Requests(func(cnn net.Conn, reqs []*http.Request) bool {
+		_, _ = io.WriteString(cnn, first(reqs[0].Header.Get(siskinrill.HeaderAttempt)))
+		if len(reqs) > 1 {
+			time.Sleep(30 * time.Millisecond)
+			_, _ = io.WriteString(cnn, later(reqs[len(reqs)-1].Header.Get(siskinrill.HeaderAttempt)))
 		}
-		_, _ = io.WriteString(cnn, earlier)
-		time.Sleep(30 * time.Millisecond)
-		_, _ = io.WriteString(cnn, later(attempt))
-	}
+		return true
+	}))
+	must.NoError(t, err)
+	t.Cleanup(srv.Close)
+	return srv.URL()
 }
 
 func namedAnswer(attempt string) string {
--- a/internal/agent/backend/endless_test.go
+++ b/internal/agent/backend/endless_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/agent/backend"
+	"github.com/siskinrill/siskinrill/internal/bench/rawserver"
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
 
@@ -18,31 +19,21 @@
 // closes the connection. It returns its address and a channel that receives the number of bytes written to
 // each connection.
 func endlessServer(t *testing.T, start, repeat string) (string, <-chan int) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = lis.Close() })
 	written := make(chan int, 16)
 	many := strings.Repeat(repeat, 1000)
-	go func() {
-		for {
-			cnn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer cnn.Close()
-				_, _ = cnn.Read(make([]byte, 4096))
-				total, err := io.WriteString(cnn, start)
-				for err == nil {
-					var num int
-					num, err = io.WriteString(cnn, many)
-					total += num
-				}
-				written <- total
-			}()
+	srv, err := rawserver.Start(func(cnn net.Conn) {
+		_, _ = cnn.Read(make([]byte, 4096))
+		total, err := io.WriteString(cnn, start)
+		for err == nil {
+			var num int
+			num, err = io.WriteString(cnn, many)
+			total += num
 		}
-	}()
-	return "http://" + lis.Addr().String(), written
+		written <- total
+	})
+	must.NoError(t, err)
+	t.Cleanup(srv.Close)
+	return srv.URL(), written
 }
 
 // TestEndlessAnswers guards against endless answers of a backend server that fill the agent's memory, hold a
--- a/internal/agent/backend/grantloop_test.go
+++ b/internal/agent/backend/grantloop_test.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"io"
@@ -16,6 +15,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/bench/rawserver"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
@@ -293,35 +293,18 @@
 // startRepeatingServer starts a server that sends the answer to a grant once more when the next call has arrived on the same
 // connection, and never answers a release. It returns its URL and a channel that receives the path of each call.
 func startRepeatingServer(t *testing.T) (string, <-chan string) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = lis.Close() })
 	calls := make(chan string, 64)
-	serve := func(cnn net.Conn) {
-		defer cnn.Close()
-		buf := bufio.NewReader(cnn)
-		for num := 0; ; num++ {
-			req, err := http.ReadRequest(buf)
-			if err != nil {
-				return
-			}
-			_, _ = io.Copy(io.Discard, req.Body)
-			if num > 0 || req.URL.Path == GrantPath {
-				_, _ = io.WriteString(cnn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-			}
-			calls <- req.URL.Path
+	srv, err := rawserver.Start(rawserver.Requests(func(cnn net.Conn, reqs []*http.Request) bool {
+		pth := reqs[len(reqs)-1].URL.Path
+		if len(reqs) > 1 || pth == GrantPath {
+			_, _ = io.WriteString(cnn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		}
-	}
-	go func() {
-		for {
-			cnn, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go serve(cnn)
-		}
-	}()
-	return "http://" + lis.Addr().String(), calls
+		calls <- pth
+		return true
+	}))
+	must.NoError(t, err)
+	t.Cleanup(srv.Close)
+	return srv.URL(), calls
 }
 
 // awaitCall waits for a call of a path.
