review/4: a server that has left by DELETE loses the requests that it runs

Cause: an announcement that is 5 s old counts as a failure of its server, also if the server has left and finishes its work; the agent then ends all idempotent runs. The clients of a machine that gets SIGTERM meanwhile get 502. Done: a script with its claim. Nothing is mended.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 test -x target/siskinrill && test -x target/review-standin || { echo "build the deploy file and run review/build.sh first" >&2; exit 2; }
-exec target/review-standin -case deregistration -record "$here/record.txt"
+exec target/review-standin -case leaving-cut -record "$here/record.txt"
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -15,22 +15,26 @@
 
 // Names on the wire.
 const (
-	service = "huvo11a"
-	host    = "jepu9.example"
-	prefix  = "/lepu270/"
+	service      = "huvo11a" // divided by key
+	keyless      = "kafi81c"
+	host         = "jepu9.example"
+	prefix       = "/lepu270/"
+	keylessRoute = "/xapu221/"
+	longPath     = keylessRoute + "long" // a request whose run takes longWork
 )
 
-// configuration has a route to a service that is divided by key; each version builds on the one before.
+// configuration has a route to a service that is divided by key and one to a service that is not; each version builds on the
+// one before.
 func configuration(version int) []byte {
 	raw, _ := json.Marshal(map[string]any{
 		"version": version, "base-version": version - 1,
 		"routes": map[string]any{
 			"columns": []string{"name", "host", "path-prefix", "kind", "timeout-ms", "target-latency-ms", "priority", "service", "max-attempts"},
-			"rows":    [][]any{{"r-xd9dnn2", host, prefix, "idempotent", 1200, 200, 2, service, 2}},
+			"rows":    [][]any{{"r-xd9dnn2", host, prefix, "idempotent", 1200, 200, 2, service, 2}, {"r-ctnfzs9", host, keylessRoute, "idempotent", 6000, 4000, 2, keyless, 1}},
 		},
 		"services": map[string]any{
 			"columns": []string{"name", "health-path", "max-connections", "protocol", "tls", "sharded", "warm-s", "grants"},
-			"rows":    [][]any{{service, "/health", 120, "h1", false, true, 5.0, "heartbeat"}},
+			"rows":    [][]any{{service, "/health", 120, "h1", false, true, 5.0, "heartbeat"}, {keyless, "/health", 120, "h1", false, nil, nil, nil}},
 		},
 		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 	})
@@ -124,24 +128,30 @@
 		case <-tck.C:
 		}
 		mac, key := dep.sides[num%len(dep.sides)], rand.IntN(keyCount/256)*256+7
-		group.Go(func() { dep.request(cli, rec, mac, key) })
+		path := prefix + "2f"
+		if mac.service == keyless {
+			path = keylessRoute + "2f"
+		}
+		group.Go(func() { dep.request(cli, rec, mac, path, key, 1200*time.Millisecond) })
 	}
 }
 
-func (dep *deployment) request(cli *http.Client, rec *record, mac *machine, key int) {
+func (dep *deployment) request(cli *http.Client, rec *record, mac *machine, path string, key int, deadline time.Duration) {
 	id := fmt.Sprintf("%016x", rand.Uint64())
 	sent := rec.request(id, mac.name)
-	ctx, cancel := context.WithTimeout(context.Background(), 1200*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+dep.address(mac, dep.prt.outbound)+prefix+"2f", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+dep.address(mac, dep.prt.outbound)+path, nil)
 	if err != nil {
 		rec.answered(sent, err.Error())
 		return
 	}
 	req.Host = host
 	req.Header.Set("X-Siskinrill-Attempt-Id", id)
-	req.Header.Set("X-Siskinrill-Deadline-Ms", "1200")
-	req.Header.Set("X-Siskinrill-Shard-Key", fmt.Sprint(key))
+	req.Header.Set("X-Siskinrill-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	if mac.service == service {
+		req.Header.Set("X-Siskinrill-Shard-Key", fmt.Sprint(key))
+	}
 	res, err := cli.Do(req)
 	if err != nil {
 		rec.answered(sent, "no answer")
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,9 +5,12 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -31,16 +34,18 @@
 
 // caseOf is what a case does and how it is judged.
 type caseOf struct {
-	play  func(*play) error
-	judge func(*play) int
+	service string // of all machines beside servers
+	play    func(*play) error
+	judge   func(*play) int
 }
 
 var cases = map[string]caseOf{
-	"other-writer":   {(*play).otherWriter, (*play).judgeOwner},
-	"late-heartbeat": {(*play).lateHeartbeat, (*play).judgeOwner},
-	"kill-only":      {(*play).killOnly, (*play).judgeOwner},
-	"deregistration": {(*play).deregistration, (*play).judgeDrain},
-	"lost-voter":     {(*play).lostVoter, (*play).judgeConfig},
+	"other-writer":   {service, (*play).otherWriter, (*play).judgeOwner},
+	"late-heartbeat": {service, (*play).lateHeartbeat, (*play).judgeOwner},
+	"kill-only":      {service, (*play).killOnly, (*play).judgeOwner},
+	"deregistration": {keyless, (*play).deregistration, (*play).judgeDrain},
+	"leaving-cut":    {keyless, (*play).leavingCut, (*play).judgeLost},
+	"lost-voter":     {service, (*play).lostVoter, (*play).judgeConfig},
 }
 
 func main() {
@@ -65,7 +70,7 @@
 		return fail(err)
 	}
 	defer os.RemoveAll(dir)
-	dep, err := newDeployment(root, dir, []string{service, service, service, service, service, service, service})
+	dep, err := newDeployment(root, dir, slices.Repeat([]string{cas.service}, 7))
 	if err != nil {
 		return fail(err)
 	}
@@ -158,6 +163,10 @@
 	if err := dep.awaitReady(15 * time.Second); err != nil {
 		return err
 	}
+	if dep.sides[0].service == keyless {
+		time.Sleep(3 * time.Second)
+		return nil
+	}
 	if !ply.awaitHolds(keyCount, 25*time.Second) {
 		return fmt.Errorf("not all keys are held")
 	}
@@ -278,12 +287,14 @@
 }
 
 // deregistration lets a server leave as some do, by a DELETE without having reported that it drains. The process beside it has
-// been killed and has come back less than a heartbeat ago. The server goes on serving, and sends heartbeats to keep its keys.
+// been killed and has come back less than a heartbeat ago. The server goes on serving. A heartbeat that it had sent before
+// arrives 2 s late.
 func (ply *play) deregistration() error {
 	mac, ups := ply.dep.sides[0], ply.servers[0]
 	time.Sleep(4 * time.Second)
 	ups.awaitBeat()
 	started := time.Now()
+	delayed, _ := ups.body()
 	if ply.trouble {
 		ply.dep.kill(mac)
 		ply.rec.add("the process on %s is killed", mac.name)
@@ -302,7 +313,12 @@
 	}
 	// drain-ms after the acknowledgement, and stability-window-ms after the start: by then the machine is in touch.
 	ply.left = later(acknowledged.Add(2*time.Second), started.Add(3*time.Second))
-	time.Sleep(10 * time.Second)
+	time.Sleep(2 * time.Second)
+	if ply.trouble {
+		sts, _, err := put(ups.control, ups.id, delayed)
+		ply.rec.add("a heartbeat that %s sent before its DELETE arrives: status %d, %v", ups.id, sts, err)
+	}
+	time.Sleep(8 * time.Second)
 	return nil
 }
 
@@ -389,3 +405,48 @@
 	fmt.Println("CONFIG is broken")
 	return broken
 }
+
+// leavingCut lets a server leave by a DELETE, after which it sends no more heartbeats and finishes its work, while the machine that
+// took some of this work from its clients is stopped as planned. Both are planned work; the first is left out without trouble.
+func (ply *play) leavingCut() error {
+	entry, ups := ply.dep.sides[3], ply.servers[0] // in the same zone
+	time.Sleep(3 * time.Second)
+	ups.awaitBeat()
+	time.Sleep(1200 * time.Millisecond)
+	cli := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}
+	var group sync.WaitGroup
+	for range 30 {
+		group.Go(func() { ply.dep.request(cli, ply.rec, entry, longPath, noKey, 12*time.Second) })
+	}
+	time.Sleep(150 * time.Millisecond)
+	if ply.trouble {
+		if _, err := ups.deregister(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	ply.rec.add("%s gets SIGTERM", entry.name)
+	if err := ply.dep.terminate(entry); err != nil {
+		return err
+	}
+	ply.rec.add("%s has ended", entry.name)
+	group.Wait()
+	return nil
+}
+
+// judgeLost tells whether requests that the stopped machine had taken were broken off while their server was at work.
+func (ply *play) judgeLost() int {
+	rec := ply.rec
+	rec.add("client attempts: %s", rec.statuses())
+	lost := rec.brokenOff(ply.dep.sides[3].name, ply.servers[0].id)
+	for _, req := range lost {
+		rec.add("request %s, sent at %s: cut while %s was at work, client's result: %s", req.id, rec.at(req.sent), ply.servers[0].id, req.status)
+	}
+	fmt.Println("client attempts:", rec.statuses())
+	fmt.Printf("requests of the stopped machine that were broken off while their server was at work: %d\n", len(lost))
+	if len(lost) == 0 {
+		return held
+	}
+	fmt.Println("LOST is broken")
+	return broken
+}
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -25,6 +25,7 @@
 	key        int
 	server, id string
 	begin, end time.Time
+	cut        bool // the server's connection was closed while it was at work
 }
 
 // sentRequest is a client attempt.
@@ -92,11 +93,11 @@
 	rec.byID[server+" "+id] = run
 }
 
-func (rec *record) endRun(_ int, server, id string) {
+func (rec *record) endRun(server, id string, whole bool) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	if run := rec.byID[server+" "+id]; run != nil {
-		run.end = time.Now()
+		run.end, run.cut = time.Now(), !whole
 	}
 }
 
@@ -181,6 +182,20 @@
 	return num
 }
 
+// brokenOff returns the requests sent to a machine that were cut at the server while it was at work, and that got no answer of a
+// server.
+func (rec *record) brokenOff(to, server string) []*sentRequest {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	var out []*sentRequest
+	for _, req := range rec.sent {
+		if run := rec.byID[server+" "+req.id]; req.to == to && run != nil && run.cut && req.status != "200" {
+			out = append(out, req)
+		}
+	}
+	return out
+}
+
 // statuses counts how the client attempts ended.
 func (rec *record) statuses() string {
 	rec.mu.Lock()
@@ -211,7 +226,7 @@
 	}
 	fmt.Fprintln(&out, "\nrun (time of begin and end, id, server, key)")
 	for _, run := range rec.runs {
-		fmt.Fprintln(&out, rec.at(run.begin), rec.at(run.end), run.id, run.server, run.key)
+		fmt.Fprintln(&out, rec.at(run.begin), rec.at(run.end), run.id, run.server, run.key, map[bool]string{true: "cut"}[run.cut])
 	}
 	return os.WriteFile(path, []byte(out.String()), 0o644)
 }
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -12,7 +12,12 @@
 	"time"
 )
 
-const keyCount = 65536
+const (
+	keyCount = 65536
+	// shortWork and longWork are the run times of requests. The latter is the longest work of trend-read on lgf-mesh-grown.
+	shortWork = 65 * time.Millisecond
+	longWork  = 4200 * time.Millisecond
+)
 
 // keyRange is a range of keys under one fencing token.
 type keyRange struct {
@@ -29,7 +34,6 @@
 	zone           string
 	adr, control   string
 	born           int64
-	work           time.Duration
 	srv            *http.Server
 	stop           chan struct{}
 	beatNow        chan struct{}
@@ -46,12 +50,13 @@
 	slots          chan struct{}
 	lastBeat       []byte // body of the last heartbeat
 	down           bool
+	quiet          bool // sends no more heartbeats
 	acknowledgedAt time.Time
 }
 
 func startUpstream(rec *record, id, service, zone, adr, control string) (*upstream, error) {
 	ups := &upstream{
-		rec: rec, id: id, service: service, zone: zone, adr: adr, control: control, born: time.Now().UnixMilli(), work: 65 * time.Millisecond,
+		rec: rec, id: id, service: service, zone: zone, adr: adr, control: control, born: time.Now().UnixMilli(),
 		stop: make(chan struct{}), beatNow: make(chan struct{}, 1), working: map[int]int{}, leaving: map[int]bool{}, slots: make(chan struct{}, 13),
 	}
 	lis, err := net.Listen("tcp", adr)
@@ -127,15 +132,34 @@
 	ups.slots <- struct{}{}
 	defer func() { <-ups.slots }()
 	ups.count(&ups.waiting, -1)
-	key, err := strconv.Atoi(req.Header.Get("X-Siskinrill-Shard-Key"))
-	if err != nil || key < 0 || key >= keyCount || !ups.begin(key, id) {
+	key := noKey
+	if ups.service == service {
+		var err error
+		if key, err = strconv.Atoi(req.Header.Get("X-Siskinrill-Shard-Key")); err != nil || key < 0 || key >= keyCount {
+			refuse(http.StatusMisdirectedRequest)
+			return
+		}
+	}
+	if !ups.begin(key, id) {
 		refuse(http.StatusMisdirectedRequest)
 		return
 	}
+	work := shortWork
+	if req.URL.Path == longPath {
+		work = longWork
+	}
 	ups.count(&ups.running, 1)
-	time.Sleep(ups.work)
+	whole := true
+	select {
+	case <-time.After(work):
+	case <-req.Context().Done(): // its connection was closed
+		whole = false
+	}
 	ups.count(&ups.running, -1)
-	ups.end(key, id)
+	ups.end(key, id, whole)
+	if !whole {
+		return
+	}
 	body := "answer of " + ups.id + " to " + id + "\n"
 	wri.Header().Set("X-Siskinrill-Server-Stamp", ups.id+"."+id)
 	wri.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -149,12 +173,15 @@
 	return *num
 }
 
+// noKey is the key of requests to a service that is not divided by key.
+const noKey = -1
+
 // begin begins a run if the key is held.
 func (ups *upstream) begin(key int, id string) bool {
 	ups.mu.Lock()
 	defer ups.mu.Unlock()
 	ups.expire()
-	if ups.down || ups.fence[key] == 0 || ups.leaving[key] {
+	if ups.down || key != noKey && (ups.fence[key] == 0 || ups.leaving[key]) {
 		return false
 	}
 	ups.working[key]++
@@ -162,7 +189,7 @@
 	return true
 }
 
-func (ups *upstream) end(key int, id string) {
+func (ups *upstream) end(key int, id string, whole bool) {
 	ups.mu.Lock()
 	defer ups.mu.Unlock()
 	if ups.working[key]--; ups.working[key] == 0 {
@@ -171,7 +198,7 @@
 			ups.release(key)
 		}
 	}
-	ups.rec.endRun(key, ups.id, id)
+	ups.rec.endRun(ups.id, id, whole)
 }
 
 // release gives a key back; the lock is held.
@@ -198,7 +225,9 @@
 		case <-ups.beatNow:
 			time.Sleep(50 * time.Millisecond)
 		}
-		ups.beat()
+		if !ups.isQuiet() {
+			ups.beat()
+		}
 		tmr.Reset(1500 * time.Millisecond)
 	}
 }
@@ -217,10 +246,14 @@
 			holds = append(holds, [3]uint64{uint64(key), uint64(key), fen})
 		}
 	}
-	raw, _ := json.Marshal(map[string]any{
+	msg := map[string]any{
 		"service": ups.service, "address": ups.adr, "zone": ups.zone, "version": "v1", "slots": cap(ups.slots), "state": "ready",
-		"warmup-left-ms": 0, "sequence": ups.sequence, "born": ups.born, "holds": holds, "released": mergeReleased(ups.released),
-	})
+		"warmup-left-ms": 0, "sequence": ups.sequence, "born": ups.born,
+	}
+	if ups.service == service {
+		msg["holds"], msg["released"] = holds, mergeReleased(ups.released)
+	}
+	raw, _ := json.Marshal(msg)
 	ups.lastBeat = raw
 	return raw, len(ups.released)
 }
@@ -269,8 +302,18 @@
 	return res.StatusCode, ans, err
 }
 
-// deregister sends the DELETE of a server that leaves, and returns when it was acknowledged.
+func (ups *upstream) isQuiet() bool {
+	ups.mu.Lock()
+	defer ups.mu.Unlock()
+	return ups.quiet
+}
+
+// deregister sends the DELETE of a server that leaves, and returns when it was acknowledged. It sends no more heartbeats, and
+// goes on serving.
 func (ups *upstream) deregister() (time.Time, error) {
+	ups.mu.Lock()
+	ups.quiet = true
+	ups.mu.Unlock()
 	req, err := http.NewRequest(http.MethodDelete, "http://"+ups.control+"/siskinrill/instances/"+ups.id, nil)
 	if err != nil {
 		return time.Time{}, err
@@ -308,7 +351,9 @@
 	ups.acknowledgedAt = time.Now()
 	ups.expire()
 	if msg.Holds == nil {
-		ups.rec.add("heartbeat of %s: the answer renews nothing", ups.id)
+		if ups.service == service {
+			ups.rec.add("heartbeat of %s: the answer renews nothing", ups.id)
+		}
 		return
 	}
 	var granted [keyCount]uint64
