--- /dev/null
+++ b/review/standin-2/invalid.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+func init() {
+	cases["invalid"] = playInvalid
+	cases["limits"] = playLimits
+}
+
+// startCommande starts a core, two upstreams without keys and their agents.
+func startCommande(wld *world) ([]*upstream, error) {
+	if err := wld.freePorts(3, 2); err != nil {
+		return nil, err
+	}
+	if err := wld.startCores(3); err != nil {
+		return nil, err
+	}
+	var all []*upstream
+	for pos := range 2 {
+		mac := wld.add(fmt.Sprintf("sidecar-%d", pos+1), sidecarIP(pos), "tn-north-tunis", "commande")
+		if err := mac.run(); err != nil {
+			return nil, err
+		}
+		all = append(all, newUpstream(mac, fmt.Sprintf("i-%08x", 0xa1+pos), false))
+	}
+	return all, nil
+}
+
+var (
+	orderRoutes   = [][]any{route("r-order", "jepu9.example", "/order/", "non_idempotent", 1500, "commande")}
+	orderServices = [][]any{plainService("commande")}
+)
+
+// post sends one order and returns its status, 0 without an answer.
+func post(wld *world, mac *machine, attempt string, size int) int {
+	req, _ := http.NewRequest("POST", fmt.Sprintf("http://%s/order/%s", addr(mac.ip, wld.prt.outbound), attempt), strings.NewReader(strings.Repeat("x", size)))
+	req.Host = "jepu9.example"
+	req.Header.Set("X-Siskinrill-Attempt-Id", attempt)
+	req.Header.Set("X-Siskinrill-Deadline-Ms", "1500")
+	rsp, err := operatorClient.Do(req)
+	if err != nil {
+		wld.logf("client: %s at %s: %v", attempt, mac.name, err)
+		return 0
+	}
+	defer rsp.Body.Close()
+	dat, _ := io.ReadAll(rsp.Body)
+	wld.logf("client: %s of %d bytes at %s: %d %.100s", attempt, size, mac.name, rsp.StatusCode, dat)
+	return rsp.StatusCode
+}
+
+// serve starts the upstreams and waits until orders are served.
+func serve(wld *world, all []*upstream) error {
+	var agents []*machine
+	for _, ups := range all {
+		if err := ups.run(0); err != nil {
+			return err
+		}
+		agents = append(agents, ups.mac)
+	}
+	if err := wld.awaitReady(agents...); err != nil {
+		return err
+	}
+	for num := range 50 {
+		if post(wld, agents[num%2], fmt.Sprintf("warm%04d", num), 100) == 200 && num > 5 {
+			return nil
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return fmt.Errorf("orders are not served")
+}
+
+// playInvalid sends a configuration that is invalid.
+func playInvalid(wld *world, trouble bool) (bool, error) {
+	all, err := startCommande(wld)
+	if err != nil {
+		return false, err
+	}
+	if sts, err := wld.order("PUT", fullConfig(5, 0, orderRoutes, orderServices), "version 5"); err != nil || sts != 200 {
+		return false, fmt.Errorf("first configuration: %d %v", sts, err)
+	}
+	if err := serve(wld, all); err != nil {
+		return false, err
+	}
+	version, accepted := 5, 0
+	send := func(what string, change func(doc map[string]any)) error {
+		doc := fullConfig(version+2, version, orderRoutes, orderServices)
+		change(doc)
+		sts, err := wld.order("PUT", doc, fmt.Sprintf("version %d, %s", version+2, what))
+		if err != nil {
+			return err
+		}
+		if sts == 200 {
+			version += 2
+			accepted++
+			time.Sleep(2 * time.Second)
+			post(wld, all[0].mac, fmt.Sprintf("after%d", version), 100)
+		}
+		return nil
+	}
+	if !trouble {
+		return false, send("as before", func(map[string]any) {})
+	}
+	for _, itm := range []struct {
+		what   string
+		change func(doc map[string]any)
+	}{
+		{"a route names an unknown service beside its parts", func(doc map[string]any) {
+			row := append([]any{}, orderRoutes[0]...)
+			row[7], row[9] = "nosuch1", []any{map[string]any{"service": "commande", "weight": 100}}
+			doc["routes"] = table{Columns: routeColumns, Rows: [][]any{row}}
+		}},
+		{"routes without rows", func(doc map[string]any) { doc["routes"] = map[string]any{"columns": routeColumns} }},
+	} {
+		if err := send(itm.what, itm.change); err != nil {
+			return false, err
+		}
+	}
+	wld.logf("invalid configurations acknowledged: %d", accepted)
+	return accepted > 0, nil
+}
+
+// playLimits replaces a configuration with narrow limits by one without limits.
+func playLimits(wld *world, trouble bool) (bool, error) {
+	all, err := startCommande(wld)
+	if err != nil {
+		return false, err
+	}
+	first := fullConfig(5, 0, orderRoutes, orderServices)
+	first["limits"] = map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1000, "header-timeout-ms": 3000, "idle-timeout-ms": 15000}
+	if sts, err := wld.order("PUT", first, "version 5, bodies of 1000 bytes at most"); err != nil || sts != 200 {
+		return false, fmt.Errorf("first configuration: %d %v", sts, err)
+	}
+	if err := serve(wld, all); err != nil {
+		return false, err
+	}
+	second := fullConfig(7, 5, orderRoutes, orderServices)
+	if trouble {
+		delete(second, "limits")
+	}
+	sts, err := wld.order("PUT", second, "version 7, with other limits")
+	if err != nil {
+		return false, err
+	}
+	wld.logf("version 7: %d", sts)
+	time.Sleep(3 * time.Second)
+	denied := 0
+	for num := range 20 {
+		if post(wld, all[num%2].mac, fmt.Sprintf("later%04d", num), 3000) == 413 {
+			denied++
+		}
+	}
+	wld.logf("requests of 3000 bytes answered with 413: %d", denied)
+	return sts == 200 && denied > 5, nil
+}
