--- a/review/standin-2/upstream.go
+++ b/review/standin-2/upstream.go
@@ -25,6 +25,7 @@
 	slots   int
 	sharded bool
 	work    time.Duration // time of a request
+	size    int           // length of its answers, 0 for a short text
 	byKey   bool          // releases each key as soon as its work has ended
 
 	mu       sync.Mutex
@@ -331,7 +332,12 @@
 	hdr.Set("X-Siskinrill-Instance-Load", fmt.Sprintf("%d,0,%d", load, ups.slots))
 	hdr.Set("X-Siskinrill-Server-Stamp", ups.id+"."+attempt)
 	hdr.Set("Content-Type", "text/plain")
-	fmt.Fprintf(wri, "%s ran %s", ups.id, attempt)
+	if ups.size == 0 {
+		fmt.Fprintf(wri, "%s ran %s", ups.id, attempt)
+		return
+	}
+	hdr.Set("Content-Length", strconv.Itoa(ups.size))
+	_, _ = wri.Write(bytes.Repeat([]byte{'z'}, ups.size))
 }
 
 func (ups *upstream) reject(wri http.ResponseWriter, status int) {
