--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -7,4 +7,4 @@
 	echo "build first: the deploy file's build and review/build-2.sh"
 	exit 2
 fi
-exec "$root/target/review-2/standin" -case work -program "$root/target/siskinrill" -root "$root" -record record.txt
+exec "$root/target/review-2/standin" -case owner -program "$root/target/siskinrill" -root "$root" -record record.txt
