--- a/review/standin-2/exit.go
+++ b/review/standin-2/exit.go
@@ -9,10 +9,11 @@
 
 var fileRoutes = [][]any{route("r-file", "jepu9.example", "/lookup/", "non_idempotent", 4000, "vitrine")}
 
-// playExit lets an upstream leave whose statements that it is draining arrive late, so that they are not acknowledged.
+// playExit lets two upstreams leave one after the other; their statements that they are draining arrive late, so that they are not
+// acknowledged.
 func playExit(wld *world, trouble bool) (bool, error) {
 	wld.beatMs = 870
-	all, err := startVitrine(wld, 10, fileRoutes, func(ups *upstream) { ups.spread, ups.work, ups.slots = true, 250*time.Millisecond, 9 })
+	all, err := startVitrine(wld, 14, fileRoutes, func(ups *upstream) { ups.spread, ups.work, ups.slots = true, 250*time.Millisecond, 9 })
 	if err != nil {
 		return false, err
 	}
@@ -20,12 +21,14 @@
 	end := make(chan struct{})
 	found := watchWork(wld, all, end)
 	stop := make(chan struct{})
-	for num := range 70 {
+	for num := range 110 {
 		go sendLookups(wld, all, http.MethodPost, num, stop)
 	}
-	time.Sleep(3 * time.Second)
-	if trouble {
-		leaving := all[1]
+	for _, leaving := range []*upstream{all[1], all[8]} {
+		time.Sleep(4 * time.Second)
+		if !trouble {
+			continue
+		}
 		leaving.mu.Lock()
 		leaving.state, leaving.late = "draining", 2500*time.Millisecond
 		leaving.mu.Unlock()
