review: the stand-in is built without settings of the machine and ends its processes on a signal

Cause: its build took GOFLAGS and GOPROXY from the machine and stamped the repository; a script that was stopped left its processes. Done: build-2.sh sets them, the stand-in handles SIGTERM and SIGINT.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the second review into target/review-2.
+# Builds the stand-in of the second review into target/review-2. It uses the standard library only and needs no network.
 set -eu
 cd "$(dirname "$0")/standin-2"
-GOWORK=off go build -trimpath -o ../../target/review-2/standin .
+GOFLAGS= GOWORK=off GOPROXY=off GOTOOLCHAIN=local go build -trimpath -buildvcs=false -o ../../target/review-2/standin .
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -4,6 +4,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -50,6 +52,14 @@
 		os.RemoveAll(dir)
 		os.Exit(exitFailed)
 	})
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		wld.end()
+		os.RemoveAll(dir)
+		os.Exit(exitFailed)
+	}()
 	broken, err := fn(wld, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
