backend: a closed port is no proof that a server has ended

Cause: a refused connection counted as the end of the process: the failure was reported without waiting for the holds, runs were ended, and an announced successor took the server's place at once (backend Client.fail, Client.admits).

Change: a refused connection is reported after the holds like any other failure, unless the server must have crashed: it has stated nothing of leaving, no such statement can be late (announcements on time for longer than a hold, the last one within 1.8 s), and no run is open. A successor waits for the holds or that proof. A closed port, missing announcements and a successor no longer end runs. The port is checked when the server ends a connection and when an announcement is overdue. A grant by call that is under way counts as a hold.

--- a/internal/agent/backend/announce.go
+++ b/internal/agent/backend/announce.go
@@ -142,7 +142,7 @@
 	}
 	cli.forgetUnnumbered(failed)
 	leaving := ann.Leaving || cli.advice.leaving
-	cli.ended = false
+	cli.ended, cli.portClosed, cli.crashed = false, false, false
 	cli.state = controlpb.UpstreamState_UPSTREAM_STATE_SERVING
 	if leaving {
 		cli.state = controlpb.UpstreamState_UPSTREAM_STATE_DRAINING
@@ -172,19 +172,27 @@
 		if cli.tgt != nil {
 			cli.tgt.close()
 		}
-		cli.tgt = newTarget(ann, cli.opt)
+		cli.tgt = newTarget(ann, cli.opt, func() { cli.connEnded.Store(true) })
 	}
 	return cli.tgt, fresh, cli.state == controlpb.UpstreamState_UPSTREAM_STATE_FAILED
 }
 
-// recordGap records when an announcement arrived and the longest time between two of one start of the server; the caller holds
-// the mutex.
+// recordGap records when an announcement arrived, the longest time between two of one start of the server, and whether others before
+// it may be missing; the caller holds the mutex.
 func (cli *Client) recordGap(old, ann *Announcement) {
 	now := time.Now()
-	if old == nil || ann.isOtherStart(old) {
-		cli.announceGap = 0
-	} else {
-		cli.announceGap = max(cli.announceGap, min(now.Sub(cli.announcedAt), maxAnnounceGap))
+	gap := now.Sub(cli.announcedAt)
+	switch {
+	case old == nil || ann.isOtherStart(old):
+		cli.announceGap, cli.lateAt = 0, time.Time{}
+		if ann.Sequence != firstSequence {
+			cli.lateAt = now // another process of this agent may have heard it before
+		}
+	case gap >= leaveNotice:
+		cli.lateAt = now
+		fallthrough
+	default:
+		cli.announceGap = max(cli.announceGap, min(gap, maxAnnounceGap))
 	}
 	cli.announcedAt = now
 }
@@ -199,11 +207,12 @@
 	cli.leaving = false
 	cli.advice, cli.knownToStay = advice{}, false
 	cli.keys.clear()
+	cli.mtr.reset()
 	if cli.state == controlpb.UpstreamState_UPSTREAM_STATE_FAILED {
 		cli.state = controlpb.UpstreamState_UPSTREAM_STATE_SERVING
 	}
 	for rnn := range cli.runs {
-		rnn.serverFailed()
+		rnn.serverFailed(false)
 	}
 }
 
--- a/internal/agent/backend/client.go
+++ b/internal/agent/backend/client.go
@@ -25,7 +25,10 @@
 	announcedAt    time.Time     // arrival of the last announcement
 	announceGap    time.Duration // longest time between two announcements of the current start, 0 after the first
 	heard          *Announcement // last announcement, also if it was not accepted
+	lateAt         time.Time     // arrival of the last announcement before which others may be missing, see mustHaveCrashed
 	guessed        bool          // the current server was accepted without proof, see isGuessed
+	portClosed     bool          // the port of the current server has refused a connection
+	crashed        bool          // the current server must have crashed; it has ended once no run is open
 	ended          bool          // the current server is proved to have ended
 	failures       uint          // consecutive failures, for the backoff
 	backoffUntil   time.Time
@@ -50,6 +53,7 @@
 	coldKnown   atomic.Bool   // the service is configured
 	coldEnabled atomic.Bool   // the service has a limit for cold servers
 	pollNow     chan struct{} // triggers a poll of the health path
+	connEnded   atomic.Bool   // the server has closed or reset a connection since the last check of its port
 
 	reportMu sync.Mutex // serializes OnUpstream
 
@@ -57,6 +61,7 @@
 	probedAt    time.Time // last answered probe of an unresponsive server
 	dialedAt    time.Time // last check of a server that is leaving
 	failedDials int       // consecutive checks of such a server that found nothing
+	portChecks  portChecks
 }
 
 var _ siskinrill.Backend = (*Client)(nil)
@@ -147,8 +152,12 @@
 
 func (cli *Client) end(rnn *run) {
 	cli.mu.Lock()
-	defer cli.mu.Unlock()
 	delete(cli.runs, rnn)
+	ended := cli.concludeCrash()
+	cli.mu.Unlock()
+	if ended {
+		cli.report()
+	}
 }
 
 // fail marks the backend server as failed; the cause is for the log and the counter. No request is written
@@ -168,18 +177,17 @@
 	backoff := min(minFailureBackoff<<min(cli.failures, 10), maxFailureBackoff)
 	cli.failures++
 	cli.backoffUntil = time.Now().Add(backoff)
-	// An unresponsive server may resume and use its keys, or start requests that it has received, until then;
-	// an earlier report would allow a second owner.
-	cli.reportFrom = time.Time{}
-	cli.ended = cause == causeRefused
-	cli.reportAfterEnd = cause != causeRefused && cli.mayStartAfterMove()
-	if cause != causeRefused {
-		cli.reportFrom = later(time.Now().Add(cli.keys.remaining()), cli.latestStart)
-	}
-	idt, reportFrom, leaving := cli.ann.ID, cli.reportFrom, cli.leaving
 	for rnn := range cli.runs {
-		rnn.serverFailed()
-	}
+		rnn.serverFailed(cause == causeSilent || cause == causeRequestsFail)
+	}
+	// The server may use its keys, or start requests that it has received, until then; an earlier report would allow a
+	// second owner.
+	cli.reportFrom = later(time.Now().Add(cli.keys.remaining()), cli.latestStart)
+	cli.reportAfterEnd = cli.mayStartAfterMove()
+	cli.portClosed = cause == causeRefused
+	cli.crashed = cli.portClosed && cli.mustHaveCrashed()
+	cli.concludeCrash()
+	idt, reportFrom, leaving := cli.ann.ID, cli.reportFrom, cli.leaving
 	cli.mu.Unlock()
 	cli.cnt.Event("backend_failed_" + cause)
 	logrus.Warnf("backend: server %s marked as failed: %s", idt, cause)
--- a/internal/agent/backend/conn.go
+++ b/internal/agent/backend/conn.go
@@ -1,8 +1,10 @@
 package backend
 
 import (
+	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -66,6 +68,13 @@
 	gat.checked = false
 }
 
+// hasStarted reports whether any byte of the request was written.
+func (gat *gate) hasStarted() bool {
+	gat.mu.Lock()
+	defer gat.mu.Unlock()
+	return gat.started
+}
+
 // close prevents the request from starting, and reports whether it has started and whether its lease had
 // expired.
 func (gat *gate) close() (started, expired bool) {
@@ -85,8 +94,18 @@
 // conn is a connection that asks the gate of its current request before each write.
 type conn struct {
 	net.Conn
-	mu  sync.Mutex
-	gat *gate
+	onEnd func() // called when the server closes or resets the connection; nil: nothing is called
+	mu    sync.Mutex
+	gat   *gate
+}
+
+// Read reads from the server and notices the end of the connection.
+func (con *conn) Read(buf []byte) (int, error) {
+	num, err := con.Conn.Read(buf)
+	if con.onEnd != nil && (errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)) {
+		con.onEnd()
+	}
+	return num, err
 }
 
 func (con *conn) attach(gat *gate) {
--- a/internal/agent/backend/do.go
+++ b/internal/agent/backend/do.go
@@ -132,11 +132,11 @@
 	return rnn.tgt.transport
 }
 
-// serverFailed prevents the request from starting. An idempotent request ends immediately, so that it can be
-// retried elsewhere; any other that was started is left to the server until its deadline.
-func (rnn *run) serverFailed() {
+// serverFailed prevents the request from starting. If the server no longer answers, an idempotent request ends immediately, so
+// that it can be retried elsewhere; any other that was started is left to the server until its deadline.
+func (rnn *run) serverFailed(unanswered bool) {
 	started, _ := rnn.gat.close()
-	if !started || rnn.att.Idempotent() {
+	if !started || unanswered && rnn.att.Idempotent() {
 		rnn.failed.Store(true)
 		rnn.cancel()
 	}
--- /dev/null
+++ b/internal/agent/backend/ending.go
@@ -0,0 +1,77 @@
+package backend
+
+import "time"
+
+// Causes of a failure, for the counters and the log.
+const (
+	causeRefused      = "refused" // the port refuses connections
+	causeSilent       = "silent"
+	causeNotAnnounced = "not_announced"
+	causeRequestsFail = "requests_fail"
+)
+
+const (
+	// leaveNotice is the time for which a server that is going to stop accepts connections after it has first announced or
+	// stated that it is leaving. Announcements that arrive further apart are late.
+	leaveNotice = 1800 * time.Millisecond
+	// portCheckInterval is the shortest time between two checks whether the port of a server refuses connections.
+	portCheckInterval = time.Second
+	// firstSequence is the sequence number of the first announcement of a start of a server.
+	firstSequence = 1
+)
+
+// portChecks are the times of the checks whether the port of a server refuses connections.
+type portChecks struct {
+	last    time.Time
+	overdue time.Time // arrival of the announcement after which the next one was found overdue
+}
+
+// mustHaveCrashed reports whether a server whose port refuses connections can only have crashed. A server that stops as planned closes
+// its port first, then finishes its work, and holds its keys until it has ended; but it announces that it is leaving leaveNotice before.
+// So it has crashed if no such announcement can be missing: the last one arrived within leaveNotice, and none was late for as long as a
+// hold lasts. The caller holds the mutex.
+func (cli *Client) mustHaveCrashed() bool {
+	now := time.Now()
+	return !cli.leaving && !cli.ann.Leaving && now.Sub(cli.announcedAt) < leaveNotice && now.Sub(cli.lateAt) >= maxServerHold
+}
+
+// hasOpenRuns reports whether the server may be at work on a request that was sent to it; the caller holds the mutex.
+func (cli *Client) hasOpenRuns() bool {
+	for rnn := range cli.runs {
+		if rnn.gat.hasStarted() {
+			return true
+		}
+	}
+	return false
+}
+
+// concludeCrash records the end of a server that must have crashed and has no open runs any more, whose connections end with it, and
+// reports whether that is new; its failure is then reported at once. The caller holds the mutex.
+func (cli *Client) concludeCrash() bool {
+	if !cli.crashed || cli.ended || cli.hasOpenRuns() {
+		return false
+	}
+	cli.ended, cli.reportAfterEnd, cli.reportFrom = true, false, time.Time{}
+	return true
+}
+
+// suspectsEnd reports whether to check if the port of a server that holds keys refuses connections: it has ended a connection, or its
+// next announcement is overdue. A crash is found while it can be told apart from a planned stop, also if no request is sent.
+func (cli *Client) suspectsEnd() bool {
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	if !cli.ann.HoldsKeys || time.Since(cli.portChecks.last) < portCheckInterval {
+		return false
+	}
+	connEnded := cli.connEnded.Swap(false)
+	age := time.Since(cli.announcedAt)
+	overdue := age >= max(heartbeatGrace, cli.announceGap+tickInterval) && age < leaveNotice && !cli.portChecks.overdue.Equal(cli.announcedAt)
+	if overdue {
+		cli.portChecks.overdue = cli.announcedAt
+	}
+	if connEnded || overdue {
+		cli.portChecks.last = time.Now()
+		return true
+	}
+	return false
+}
--- a/internal/agent/backend/grantloop.go
+++ b/internal/agent/backend/grantloop.go
@@ -155,8 +155,7 @@
 	})
 }
 
-// failIfRefused marks the server as failed if its port refused the connection, which proves that it has
-// terminated.
+// failIfRefused marks the server as failed if its port refused the connection.
 func (cli *Client) failIfRefused(tgt *target, err error) {
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		cli.fail(tgt, causeRefused)
--- a/internal/agent/backend/hold.go
+++ b/internal/agent/backend/hold.go
@@ -34,8 +34,6 @@
 	// minRemainingHold is the remaining hold below which an answer is not delayed, so that one more heartbeat
 	// may be lost without losing the hold.
 	minRemainingHold = 1500 * time.Millisecond
-	// causeRefused is the failure cause that proves that the server has terminated.
-	causeRefused = "refused"
 )
 
 // applyHeartbeat updates the state from a heartbeat. Heartbeats are sequential, so keys that an earlier
--- a/internal/agent/backend/keys.go
+++ b/internal/agent/backend/keys.go
@@ -94,6 +94,9 @@
 	for _, until := range kys.unacknowledged {
 		longest = max(longest, time.Until(until))
 	}
+	if len(kys.inFlight) > 0 {
+		longest = max(longest, maxServerDirectHold)
+	}
 	if kys.direct {
 		// Heartbeats don't include keys that a previous agent process granted by calls.
 		longest = max(longest, time.Until(kys.priorHoldsUntil))
--- a/internal/agent/backend/successor.go
+++ b/internal/agent/backend/successor.go
@@ -14,12 +14,13 @@
 // its place. Anyone may write announcements, and what follows from a restart is not taken back: the keys of the current server
 // are granted to others at once.
 //
-// A server has ended if its port refuses connections or its health path answers for the other server. Without such proof the other
-// one has to wait until the current one is silent and holds no keys any more.
+// A server that must have crashed has ended. One whose port refuses connections, or whose health path answers for the other server, may
+// be finishing its work, so that the other one has to wait until it holds no keys any more. Without such signs it also has to be silent.
 func (cli *Client) admits(ctx context.Context, ann *Announcement) bool {
 	cli.mu.Lock()
 	cur, tgt := cli.ann, cli.tgt
-	ended, silent := cli.ended, cli.isSilent()
+	ended, silent, free := cli.ended, cli.isSilent(), cli.keys.remaining() <= 0 || cli.mustHaveCrashed() && !cli.hasOpenRuns()
+	portClosed := cli.portClosed
 	continues, replaces := ann.follows(cli.heard), cli.isGuessed() && ann.isSuccessorOf(cli.ann)
 	cli.heard = ann
 	cli.mu.Unlock()
@@ -33,7 +34,9 @@
 		}
 		cli.cnt.Event("announce_late")
 		return false
-	case !ann.isOtherStart(cur), replaces, ended, silent, cli.refusesConnections(ctx, tgt), cli.isNamed(ctx, tgt, cur, ann):
+	case !ann.isOtherStart(cur), replaces, ended, silent:
+		return true
+	case free && (portClosed || cli.refusesConnections(ctx, tgt) || cli.isNamed(ctx, tgt, cur, ann)):
 		return true
 	}
 	cli.expectCold()
--- a/internal/agent/backend/target.go
+++ b/internal/agent/backend/target.go
@@ -19,15 +19,15 @@
 	releases  *http.Transport   // opens a connection for each release
 }
 
-// newTarget returns the target of an announcement that has been validated.
-func newTarget(ann *Announcement, opt Options) *target {
+// newTarget returns the target of an announcement that has been validated; onEnd is called when the server ends a connection.
+func newTarget(ann *Announcement, opt Options, onEnd func()) *target {
 	loc, _ := url.Parse(ann.URL)
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		con, err := opt.Dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: con}, nil
+		return &conn{Conn: con, onEnd: onEnd}, nil
 	}
 	pool := &http.Transport{
 		DialContext:         dial,
