backend: what a server holds does not end with its service's configuration

Callers saw: a service with keys was removed from the configuration and added again 0.25 s later, while a server of it was leaving.

Cause: the agent read the ranges that a heartbeat lists by the number of partitions in its present configuration, which was none. The heartbeat seemed to list nothing, and all holds were deleted as released. The same look at the present configuration counted keys as free when a server failed while its service was not configured, also after a restart of the agent; read holds by another number of partitions; and ended the agent by a division by zero in a release by call.

Change: the agent keeps the last known configuration of its server's service and reads by that what the server says. Grants need the service to be configured, as before. Holds are carried over by key when the number of partitions changes. Ranges that cannot be read count as held until all holds of a previous process have ended.

--- a/internal/agent/backend/announce.go
+++ b/internal/agent/backend/announce.go
@@ -51,7 +51,7 @@
 func (cli *Client) Announce(ctx context.Context, ann *Announcement) (AnnouncementAnswer, error) {
 	arrived := time.Now()
 	if ann.Connections == 0 && cli.opt.Service != nil {
-		ann.Connections = cmp.Or(cli.opt.Service(ann.Service).GetConnections(), ann.Slots*connectionsPerSlot)
+		ann.Connections = cmp.Or(cli.service(ann.Service).GetConnections(), ann.Slots*connectionsPerSlot)
 	}
 	if err := cli.check(ann); err != nil {
 		cli.cnt.Event("announce_invalid")
--- a/internal/agent/backend/client.go
+++ b/internal/agent/backend/client.go
@@ -55,6 +55,8 @@
 	pollNow     chan struct{} // triggers a poll of the health path
 	connEnded   atomic.Bool   // the server has closed or reset a connection since the last check of its port
 
+	lastService atomic.Pointer[controlpb.Service] // last configuration of the server's service, nil for none
+
 	reportMu sync.Mutex // serializes OnUpstream
 
 	// Only Run uses these.
@@ -207,7 +209,7 @@
 	if cli.ann.ChecksFence || cli.ann.HoldsKeys {
 		return false
 	}
-	return cli.opt.Service == nil || cli.opt.Service(cli.ann.Service).GetKeyMode() != controlpb.KeyMode_KEY_MODE_NONE
+	return cli.opt.Service == nil || cli.service(cli.ann.Service).GetKeyMode() != controlpb.KeyMode_KEY_MODE_NONE
 }
 
 // report passes the upstream to OnUpstream if it has changed.
--- a/internal/agent/backend/grantloop.go
+++ b/internal/agent/backend/grantloop.go
@@ -79,6 +79,7 @@
 	if !usesDirectGrants(svc) {
 		return
 	}
+	cli.keys.setService(svc)
 	// The rows are read before the lease for the same reason as in fillHolds.
 	rows := partitionRows(cli.opt.Owned(), ann.Service)
 	exp, valid := cli.opt.Lease()
@@ -226,9 +227,7 @@
 	if tgt == nil {
 		return false
 	}
-	num := cli.opt.Service(ann.Service).GetPartitions()
-	fst, _ := siskinrill.KeyRange(refs[0].GetPartition(), num)
-	_, lst := siskinrill.KeyRange(refs[len(refs)-1].GetPartition(), num)
+	fst, lst := cli.keys.keyRange(refs[0].GetPartition(), refs[len(refs)-1].GetPartition())
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	sts, handover, err := cli.send(ctx, tgt.releases, newGate(time.Now().Add(releaseTimeout)), func() (*http.Request, error) {
--- a/internal/agent/backend/hold.go
+++ b/internal/agent/backend/hold.go
@@ -36,18 +36,21 @@
 	minRemainingHold = 1500 * time.Millisecond
 )
 
-// applyHeartbeat updates the state from a heartbeat. Heartbeats are sequential, so keys that an earlier
-// answer granted and this heartbeat does not list were either not received or have been released.
+// applyHeartbeat updates the state from a heartbeat; partitions is 0 if the service is not configured with keys. Heartbeats are sequential,
+// so keys that an earlier answer granted and this heartbeat does not list were either not received or have been released.
 func (kys *keys) applyHeartbeat(ann *Announcement, partitions uint32) map[uint32]uint64 {
-	rep := reportedTokens(ann, partitions)
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
 	kys.holdsKeys, kys.direct = true, false
+	kys.changePartitions(partitions)
+	partitions = kys.partitions
+	kys.unreadable = partitions == 0 && (!kys.serviceKnown || len(ann.Holds) > 0)
 	if kys.priorHoldsUntil.IsZero() {
 		kys.priorHoldsUntil = time.Now().Add(maxServerHold)
 		kys.carrierUnknown = partitions == 0
 	}
 	kys.carrierUnknown = kys.carrierUnknown && partitions == 0
+	rep := reportedTokens(ann, partitions)
 	for _, rng := range ann.Released {
 		for _, par := range partitionsWithin(rng.First, rng.Last, partitions) {
 			kys.recordHandover(par, rng.Handover)
@@ -87,6 +90,7 @@
 func (kys *keys) applyDirectHeartbeat() {
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
+	kys.unreadable, kys.everDirect = false, true
 	if !kys.direct {
 		defer kys.wake() // releases by calls begin
 	}
@@ -174,7 +178,8 @@
 	if !ann.HoldsKeys || cli.opt.Service == nil {
 		return nil
 	}
-	svc := cli.opt.Service(ann.Service)
+	svc := cli.service(ann.Service)
+	cli.keys.setService(svc)
 	if usesDirectGrants(svc) {
 		cli.keys.applyDirectHeartbeat()
 		return nil
@@ -191,7 +196,7 @@
 // take them only with its next heartbeat. It does not delay if keys are being revoked, the server is leaving
 // or its hold is short, and returns false if a newer heartbeat, whose answer then counts, has arrived.
 func (cli *Client) awaitIncoming(ctx context.Context, ann *Announcement) bool {
-	if !ann.HoldsKeys || ann.Leaving || cli.opt.Incoming == nil || cli.opt.Service != nil && usesDirectGrants(cli.opt.Service(ann.Service)) {
+	if !ann.HoldsKeys || ann.Leaving || cli.opt.Incoming == nil || usesDirectGrants(cli.service(ann.Service)) {
 		return true
 	}
 	if remaining := cli.keys.remaining(); remaining > 0 && remaining < minRemainingHold {
--- a/internal/agent/backend/hold_test.go
+++ b/internal/agent/backend/hold_test.go
@@ -20,6 +20,7 @@
 // slow.
 type heartbeatServer struct {
 	cli         *Client
+	service     *controlpb.Service // as it is configured now, nil if it is not
 	rows        []*controlpb.Shard // rows of the agent
 	leaseEnd    time.Time
 	id          string // default v1
@@ -73,15 +74,31 @@
 	return &controlpb.ShardRef{Service: row.GetService(), Partition: row.GetPartition(), Token: row.GetToken()}
 }
 
+func keyedService() *controlpb.Service {
+	return &controlpb.Service{Name: "vitrine", Partitions: heldPartitions, KeyMode: controlpb.KeyMode_KEY_MODE_NUMBER, Connections: 8}
+}
+
+func keylessService() *controlpb.Service {
+	return &controlpb.Service{Name: "vitrine", KeyMode: controlpb.KeyMode_KEY_MODE_NONE, Connections: 8}
+}
+
+// owned returns the rows of the agent, which has none of a service that is not configured.
+func (hol *heartbeatServer) owned() []*controlpb.Shard {
+	if hol.service == nil {
+		return nil
+	}
+	return hol.rows
+}
+
 func newHeartbeatServer(lease time.Duration) *heartbeatServer { return newAdjustedServer(lease, nil) }
 
 func newAdjustedServer(lease time.Duration, adjust func(*Options)) *heartbeatServer {
 	hol := &heartbeatServer{held: map[uint32]modelHold{}, working: map[uint32]bool{}, leaseEnd: time.Now().Add(lease)}
-	svc := &controlpb.Service{Name: "vitrine", Partitions: heldPartitions, KeyMode: controlpb.KeyMode_KEY_MODE_NUMBER, Connections: 8}
+	hol.service = keyedService()
 	opt := Options{
-		Owned:      func() []*controlpb.Shard { return hol.rows },
+		Owned:      hol.owned,
 		Lease:      func() (time.Time, bool) { return hol.leaseEnd, time.Now().Before(hol.leaseEnd) },
-		Service:    func(string) *controlpb.Service { return svc },
+		Service:    func(string) *controlpb.Service { return hol.service },
 		Incoming:   func(string) bool { return time.Now().Before(hol.incoming) },
 		OnUpstream: hol.recordUpstream,
 	}
@@ -285,7 +302,7 @@
 }
 
 // TestHoldProperty guards against releasing a row while the server holds it or works on it, across lost
-// answers, pauses, moves and an expiring lease.
+// answers, pauses, moves, an expiring lease, and configurations without the service or its keys.
 func TestHoldProperty(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Int64().Draw(rt, "seed")
@@ -301,7 +318,7 @@
 	}
 	done := make(chan *controlpb.ShardRef, heldPartitions)
 	for range 60 {
-		switch rnd.Intn(7) {
+		switch rnd.Intn(8) {
 		case 0:
 			time.Sleep(time.Duration(rnd.Intn(1500)) * time.Millisecond)
 		case 1:
@@ -318,6 +335,8 @@
 			hol.leaseEnd = time.Now().Add(3 * time.Second)
 		case 4:
 			hol.incoming = time.Now().Add(time.Duration(rnd.Intn(1000)) * time.Millisecond)
+		case 5:
+			hol.service = []*controlpb.Service{nil, keylessService(), keyedService(), keyedService()}[rnd.Intn(4)]
 		default:
 			hol.sendHeartbeat(t, rnd.Intn(4) == 0)
 		}
--- a/internal/agent/backend/keys.go
+++ b/internal/agent/backend/keys.go
@@ -35,6 +35,11 @@
 	// heartbeat.
 	priorHoldsUntil time.Time
 	carrierUnknown  bool // the service was unknown at the first heartbeat, so priorHoldsUntil assumes the longer hold of the two carriers
+	// partitions is the number of partitions by which the maps below are indexed, the last one that was configured; 0 for none.
+	partitions   uint32
+	serviceKnown bool // the service was configured since this process started
+	unreadable   bool // the last heartbeat may list keys whose partitions are not known
+	everDirect   bool // keys were granted by calls since this process started
 
 	started         time.Time            // start of this agent process
 	direct          bool                 // keys are granted by calls, not in heartbeat answers
@@ -75,6 +80,7 @@
 	clear(kys.inFlight)
 	clear(kys.unacknowledged)
 	clear(kys.refused)
+	kys.unreadable = false
 	kys.incarnation++
 	kys.grantsSuspended = true
 	if kys.holdsKeys {
@@ -85,6 +91,17 @@
 
 // remaining returns the longest time for which the server may still hold any key.
 func (kys *keys) remaining() time.Duration {
+	longest := kys.remainingKnown()
+	kys.mu.Lock()
+	defer kys.mu.Unlock()
+	if kys.unreadable {
+		longest = max(longest, time.Until(kys.priorHoldsUntil))
+	}
+	return longest
+}
+
+// remainingKnown returns the longest time for which the server may still hold a key whose partition is known.
+func (kys *keys) remainingKnown() time.Duration {
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
 	longest := time.Duration(0)
--- a/internal/agent/backend/revoke.go
+++ b/internal/agent/backend/revoke.go
@@ -34,6 +34,9 @@
 // no longer hold them; false if the context ends first.
 func (cli *Client) Revoke(ctx context.Context, refs []*controlpb.ShardRef) ([]*controlpb.ShardRef, bool) {
 	kys := &cli.keys
+	if len(refs) > 0 {
+		kys.setService(cli.service(refs[0].GetService())) // the number of partitions may have changed since the last heartbeat
+	}
 	if !kys.revoke(refs) {
 		return refs, true
 	}
@@ -132,8 +135,12 @@
 		return time.Now().Add(maxServerDirectHold)
 	}
 	end := kys.unacknowledged[par]
-	if kys.direct {
+	switch {
+	case kys.direct:
 		end = later(end, kys.priorHoldsUntil)
+	case kys.everDirect:
+		// Heartbeats don't include keys that a previous agent process granted by calls.
+		end = later(end, kys.started.Add(maxServerDirectHold))
 	}
 	if rev.released {
 		return end
--- a/internal/agent/backend/successor.go
+++ b/internal/agent/backend/successor.go
@@ -48,7 +48,7 @@
 // isGuessed reports whether the current server was accepted only because nothing was known, and has neither been heard again nor
 // granted keys since; the caller holds the mutex. Its announcement may be a late one, and a later start takes its place.
 func (cli *Client) isGuessed() bool {
-	return cli.guessed && cli.keys.remaining() <= 0
+	return cli.guessed && cli.keys.remainingKnown() <= 0
 }
 
 // recordGuess records whether the current server is only guessed; the caller holds the mutex. Late announcements that were held up
--- a/internal/agent/backend/watch.go
+++ b/internal/agent/backend/watch.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"cmp"
 	"context"
 	"syscall"
 	"time"
@@ -154,10 +155,5 @@
 func (cli *Client) healthPath() string {
 	cli.mu.Lock()
 	defer cli.mu.Unlock()
-	if cli.opt.Service != nil {
-		if path := cli.opt.Service(cli.ann.Service).GetHealthPath(); path != "" {
-			return path
-		}
-	}
-	return cli.ann.HealthPath
+	return cmp.Or(cli.service(cli.ann.Service).GetHealthPath(), cli.ann.HealthPath)
 }
--- a/internal/control/registry/model_test.go
+++ b/internal/control/registry/model_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"pgregory.net/rapid"
 
@@ -28,6 +29,7 @@
 	tokens    map[string]uint64
 	version   uint64            // of the follower
 	follower  map[string]string // rows and nodes as known to an agent that applies the differences
+	removed   bool              // the follower's configuration does not have the service
 }
 
 func newMachine() *machine {
@@ -105,11 +107,22 @@
 	case stp == 36:
 		return ExpireSessions(ses)
 	case stp == 37:
+		return mac.toggleService()
+	case stp == 38:
 		return SetZoneDrain(mac.zone(uint64(rapid.IntRange(0, 1).Draw(rt, "zone"))), rapid.Bool().Draw(rt, "drain"))
 	}
 	return RegisterNode(&controlpb.Node{Zone: mac.zone(mac.index), Upstream: upstreamOf(testService, controlpb.UpstreamState_UPSTREAM_STATE_SERVING)})
 }
 
+// toggleService removes the service from the configuration, or adds it again.
+func (mac *machine) toggleService() *controlpb.Command {
+	num := mac.reg.state.GetConfiguration().GetNumber() + 1
+	if len(mac.reg.state.GetConfiguration().GetServices()) > 0 {
+		return configCommand(fmt.Sprint("c", num), num)
+	}
+	return configCommand(fmt.Sprint("c", num), num, &controlpb.Service{Name: testService, Partitions: testPartitions})
+}
+
 // step applies a command and returns a description of the first violation, empty for none.
 func (mac *machine) step(rt *rapid.T) string {
 	cmd, before := mac.drawCommand(rt), map[string]*controlpb.Shard{}
@@ -170,15 +183,16 @@
 	for _, zon := range snp.GetDrainedZones() {
 		want["zone "+zon] = ""
 	}
-	tab := snp.GetTables()[0]
-	for prt := range tab.GetOwners() {
-		want[fmt.Sprint("row ", prt)] = partition(tab, uint32(prt)).String()
-	}
-	for _, row := range tab.GetOverrides() {
-		want["key "+row.GetKey()] = row.String()
+	for _, tab := range snp.GetTables() {
+		for prt := range tab.GetOwners() {
+			want[fmt.Sprint("row ", prt)] = partition(tab, uint32(prt)).String()
+		}
+		for _, row := range tab.GetOverrides() {
+			want["key "+row.GetKey()] = row.String()
+		}
 	}
 	if mac.follower == nil {
-		mac.follower, mac.version = want, snp.GetVersion()
+		mac.follower, mac.version, mac.removed = want, snp.GetVersion(), len(snp.GetTables()) == 0
 	}
 	if !update {
 		return ""
@@ -205,7 +219,12 @@
 		if knd.SetZoneDrain.GetDrain() {
 			mac.follower["zone "+knd.SetZoneDrain.GetZone()] = ""
 		}
+	case *controlpb.Change_Configuration:
+		mac.applyConfiguration(knd.Configuration)
 	case *controlpb.Change_SetShard:
+		if mac.removed {
+			return
+		}
 		name := fmt.Sprint("row ", knd.SetShard.GetPartition())
 		if knd.SetShard.GetKey() != "" {
 			name = "key " + knd.SetShard.GetKey()
@@ -215,3 +234,19 @@
 		delete(mac.follower, "key "+knd.RemoveOverride.GetKey())
 	}
 }
+
+// applyConfiguration removes or adds the rows of the service, as agents do.
+func (mac *machine) applyConfiguration(chg *controlpb.ConfigurationChange) {
+	if len(chg.GetRemoveServices()) > 0 {
+		mac.removed = true
+		maps.DeleteFunc(mac.follower, func(name, _ string) bool {
+			return strings.HasPrefix(name, "row ") || strings.HasPrefix(name, "key ")
+		})
+	}
+	if len(chg.GetSetServices()) > 0 {
+		mac.removed = false
+		for prt := range uint32(testPartitions) {
+			mac.follower[fmt.Sprint("row ", prt)] = (&controlpb.Shard{Service: testService, Partition: prt}).String()
+		}
+	}
+}
