registry: a configuration without limits ends the earlier ones at agents

Callers saw: after a configuration without limits had been acknowledged, agents that were running refused bodies with 413 by the limit of the configuration before; agents that started later did not.

Cause: the change that agents receive left out limits that are not set, which they read as unchanged.

Change: the change names empty limits. Patches are as before: without limits they change none.

Evidence: TestLimitsOfEarlierConfiguration failed before (100 bytes in place of none) and passes now.

--- a/internal/agent/control/table_test.go
+++ b/internal/agent/control/table_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/control/registry"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
@@ -178,3 +179,18 @@
 	_, _, rsn = tbl.match("h", "GET", "/p/1")
 	must.Eq(tst, siskinrill.ReasonNoRoute, rsn)
 }
+
+// TestLimitsOfEarlierConfiguration guards against bodies that are refused by a limit that the configuration no longer has, at agents
+// that were running when it changed.
+func TestLimitsOfEarlierConfiguration(t *testing.T) {
+	reg, tbl := registry.New(), newTable()
+	limits := &controlpb.RequestLimits{MaxBodyBytes: 100}
+	reg.Apply(1, registry.ApplyConfiguration("one", "", &controlpb.Configuration{Number: 1, Limits: limits}))
+	must.NoError(t, tbl.replace(reg.Tables()))
+	must.Eq(t, 100, tbl.requestLimits().GetMaxBodyBytes())
+	reg.Apply(2, registry.ApplyConfiguration("two", "", &controlpb.Configuration{Number: 2}))
+	dif, ok := reg.Since(1)
+	must.True(t, ok)
+	must.NoError(t, tbl.apply(dif))
+	must.Eq(t, 0, tbl.requestLimits().GetMaxBodyBytes())
+}
--- a/internal/control/registry/configure.go
+++ b/internal/control/registry/configure.go
@@ -179,6 +179,9 @@
 	setRoutes, removedRoutes := diffRoutes(old.GetRoutes(), cnf.GetRoutes())
 	chg.SetRoutes, chg.RemoveRoutes = routesForAgents(setRoutes), removedRoutes
 	chg.SetLimits = cnf.GetLimits()
+	if chg.GetSetLimits() == nil {
+		chg.SetLimits = &controlpb.RequestLimits{} // agents keep the earlier ones without this
+	}
 	reg.state.Configuration = cnf
 	reg.ring.add(idx, &controlpb.Change{Kind: &controlpb.Change_Configuration{Configuration: chg}})
 	for _, svc := range cnf.GetServices() {
