backend: whether a server has crashed is judged by the interval of its announcements

An announcement is late after 1.25 times the interval, at least 0.25 s beyond it, counted from the last one or its answer; the last one is recent for 2 s less what may be hidden by that. The port is checked before it is not recent any more. Also: a row that is being released keeps its known end when a failed server lists it again (it was taken for 10.2 s).

--- a/internal/agent/backend/announce.go
+++ b/internal/agent/backend/announce.go
@@ -65,6 +65,7 @@
 	if !cli.admits(ctx, ann) {
 		return AnnouncementAnswer{Accepted: true}, cli.checkUnadmitted(ann)
 	}
+	defer cli.recordAnswered(ann)
 	startedLeaving := cli.accept(ctx, ann)
 	cli.refreshColdLimit()
 	rep := cli.applyHolds(ann)
@@ -177,8 +178,8 @@
 	return cli.tgt, fresh, cli.state == controlpb.UpstreamState_UPSTREAM_STATE_FAILED
 }
 
-// recordGap records when an announcement arrived, the longest time between two of one start of the server, and whether others before
-// it may be missing; the caller holds the mutex.
+// recordGap records when an announcement arrived, the longest time between two of one start of the server, and whether it was late;
+// the caller holds the mutex.
 func (cli *Client) recordGap(old, ann *Announcement) {
 	now := time.Now()
 	gap := now.Sub(cli.announcedAt)
@@ -188,15 +189,24 @@
 		if ann.Sequence != firstSequence {
 			cli.lateAt = now // another process of this agent may have heard it before
 		}
-	case gap >= leaveNotice:
-		cli.lateAt = now
-		fallthrough
 	default:
+		if min(gap, now.Sub(cli.answeredAt)) >= cli.lateAfter() { // a server may wait for an answer that is delayed for keys
+			cli.lateAt = now
+		}
 		cli.announceGap = max(cli.announceGap, min(gap, maxAnnounceGap))
 	}
 	cli.announcedAt = now
 }
 
+// recordAnswered records when an announcement was answered.
+func (cli *Client) recordAnswered(ann *Announcement) {
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	if cli.ann == ann {
+		cli.answeredAt = time.Now()
+	}
+}
+
 // handleRestart resets the state that belongs to the server's previous incarnation; the caller holds the
 // mutex.
 func (cli *Client) handleRestart() {
--- a/internal/agent/backend/client.go
+++ b/internal/agent/backend/client.go
@@ -25,7 +25,8 @@
 	announcedAt    time.Time     // arrival of the last announcement
 	announceGap    time.Duration // longest time between two announcements of the current start, 0 after the first
 	heard          *Announcement // last announcement, also if it was not accepted
-	lateAt         time.Time     // arrival of the last announcement before which others may be missing, see mustHaveCrashed
+	answeredAt     time.Time     // when the last announcement was answered
+	lateAt         time.Time     // arrival of the last late announcement, see mustHaveCrashed
 	guessed        bool          // the current server was accepted without proof, see isGuessed
 	portClosed     bool          // the port of the current server has refused a connection
 	crashed        bool          // the current server must have crashed; it has ended once no run is open
--- a/internal/agent/backend/ending.go
+++ b/internal/agent/backend/ending.go
@@ -11,9 +11,16 @@
 )
 
 const (
-	// leaveNotice is the time for which a server that is going to stop accepts connections after it has first announced or
-	// stated that it is leaving. Announcements that arrive further apart are late.
-	leaveNotice = 1800 * time.Millisecond
+	// leaveNotice is the time for which a server that is going to stop accepts connections after its last announcement that
+	// does not state that it is leaving.
+	leaveNotice = 2 * time.Second
+	// noticeReserve covers delays of a connection attempt and of the server's timers.
+	noticeReserve = 100 * time.Millisecond
+	// lateFactor is the multiple of Options.AnnounceEvery after which an announcement is late, and minLateSlack the least time that
+	// it is allowed beyond the interval. Servers vary the interval by announceJitter.
+	lateFactor     = 1.25
+	minLateSlack   = 250 * time.Millisecond
+	announceJitter = 0.1
 	// portCheckInterval is the shortest time between two checks whether the port of a server refuses connections.
 	portCheckInterval = time.Second
 	// firstSequence is the sequence number of the first announcement of a start of a server.
@@ -27,12 +34,25 @@
 }
 
 // mustHaveCrashed reports whether a server whose port refuses connections can only have crashed. A server that stops as planned closes
-// its port first, then finishes its work, and holds its keys until it has ended; but it announces that it is leaving leaveNotice before.
-// So it has crashed if no such announcement can be missing: the last one arrived within leaveNotice, and none was late for as long as a
-// hold lasts. The caller holds the mutex.
+// its port first, then finishes its work, and holds its keys until it has ended; but it announces that it is leaving before. So it has
+// crashed if no such announcement can be missing: the last one is recent, and none was late for as long as a hold lasts. The caller
+// holds the mutex.
 func (cli *Client) mustHaveCrashed() bool {
 	now := time.Now()
-	return !cli.leaving && !cli.ann.Leaving && now.Sub(cli.announcedAt) < leaveNotice && now.Sub(cli.lateAt) >= maxServerHold
+	return !cli.leaving && !cli.ann.Leaving && now.Sub(cli.announcedAt) < cli.recentAge() && now.Sub(cli.lateAt) >= maxServerHold
+}
+
+// lateAfter returns the time after an announcement, or its answer, at which the next one is late.
+func (cli *Client) lateAfter() time.Duration {
+	every := cli.opt.AnnounceEvery
+	return max(time.Duration(lateFactor*float64(every)), every+minLateSlack)
+}
+
+// recentAge returns the age of an announcement up to which the server cannot have stopped as planned after it. An announcement that is not
+// late may have been delayed by the difference between lateAfter and the shortest interval.
+func (cli *Client) recentAge() time.Duration {
+	delay := cli.lateAfter() - time.Duration((1-announceJitter)*float64(cli.opt.AnnounceEvery))
+	return leaveNotice - noticeReserve - delay
 }
 
 // hasOpenRuns reports whether the server may be at work on a request that was sent to it; the caller holds the mutex.
@@ -55,8 +75,9 @@
 	return true
 }
 
-// suspectsEnd reports whether to check if the port of a server that holds keys refuses connections: it has ended a connection, or its
-// next announcement is overdue. A crash is found while it can be told apart from a planned stop, also if no request is sent.
+// suspectsEnd reports whether to check if the port of a server that holds keys refuses connections: it has ended a connection, or it has
+// no request and its last announcement will soon not be recent. So a crash is found while it can be told apart from a planned stop, also
+// if no request is sent.
 func (cli *Client) suspectsEnd() bool {
 	cli.mu.Lock()
 	defer cli.mu.Unlock()
@@ -64,8 +85,8 @@
 		return false
 	}
 	connEnded := cli.connEnded.Swap(false)
-	age := time.Since(cli.announcedAt)
-	overdue := age >= max(heartbeatGrace, cli.announceGap+tickInterval) && age < leaveNotice && !cli.portChecks.overdue.Equal(cli.announcedAt)
+	age, recent := time.Since(cli.announcedAt), cli.recentAge()
+	overdue := age >= min(cli.lateAfter(), recent-2*tickInterval) && age < recent && !cli.portChecks.overdue.Equal(cli.announcedAt) && !cli.hasOpenRuns()
 	if overdue {
 		cli.portChecks.overdue = cli.announcedAt
 	}
--- a/internal/agent/backend/ending_test.go
+++ b/internal/agent/backend/ending_test.go
@@ -105,13 +105,22 @@
 		"announcement late, replaced":  {replaced: true, before: func(*testing.T, *stoppingHost) { time.Sleep(2 * time.Second) }},
 		"announcement late, at work":   {working: true, before: func(*testing.T, *stoppingHost) { time.Sleep(2 * time.Second) }},
 		"all announcements 1.5 s late": {before: func(t *testing.T, hst *stoppingHost) { time.Sleep(2370 * time.Millisecond); hst.beats(t, 1) }},
+		"one announcement late, the next one missing": {before: func(t *testing.T, hst *stoppingHost) {
+			time.Sleep(900 * time.Millisecond)
+			hst.sendHeartbeat(t, false)
+			time.Sleep(1100 * time.Millisecond)
+		}},
 		"agent restarted": {before: func(t *testing.T, hst *stoppingHost) {
 			hst.restartAgent()
 			hst.beats(t, 1)
 		}},
-		"killed":              {killed: true, before: func(*testing.T, *stoppingHost) {}},
-		"killed, idle":        {killed: true, idle: true, before: func(*testing.T, *stoppingHost) {}},
-		"killed, at work":     {killed: true, working: true, before: func(*testing.T, *stoppingHost) {}},
+		"killed":          {killed: true, before: func(*testing.T, *stoppingHost) {}},
+		"killed, idle":    {killed: true, idle: true, before: func(*testing.T, *stoppingHost) {}},
+		"killed, at work": {killed: true, working: true, before: func(*testing.T, *stoppingHost) {}},
+		"killed, an answer was delayed for keys": {killed: true, before: func(t *testing.T, hst *stoppingHost) {
+			hst.incoming = time.Now().Add(maxAnswerWait)
+			hst.beats(t, 2)
+		}},
 		"killed and replaced": {killed: true, replaced: true, before: func(*testing.T, *stoppingHost) {}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/agent/backend/hold.go
+++ b/internal/agent/backend/hold.go
@@ -74,8 +74,7 @@
 	}
 	for par, tok := range rep {
 		if _, ok := kys.held[par]; !ok {
-			// A previous agent process granted it, with a hold that is unknown here.
-			kys.held[par] = partitionHold{token: tok, until: time.Now().Add(maxServerHold)}
+			kys.held[par] = partitionHold{token: tok, until: kys.unknownHold(grantKey{par, tok})}
 		}
 	}
 	for key, rev := range kys.revoked {
@@ -86,6 +85,16 @@
 	return rep
 }
 
+// unknownHold returns the latest end of a hold of which this process has no record: that of a row that it no longer grants, or one that a
+// previous process granted. The caller holds the mutex.
+func (kys *keys) unknownHold(key grantKey) time.Time {
+	until := time.Now().Add(maxServerHold)
+	if rev := kys.revoked[key]; rev != nil && rev.until.Before(until) {
+		return rev.until
+	}
+	return until
+}
+
 // applyDirectHeartbeat updates the state from a heartbeat of a server whose keys are granted by calls.
 func (kys *keys) applyDirectHeartbeat() {
 	kys.mu.Lock()
--- a/internal/agent/backend/options.go
+++ b/internal/agent/backend/options.go
@@ -20,7 +20,9 @@
 	maxStartDelay = 300 * time.Millisecond
 	// dialTimeout is below the lease reserve of 200 ms, so that a slow connection cannot use up the reserve.
 	dialTimeout = 100 * time.Millisecond
-	// announceExpiry is how long an announcement is valid; servers repeat it every second.
+	// announceEvery is the default of Options.AnnounceEvery.
+	announceEvery = time.Second
+	// announceExpiry is how long an announcement is valid.
 	announceExpiry = 5 * time.Second
 	// maxAnnounceGap limits the time between two announcements that is expected of a server.
 	maxAnnounceGap = 2 * time.Second
@@ -101,6 +103,9 @@
 	// MaxIdle is the longest idle time after which a connection is reused, 200 ms by default; older ones may
 	// have stopped responding.
 	MaxIdle time.Duration
+	// AnnounceEvery is the time between two announcements of the server, 1 s by default; later ones leave open whether it is
+	// about to stop.
+	AnnounceEvery time.Duration
 	// MaxRanges is the maximum number of key ranges in the answer to a heartbeat, unlimited by default;
 	// further ranges are omitted, and a handover counts as one more range per started 24 bytes.
 	MaxRanges int
@@ -114,6 +119,7 @@
 
 func (opt Options) withDefaults() Options {
 	opt.MaxIdle = cmp.Or(opt.MaxIdle, maxIdle)
+	opt.AnnounceEvery = cmp.Or(opt.AnnounceEvery, announceEvery)
 	if opt.Grants == nil {
 		opt.Grants = defaultGrantCalls{}
 	}
--- a/internal/agent/backend/successor_test.go
+++ b/internal/agent/backend/successor_test.go
@@ -56,6 +56,7 @@
 	adr := &address{names: names, up: true}
 	adr.heartbeatServer = newAdjustedServer(modelLease, func(opt *Options) {
 		opt.Dial = adr.dial
+		opt.AnnounceEvery = heartbeatEvery
 		opt.Transport = func(http.RoundTripper) http.RoundTripper { return adr }
 		opt.Lease = func() (time.Time, bool) { return time.Now().Add(modelLease), true }
 		svc := opt.Service("vitrine")
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -88,6 +88,8 @@
 	DrainGrace time.Duration
 	// BackendIdle is the idle time after which a connection to the backend server is not reused, 0 for the default.
 	BackendIdle time.Duration
+	// AnnounceEvery is the time between two announcements of the backend server, 0 for the default.
+	AnnounceEvery time.Duration
 	// MaxRanges is the maximum number of key ranges that the backend server accepts in one answer, 0 for no limit.
 	MaxRanges uint32
 	// NamedAttempts requires that the backend server names the attempt in each answer, refusals as not run excepted.
@@ -202,6 +204,7 @@
 			source.Duration("freshness", &set.Freshness, 0, maxFreshness),
 			source.Duration("drain_grace", &set.DrainGrace, 0, maxStop),
 			source.Duration("backend_idle", &set.BackendIdle, 0, maxStop),
+			source.Duration("announce_every", &set.AnnounceEvery, 0, time.Minute),
 			source.Uint32("max_ranges", &set.MaxRanges, 0, 1<<16),
 			source.Flag("unframed", &set.Unframed),
 			source.Flag("named_attempts", &set.NamedAttempts),
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -147,7 +147,7 @@
 		OnCrash: prc.session.ReportCrash, CallerHeaders: callerHeaders,
 		MayStop: func() bool { return prc.owner.Idle() },
 		Owned:   prc.session.Owned, Lease: prc.session.Expires, Service: prc.session.Service, Incoming: prc.session.Incoming,
-		Grants: opt.Grants, Transport: opt.Transport, MaxIdle: set.BackendIdle, MaxRanges: int(set.MaxRanges), Unframed: set.Unframed,
+		Grants: opt.Grants, Transport: opt.Transport, MaxIdle: set.BackendIdle, AnnounceEvery: set.AnnounceEvery, MaxRanges: int(set.MaxRanges), Unframed: set.Unframed,
 		NamedAttempts: set.NamedAttempts, ExpectedService: set.Service,
 		Registered: func() *controlpb.Upstream { return prc.session.Node(prc.session.Session()).GetUpstream() },
 	}, prc.counters)
