--- a/Makefile
+++ b/Makefile
@@ -65,6 +65,6 @@
 
 # Plays the models with new seeds, for some minutes. In make test their seed is fixed (internal/fixedseed).
 explore:
-	$(GO) test -count=1 -timeout 30m ./internal/agent/backend ./internal/control/member -run 'TestOneStartServed|TestLeavingIsKept|TestMembershipSurvivesFaults' -rapid.seed=0 -rapid.checks=3000
+	$(GO) test -count=1 -timeout 30m ./internal/agent/backend ./internal/control/member -run 'TestOneStartServed|TestLeavingIsKept|TestStoppingServerKeepsKeys|TestHoldProperty|TestMembershipSurvivesFaults' -rapid.seed=0 -rapid.checks=3000
 	$(GO) test -count=1 -timeout 30m ./internal/control/wal -run TestLossesOfPower -rapid.seed=0 -rapid.checks=20000
 	$(GO) test -count=1 -timeout 30m ./internal/agent/control -run TestPowerLoss -args -power.first=$$(date +%s)000 -power.seeds=3000
--- a/internal/agent/backend/announce.go
+++ b/internal/agent/backend/announce.go
@@ -183,18 +183,17 @@
 func (cli *Client) recordGap(old, ann *Announcement) {
 	now := time.Now()
 	gap := now.Sub(cli.announcedAt)
-	switch {
-	case old == nil || ann.isOtherStart(old):
+	sinceAnswer := now.Sub(cli.answeredAt) // a server may wait for an answer that is delayed for keys
+	late := min(gap, sinceAnswer) >= cli.lateAfter()
+	if old == nil || ann.isOtherStart(old) {
+		gap = 0
 		cli.announceGap, cli.lateAt = 0, time.Time{}
-		if ann.Sequence != firstSequence {
-			cli.lateAt = now // another process of this agent may have heard it before
-		}
-	default:
-		if min(gap, now.Sub(cli.answeredAt)) >= cli.lateAfter() { // a server may wait for an answer that is delayed for keys
-			cli.lateAt = now
-		}
-		cli.announceGap = max(cli.announceGap, min(gap, maxAnnounceGap))
+		late = ann.Sequence != firstSequence // an earlier process of this agent may have heard the server
+	}
+	if late {
+		cli.lateAt = now
 	}
+	cli.announceGap = max(cli.announceGap, min(gap, maxAnnounceGap))
 	cli.announcedAt = now
 }
 
--- a/internal/agent/backend/ending.go
+++ b/internal/agent/backend/ending.go
@@ -2,14 +2,6 @@
 
 import "time"
 
-// Causes of a failure, for the counters and the log.
-const (
-	causeRefused      = "refused" // the port refuses connections
-	causeSilent       = "silent"
-	causeNotAnnounced = "not_announced"
-	causeRequestsFail = "requests_fail"
-)
-
 const (
 	// leaveNotice is the time for which a server that is going to stop accepts connections after its last announcement that
 	// does not state that it is leaving.
@@ -38,8 +30,10 @@
 // crashed if no such announcement can be missing: the last one is recent, and none was late for as long as a hold lasts. The caller
 // holds the mutex.
 func (cli *Client) mustHaveCrashed() bool {
-	now := time.Now()
-	return !cli.leaving && !cli.ann.Leaving && now.Sub(cli.announcedAt) < cli.recentAge() && now.Sub(cli.lateAt) >= maxServerHold
+	if cli.ann == nil || cli.ann.Leaving || cli.leaving {
+		return false
+	}
+	return time.Since(cli.announcedAt) < cli.recentAge() && time.Since(cli.lateAt) >= maxServerHold
 }
 
 // lateAfter returns the time after an announcement, or its answer, at which the next one is late.
--- a/internal/agent/backend/revoke.go
+++ b/internal/agent/backend/revoke.go
@@ -34,9 +34,7 @@
 // no longer hold them; false if the context ends first.
 func (cli *Client) Revoke(ctx context.Context, refs []*controlpb.ShardRef) ([]*controlpb.ShardRef, bool) {
 	kys := &cli.keys
-	if len(refs) > 0 {
-		kys.setService(cli.service(refs[0].GetService())) // the number of partitions may have changed since the last heartbeat
-	}
+	cli.refreshService()
 	if !kys.revoke(refs) {
 		return refs, true
 	}
--- a/internal/agent/backend/service.go
+++ b/internal/agent/backend/service.go
@@ -17,3 +17,13 @@
 	}
 	return nil
 }
+
+// refreshService reads the partitions of the server's service again, which may have changed since its last heartbeat.
+func (cli *Client) refreshService() {
+	cli.mu.Lock()
+	ann := cli.ann
+	cli.mu.Unlock()
+	if ann != nil && ann.HoldsKeys {
+		cli.keys.setService(cli.service(ann.Service))
+	}
+}
