backend: a crash is proved by the delay that the last announcement may have had

With 1.5 s between announcements the last one counted as recent for 1.38 s only, whatever its delay, so that the keys of a killed server waited for their holds where the kill came later. Seen in the new log line of a failure, which tells whether a crash was proved, for how long the keys wait and whether an announcement was late: one of eight kills (announced 1,496 ms before, keys held for 1,431 ms more).

Change: an announcement is recent for 2 s less the delay that it may have had, which is what the wait for it exceeded the shortest interval. New event backend_crashed.

--- a/internal/agent/backend/announce.go
+++ b/internal/agent/backend/announce.go
@@ -183,16 +183,17 @@
 func (cli *Client) recordGap(old, ann *Announcement) {
 	now := time.Now()
 	gap := now.Sub(cli.announcedAt)
-	sinceAnswer := now.Sub(cli.answeredAt) // a server may wait for an answer that is delayed for keys
-	late := min(gap, sinceAnswer) >= cli.lateAfter()
+	waited := min(gap, now.Sub(cli.answeredAt)) // a server may wait for an answer that is delayed for keys
+	late := waited >= cli.lateAfter()
 	if old == nil || ann.isOtherStart(old) {
-		gap = 0
+		gap, waited = 0, 0
 		cli.announceGap, cli.lateAt = 0, time.Time{}
 		late = ann.Sequence != firstSequence // an earlier process of this agent may have heard the server
 	}
 	if late {
 		cli.lateAt = now
 	}
+	cli.delay = max(waited-time.Duration((1-announceJitter)*float64(cli.opt.AnnounceEvery)), 0)
 	cli.announceGap = max(cli.announceGap, min(gap, maxAnnounceGap))
 	cli.announcedAt = now
 }
--- a/internal/agent/backend/client.go
+++ b/internal/agent/backend/client.go
@@ -25,6 +25,7 @@
 	heard          *Announcement // last announcement, also if it was not accepted
 	answeredAt     time.Time     // when the last announcement was answered
 	lateAt         time.Time     // arrival of the last late announcement, see mustHaveCrashed
+	delay          time.Duration // by which the last announcement may have been delayed, unless it was late
 	guessed        bool          // the current server was accepted without proof, see isGuessed
 	portClosed     bool          // the port of the current server has refused a connection
 	crashed        bool          // the current server must have crashed; it has ended once no run is open
--- a/internal/agent/backend/ending.go
+++ b/internal/agent/backend/ending.go
@@ -42,12 +42,8 @@
 	return max(time.Duration(lateFactor*float64(every)), every+minLateSlack)
 }
 
-// recentAge returns the age of an announcement up to which the server cannot have stopped as planned after it. An announcement that is not
-// late may have been delayed by the difference between lateAfter and the shortest interval.
-func (cli *Client) recentAge() time.Duration {
-	delay := cli.lateAfter() - time.Duration((1-announceJitter)*float64(cli.opt.AnnounceEvery))
-	return leaveNotice - noticeReserve - delay
-}
+// recentAge returns the age of the last announcement up to which the server cannot have stopped as planned after it.
+func (cli *Client) recentAge() time.Duration { return leaveNotice - noticeReserve - cli.delay }
 
 // hasOpenRuns reports whether the server may be at work on a request that was sent to it; the caller holds the mutex.
 func (cli *Client) hasOpenRuns() bool {
--- a/internal/agent/backend/ending_test.go
+++ b/internal/agent/backend/ending_test.go
@@ -110,6 +110,12 @@
 			hst.sendHeartbeat(t, false)
 			time.Sleep(1100 * time.Millisecond)
 		}},
+		"one announcement a little late, the next one missing": {before: func(t *testing.T, hst *stoppingHost) {
+			const late = 150 * time.Millisecond
+			time.Sleep(late)
+			hst.sendHeartbeat(t, false)
+			time.Sleep(2*time.Second - late)
+		}},
 		"agent restarted": {before: func(t *testing.T, hst *stoppingHost) {
 			hst.restartAgent()
 			hst.beats(t, 1)
--- a/internal/agent/backend/failure.go
+++ b/internal/agent/backend/failure.go
@@ -43,10 +43,18 @@
 	cli.portClosed = cause == causeRefused
 	cli.crashed = cli.portClosed && cli.mustHaveCrashed()
 	cli.concludeCrash()
-	idt, reportFrom, leaving := cli.ann.ID, cli.reportFrom, cli.leaving
+	reportFrom, leaving, crashed := cli.reportFrom, cli.leaving, cli.crashed
+	log := logrus.WithFields(logrus.Fields{
+		"server": cli.ann.ID, "cause": cause, "crashed": crashed, "leaving": leaving, "open_runs": cli.hasOpenRuns(),
+		"held_ms": max(time.Until(reportFrom), 0).Milliseconds(), "announced_ms_ago": time.Since(cli.announcedAt).Milliseconds(),
+		"late": time.Since(cli.lateAt) < maxServerHold,
+	})
 	cli.mu.Unlock()
 	cli.cnt.Event("backend_failed_" + cause)
-	logrus.Warnf("backend: server %s marked as failed: %s", idt, cause)
+	if crashed {
+		cli.cnt.Event("backend_crashed")
+	}
+	log.Warn("backend: The server is marked as failed.")
 	tgt.close()
 	if cause == causeRefused && !leaving {
 		cli.crashes.recordCrash()
