--- a/internal/agent/backend/ending.go
+++ b/internal/agent/backend/ending.go
@@ -21,8 +21,8 @@
 
 // portChecks are the times of the checks whether the port of a server refuses connections.
 type portChecks struct {
-	last    time.Time
-	overdue time.Time // arrival of the announcement after which the next one was found overdue
+	last  time.Time
+	aging time.Time // arrival of the last announcement that isAging reported
 }
 
 // mustHaveCrashed reports whether a server whose port refuses connections can only have crashed. A server that stops as planned closes
@@ -33,9 +33,12 @@
 	if cli.ann == nil || cli.ann.Leaving || cli.leaving {
 		return false
 	}
-	return time.Since(cli.announcedAt) < cli.recentAge() && time.Since(cli.lateAt) >= maxServerHold
+	return time.Since(cli.announcedAt) < cli.recentAge() && !cli.wasLate()
 }
 
+// wasLate reports whether an announcement was late within the time that a hold lasts; the caller holds the mutex.
+func (cli *Client) wasLate() bool { return time.Since(cli.lateAt) < maxServerHold }
+
 // lateAfter returns the time after an announcement, or its answer, at which the next one is late.
 func (cli *Client) lateAfter() time.Duration {
 	every := cli.opt.AnnounceEvery
@@ -61,10 +64,15 @@
 	if !cli.crashed || cli.ended || cli.hasOpenRuns() {
 		return false
 	}
-	cli.ended, cli.reportAfterEnd, cli.reportFrom = true, false, time.Time{}
+	cli.recordEnd()
 	return true
 }
 
+// recordEnd records that the server has ended, so that its failure may be reported; the caller holds the mutex.
+func (cli *Client) recordEnd() {
+	cli.ended, cli.reportAfterEnd, cli.reportFrom = true, false, time.Time{}
+}
+
 // suspectsEnd reports whether to check if the port of a server that holds keys refuses connections: it has ended a connection, or it has
 // no request and its last announcement will soon not be recent. So a crash is found while it can be told apart from a planned stop, also
 // if no request is sent.
@@ -74,15 +82,23 @@
 	if !cli.ann.HoldsKeys || time.Since(cli.portChecks.last) < portCheckInterval {
 		return false
 	}
-	connEnded := cli.connEnded.Swap(false)
-	age, recent := time.Since(cli.announcedAt), cli.recentAge()
-	overdue := age >= min(cli.lateAfter(), recent-2*tickInterval) && age < recent && !cli.portChecks.overdue.Equal(cli.announcedAt) && !cli.hasOpenRuns()
-	if overdue {
-		cli.portChecks.overdue = cli.announcedAt
+	connEnded, aging := cli.connEnded.Swap(false), cli.isAging()
+	if aging {
+		cli.portChecks.aging = cli.announcedAt
+	}
+	if !connEnded && !aging {
+		return false
 	}
-	if connEnded || overdue {
-		cli.portChecks.last = time.Now()
-		return true
+	cli.portChecks.last = time.Now()
+	return true
+}
+
+// isAging reports, once for each announcement, that it will soon not be recent while the server has no request; the caller holds the
+// mutex.
+func (cli *Client) isAging() bool {
+	age, recent := time.Since(cli.announcedAt), cli.recentAge()
+	if age < min(cli.lateAfter(), recent-2*tickInterval) || age >= recent {
+		return false
 	}
-	return false
+	return !cli.portChecks.aging.Equal(cli.announcedAt) && !cli.hasOpenRuns()
 }
--- a/internal/agent/backend/ending_test.go
+++ b/internal/agent/backend/ending_test.go
@@ -81,6 +81,11 @@
 	if hst.predecessor == 0 || !time.Now().Before(hst.worksUntil) || !time.Now().Before(hst.heldUntil) {
 		return false
 	}
+	return hst.isReported()
+}
+
+// isReported reports whether control has been told that the server has failed, or of a later start, upon which it gives the keys away.
+func (hst *stoppingHost) isReported() bool {
 	ups := hst.lastReported()
 	return ups.GetIncarnation() != hst.predecessor || ups.GetState() == controlpb.UpstreamState_UPSTREAM_STATE_FAILED
 }
@@ -91,6 +96,8 @@
 // TestKeysOfStoppingServerGivenAway guards against keys that are given to others while their server has closed its port, finishes its
 // work and holds them, and against keys of a server that was killed that stay unserved.
 func TestKeysOfStoppingServerGivenAway(t *testing.T) {
+	unheard := func(*testing.T, *stoppingHost) { time.Sleep(2 * time.Second) }
+	none := func(*testing.T, *stoppingHost) {}
 	for name, tcs := range map[string]struct {
 		before   func(t *testing.T, hst *stoppingHost)
 		killed   bool
@@ -101,9 +108,9 @@
 		"announced":                    {before: func(t *testing.T, hst *stoppingHost) { hst.sendHeartbeat(t, false); hst.announceLeaving(t) }},
 		"announced, replaced":          {replaced: true, before: func(t *testing.T, hst *stoppingHost) { hst.announceLeaving(t) }},
 		"deregistered":                 {before: func(t *testing.T, hst *stoppingHost) { _ = hst.cli.MarkLeaving(t.Context(), "v1", 0) }},
-		"announcement late":            {before: func(*testing.T, *stoppingHost) { time.Sleep(2 * time.Second) }},
-		"announcement late, replaced":  {replaced: true, before: func(*testing.T, *stoppingHost) { time.Sleep(2 * time.Second) }},
-		"announcement late, at work":   {working: true, before: func(*testing.T, *stoppingHost) { time.Sleep(2 * time.Second) }},
+		"announcement late":            {before: unheard},
+		"announcement late, replaced":  {replaced: true, before: unheard},
+		"announcement late, at work":   {working: true, before: unheard},
 		"all announcements 1.5 s late": {before: func(t *testing.T, hst *stoppingHost) { time.Sleep(2370 * time.Millisecond); hst.beats(t, 1) }},
 		"one announcement late, the next one missing": {before: func(t *testing.T, hst *stoppingHost) {
 			time.Sleep(900 * time.Millisecond)
@@ -120,14 +127,14 @@
 			hst.restartAgent()
 			hst.beats(t, 1)
 		}},
-		"killed":          {killed: true, before: func(*testing.T, *stoppingHost) {}},
-		"killed, idle":    {killed: true, idle: true, before: func(*testing.T, *stoppingHost) {}},
-		"killed, at work": {killed: true, working: true, before: func(*testing.T, *stoppingHost) {}},
+		"killed":          {killed: true, before: none},
+		"killed, idle":    {killed: true, idle: true, before: none},
+		"killed, at work": {killed: true, working: true, before: none},
 		"killed, an answer was delayed for keys": {killed: true, before: func(t *testing.T, hst *stoppingHost) {
 			hst.incoming = time.Now().Add(maxAnswerWait)
 			hst.beats(t, 2)
 		}},
-		"killed and replaced": {killed: true, replaced: true, before: func(*testing.T, *stoppingHost) {}},
+		"killed and replaced": {killed: true, replaced: true, before: none},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -177,7 +184,7 @@
 			hst.sendHeartbeat(t, false)
 		}
 		must.False(t, hst.givenAway(), must.Sprint("the server still holds its keys"))
-		if ups := hst.lastReported(); ups.GetIncarnation() != hst.predecessor || ups.GetState() == controlpb.UpstreamState_UPSTREAM_STATE_FAILED {
+		if hst.isReported() {
 			return
 		}
 		must.True(t, time.Now().Before(limit), must.Sprint("the keys are not given away"))
@@ -327,3 +334,21 @@
 	_, err = con.Read(make([]byte, 1))
 	must.Error(t, err)
 }
+
+// TestRevokedRowListedAgain guards against a failed server whose keys stay unserved for 10 s, because it lists a row that it is releasing
+// and the time of that hold is taken for unknown.
+func TestRevokedRowListedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hol := newHeartbeatServer(3 * time.Second)
+		hol.rows = []*controlpb.Shard{row(1, 5), row(2, 5)}
+		hol.sendHeartbeat(t, false)
+		hol.working[1] = true
+		go func() { _, _ = hol.cli.Revoke(t.Context(), []*controlpb.ShardRef{refOf(hol.rows[0])}) }()
+		synctest.Wait()
+		hol.sendHeartbeat(t, false)
+		hol.cli.fail(hol.cli.current(), causeSilent)
+		hol.sendHeartbeat(t, false)
+		must.False(t, time.Now().Add(hol.cli.keys.remaining()).Before(hol.until))
+		must.LessEq(t, 3*time.Second, hol.cli.keys.remaining())
+	})
+}
--- a/internal/agent/backend/failure.go
+++ b/internal/agent/backend/failure.go
@@ -27,12 +27,7 @@
 	cli.state = controlpb.UpstreamState_UPSTREAM_STATE_FAILED
 	// It may have started anew when it is used again.
 	cli.cold.doubt(time.Now())
-	if time.Since(cli.backoffUntil) > maxFailureBackoff {
-		cli.failures = 0
-	}
-	backoff := min(minFailureBackoff<<min(cli.failures, 10), maxFailureBackoff)
-	cli.failures++
-	cli.backoffUntil = time.Now().Add(backoff)
+	cli.beginBackoff()
 	for rnn := range cli.runs {
 		rnn.serverFailed(cause == causeSilent || cause == causeRequestsFail)
 	}
@@ -47,7 +42,7 @@
 	log := logrus.WithFields(logrus.Fields{
 		"server": cli.ann.ID, "cause": cause, "crashed": crashed, "leaving": leaving, "open_runs": cli.hasOpenRuns(),
 		"held_ms": max(time.Until(reportFrom), 0).Milliseconds(), "announced_ms_ago": time.Since(cli.announcedAt).Milliseconds(),
-		"late": time.Since(cli.lateAt) < maxServerHold,
+		"late": cli.wasLate(),
 	})
 	cli.mu.Unlock()
 	cli.cnt.Event("backend_failed_" + cause)
@@ -65,6 +60,16 @@
 	}
 }
 
+// beginBackoff sets the time before which the server is not used again; the caller holds the mutex.
+func (cli *Client) beginBackoff() {
+	if time.Since(cli.backoffUntil) > maxFailureBackoff {
+		cli.failures = 0
+	}
+	backoff := min(minFailureBackoff<<min(cli.failures, 10), maxFailureBackoff)
+	cli.failures++
+	cli.backoffUntil = time.Now().Add(backoff)
+}
+
 // mayStartAfterMove reports whether the server may start a request after its key has moved to another owner,
 // because it neither checks tokens nor holds its keys for a limited time; the caller holds the mutex.
 func (cli *Client) mayStartAfterMove() bool {
--- a/internal/agent/backend/hold_test.go
+++ b/internal/agent/backend/hold_test.go
@@ -481,21 +481,3 @@
 		})
 	}
 }
-
-// TestRevokedRowListedAgain guards against a failed server whose keys stay unserved for 10 s, because it lists a row that it is releasing
-// and the time of that hold is taken for unknown.
-func TestRevokedRowListedAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		hol := newHeartbeatServer(3 * time.Second)
-		hol.rows = []*controlpb.Shard{row(1, 5), row(2, 5)}
-		hol.sendHeartbeat(t, false)
-		hol.working[1] = true
-		go func() { _, _ = hol.cli.Revoke(t.Context(), []*controlpb.ShardRef{refOf(hol.rows[0])}) }()
-		synctest.Wait()
-		hol.sendHeartbeat(t, false)
-		hol.cli.fail(hol.cli.current(), causeSilent)
-		hol.sendHeartbeat(t, false)
-		must.False(t, time.Now().Add(hol.cli.keys.remaining()).Before(hol.until))
-		must.LessEq(t, 3*time.Second, hol.cli.keys.remaining())
-	})
-}
--- a/internal/agent/backend/keys.go
+++ b/internal/agent/backend/keys.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/siskinrill/siskinrill"
 )
 
 // partitionHold is the server's time-limited right to a partition, granted in a heartbeat answer or by a
@@ -91,19 +89,23 @@
 
 // remaining returns the longest time for which the server may still hold any key.
 func (kys *keys) remaining() time.Duration {
-	longest := kys.remainingKnown()
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
 	if kys.unreadable {
-		longest = max(longest, time.Until(kys.priorHoldsUntil))
+		return max(kys.longestKnown(), time.Until(kys.priorHoldsUntil))
 	}
-	return longest
+	return kys.longestKnown()
 }
 
 // remainingKnown returns the longest time for which the server may still hold a key whose partition is known.
 func (kys *keys) remainingKnown() time.Duration {
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
+	return kys.longestKnown()
+}
+
+// longestKnown is remainingKnown for a caller that holds the mutex.
+func (kys *keys) longestKnown() time.Duration {
 	longest := time.Duration(0)
 	for _, hld := range kys.held {
 		longest = max(longest, time.Until(hld.until))
@@ -144,24 +146,6 @@
 	return held, unacknowledged, minRemaining
 }
 
-// partitionsWithin returns the partitions that lie entirely within a range of keys.
-func partitionsWithin(first, last, partitions uint32) []uint32 {
-	if partitions == 0 || !siskinrill.ValidKeyRange(first, last) {
-		return nil
-	}
-	var out []uint32
-	for par := uint32(uint64(first) * uint64(partitions) / siskinrill.NumericKeyCount); par < partitions; par++ {
-		fst, lst := siskinrill.KeyRange(par, partitions)
-		if lst > last {
-			break
-		}
-		if fst >= first {
-			out = append(out, par)
-		}
-	}
-	return out
-}
-
 // reportedTokens returns the token of each partition that the server reports as held.
 func reportedTokens(ann *Announcement, partitions uint32) map[uint32]uint64 {
 	out := map[uint32]uint64{}
--- a/internal/agent/backend/partitions.go
+++ b/internal/agent/backend/partitions.go
@@ -30,12 +30,12 @@
 	held, unacknowledged := kys.held, kys.unacknowledged
 	kys.held, kys.unacknowledged = map[uint32]partitionHold{}, map[uint32]time.Time{}
 	for par, hld := range held {
-		for _, now := range overlapping(par, old, num) {
+		for _, now := range partitionsOf(par, old, num) {
 			kys.held[now] = longerHold(kys.held[now], hld)
 		}
 	}
 	for par, until := range unacknowledged {
-		for _, now := range overlapping(par, old, num) {
+		for _, now := range partitionsOf(par, old, num) {
 			kys.unacknowledged[now] = later(kys.unacknowledged[now], until)
 		}
 	}
@@ -46,17 +46,42 @@
 	return partitionHold{token: max(one.token, two.token), direct: one.direct || two.direct, until: later(one.until, two.until)}
 }
 
-// overlapping returns the partitions of num that share a key with a partition of old.
-func overlapping(par, old, num uint32) []uint32 {
-	fst, lst := siskinrill.KeyRange(par, old)
+// partitionsOf returns the partitions of num that share a key with a partition of old.
+func partitionsOf(par, old, num uint32) []uint32 {
+	first, last := siskinrill.KeyRange(par, old)
+	return partitionsTouching(first, last, num)
+}
+
+// partitionsTouching returns the partitions that share a key with a valid range of keys, in order.
+func partitionsTouching(first, last, partitions uint32) []uint32 {
 	var out []uint32
-	for now := uint32(uint64(fst) * uint64(num) / siskinrill.NumericKeyCount); now < num; now++ {
-		first, last := siskinrill.KeyRange(now, num)
-		if first > lst {
+	for par := uint32(uint64(first) * uint64(partitions) / siskinrill.NumericKeyCount); par < partitions; par++ {
+		fst, lst := siskinrill.KeyRange(par, partitions)
+		if fst > last {
 			break
 		}
-		if last >= fst {
-			out = append(out, now)
+		if lst >= first {
+			out = append(out, par)
+		}
+	}
+	return out
+}
+
+// partitionsWithin returns the partitions that lie entirely within a range of keys. Of those that share a key with it, only the first
+// and the last may not.
+func partitionsWithin(first, last, partitions uint32) []uint32 {
+	if partitions == 0 || !siskinrill.ValidKeyRange(first, last) {
+		return nil
+	}
+	out := partitionsTouching(first, last, partitions)
+	if len(out) > 0 {
+		if fst, _ := siskinrill.KeyRange(out[0], partitions); fst < first {
+			out = out[1:]
+		}
+	}
+	if num := len(out); num > 0 {
+		if _, lst := siskinrill.KeyRange(out[num-1], partitions); lst > last {
+			out = out[:num-1]
 		}
 	}
 	return out
--- a/internal/agent/backend/service_test.go
+++ b/internal/agent/backend/service_test.go
@@ -35,14 +35,10 @@
 			for back, svc := range again {
 				t.Run(name+", "+how+", "+back, func(t *testing.T) {
 					synctest.Test(t, func(t *testing.T) {
-						hol := newAdjustedServer(0, func(opt *Options) {
-							opt.Lease = func() (time.Time, bool) { return time.Now().Add(modelLease), true }
-						})
+						adr := newAddress(true)
+						hol := adr.heartbeatServer
 						hol.rows = []*controlpb.Shard{row(1, 5)}
-						for range 14 { // longer than any hold of a previous process
-							hol.sendHeartbeat(t, false)
-							time.Sleep(heartbeatEvery)
-						}
+						adr.beats(t, 14) // longer than any hold of a previous process
 						end := hol.until
 						hol.service = changed
 						between(t, hol)
--- a/internal/agent/backend/watch.go
+++ b/internal/agent/backend/watch.go
@@ -90,7 +90,7 @@
 	}
 	cli.mu.Lock()
 	if cli.tgt == tgt {
-		cli.reportAfterEnd, cli.reportFrom, cli.ended = false, time.Time{}, true
+		cli.recordEnd()
 	}
 	cli.mu.Unlock()
 	logrus.Info("backend: the failed server has no open runs and its port refuses connections")
--- a/internal/agent/caller/weights_test.go
+++ b/internal/agent/caller/weights_test.go
@@ -14,10 +14,9 @@
 func TestShares(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		weights := rapid.SliceOfN(rapid.Uint32Range(0, 100), 1, 4).Draw(rt, "weights")
-		rte := &controlpb.Route{Name: "r"}
+		rte := &controlpb.Route{Name: "r", Targets: weightedTargets(weights...)}
 		total := uint32(0)
-		for num, wgt := range weights {
-			rte.Targets = append(rte.Targets, &controlpb.WeightedTarget{Service: string(rune('a' + num)), Weight: wgt})
+		for _, wgt := range weights {
 			total += wgt
 		}
 		if total == 0 {
