--- a/internal/agent/backend/direct_test.go
+++ b/internal/agent/backend/direct_test.go
@@ -390,6 +390,38 @@
 	})
 }
 
+// TestPriorGrantAfterCarrierChange guards against keys that a previous agent process granted by a call and that are given to others while
+// the server holds them, because the carrier changed to heartbeats, which need not list them.
+func TestPriorGrantAfterCarrierChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kys, began := newKeys(), time.Now()
+		kys.applyDirectHeartbeat()
+		rows := []*controlpb.Shard{row(1, 5)}
+		refs := []*controlpb.ShardRef{refOf(rows[0])}
+		ann := &Announcement{ID: "v1", Service: "vitrine"}
+		rep := kys.applyHeartbeat(ann, heldPartitions)
+		kys.revoke(refs)
+		kys.selectGrants(rows, rep, "vitrine", time.Now().Add(time.Second), 0)
+		kys.applyHeartbeat(ann, heldPartitions)
+		at, changed := kys.pending(refs)
+		must.NotNil(t, changed)
+		must.Eq(t, maxServerDirectHold, at.Sub(began))
+	})
+}
+
+// TestGrantUnderWayCountsAsHold guards against the keys of a failed server that are given to others while a grant of them by a call may
+// still arrive.
+func TestGrantUnderWayCountsAsHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kys := newKeys()
+		kys.applyDirectHeartbeat()
+		time.Sleep(maxServerDirectHold)
+		must.LessEq(t, 0, kys.remaining())
+		kys.dueGrants([]*controlpb.Shard{row(1, 5)}, time.Now().Add(directLease), heldPartitions)
+		must.Eq(t, maxServerDirectHold, kys.remaining())
+	})
+}
+
 // TestServiceNotKnownYet guards against an agent that assumes its server's keys to be held for 10 s, during
 // which none can move, because the first heartbeat arrived before the configuration that names the carrier.
 func TestServiceNotKnownYet(t *testing.T) {
