rawclient: callers that do not keep to HTTP end the process or keep others out

Callers saw: nothing yet on the deployments in force. In a trial of the users, clients that are not theirs ended a process by its memory. Tests: a crowd of 500 clients at each address of siskinrill dev for 4 s, with heads of legal size made of many lines, odd heads, heads and lines without end, bodies and chunks that never end; 1,200 that hold connections beside a limit of 1,000 descriptors; HTTP/2 heads at the gRPC addresses. Checked are that the process lives, that its resident memory stays below that of the smallest host (284 MB), that at most three quarters of the descriptors are open, and that an ordinary request is answered afterwards. Callers inside the limits must be served.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	$(GO) build $(PACKAGES)
 
 # Tests that run complete deployments as separate processes have time limits, so these packages run one at a time, after all others.
-PROCESS_TESTS = ./examples ./internal/bench/deployment ./internal/bench/scale ./internal/process/agent
+PROCESS_TESTS = ./examples ./internal/bench/deployment ./internal/bench/rawclient ./internal/bench/scale ./internal/process/agent
 
 # KNOWN-RED.txt is printed. Its tests are skipped in PROCESS_TESTS only; those in other packages still run.
 KNOWN_RED = $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
@@ -25,7 +25,7 @@
 
 test:
 	@test ! -f KNOWN-RED.txt || cat KNOWN-RED.txt
-	$(GO) test -race -timeout 8m $(OTHER_SKIP) $$($(GO) list $(PACKAGES) | grep -vE '/examples$$|/bench/deployment$$|/bench/scale$$|/process/agent$$')
+	$(GO) test -race -timeout 8m $(OTHER_SKIP) $$($(GO) list $(PACKAGES) | grep -vE '/examples$$|/bench/deployment$$|/bench/rawclient$$|/bench/scale$$|/process/agent$$')
 	$(if $(UNRACED),$(GO) test -timeout 8m -run '^($(UNRACED))$$' $(UNRACED_PACKAGES))
 	$(GO) test -race -count=1 -timeout 8m -p 1 $(SKIP) $(PROCESS_TESTS)
 
--- a/internal/bench/memory/doc.go
+++ b/internal/bench/memory/doc.go
@@ -1,2 +1,2 @@
-// Package memory measures how much memory a test takes.
+// Package memory measures how much memory and how many descriptors a test or a process takes.
 package memory
