actor, ingress: the heads of requests share a limited memory

Callers saw: a crowd with heads of legal size made of very many lines ended the process by its memory, and with it all requests. Cause: each head is parsed, copied for the next hop and encoded at once, for 3 to 4 MB a head of 60 KB in 9,000 lines; http.Server limits the bytes of a head only, and nothing limits the sum. Change: bytes and lines of a head are counted while http.Server reads it, and cost 4 bytes a byte and 300 a line. Each connection may hold a head of 16 KiB of cost, an ordinary one; what goes beyond comes out of a memory for heads that the process shares (a sixteenth of the memory). A head that finds none left is refused with 503 as not run, one over the limit of bytes (max_header_bytes of the limits, which had no effect until now, or 64 KiB) or of lines (16,384) with 431; the connection ends, the refusal is counted by reason and logged once in 10 s at most. Requests that run ahead hold their memory too. A head that must wait for memory waits for its turn first. A single caller with the largest head is served (TestLargestHeadRefused). Why it holds: what a head costs is counted before it is parsed, so that the sum of all parsed heads is bounded by the memory.

--- a/internal/agent/caller/answer.go
+++ b/internal/agent/caller/answer.go
@@ -43,6 +43,7 @@
 	siskinrill.ReasonBadKey:               http.StatusBadRequest,
 	siskinrill.ReasonCallerGone:           http.StatusBadRequest,
 	siskinrill.ReasonBodyTooLarge:         http.StatusRequestEntityTooLarge,
+	siskinrill.ReasonHeadTooLarge:         http.StatusRequestHeaderFieldsTooLarge,
 	siskinrill.ReasonIdempotencyKeyReused: http.StatusUnprocessableEntity,
 	siskinrill.ReasonOutstandingLimit:     http.StatusTooManyRequests,
 	siskinrill.ReasonDeadline:             http.StatusGatewayTimeout,
--- /dev/null
+++ b/internal/host/ingress/resources.go
@@ -0,0 +1,68 @@
+package ingress
+
+import (
+	"syscall"
+)
+
+const (
+	// defaultMemory is the memory of a host in bytes if it is not configured.
+	defaultMemory = 284 << 20
+	// headShare is the part of the memory that heads beyond FreeCost may take together.
+	headShare = 16
+	// connectionMemory is the memory in bytes of the host for each connection of a caller. It takes about 45 KB at most: its
+	// goroutines and buffers, FreeCost and bytes read ahead; the rest is for everything else and for the garbage collector.
+	connectionMemory = 138 << 10
+	// Of the descriptors, callers may take three eighths, and each other listener a sixteenth.
+	callerShare, otherShare, shares = 6, 1, 16
+	// minConnections is the least number of connections that a listener accepts.
+	minConnections = 64
+)
+
+// Resources is what a process may use of its host.
+type Resources struct {
+	// Memory is in bytes, 0 for the default.
+	Memory int64
+	// Descriptors is the number of files and connections, 0 for the limit of the operating system.
+	Descriptors int
+}
+
+// heads is the memory for heads of the process.
+var heads = NewMemory(defaultMemory / headShare)
+
+// Heads returns the memory of the process for heads, which all its listeners share.
+func Heads() *Memory { return heads }
+
+// Configure sets the memory of the process for heads.
+func Configure(res Resources) { heads.limit.Store(res.memory() / headShare) }
+
+// CallerConnections returns how many connections of callers may be open.
+func (res Resources) CallerConnections() int {
+	num := min(res.descriptors()*callerShare/shares, int(res.memory()/connectionMemory))
+	return max(num, minConnections)
+}
+
+// OtherConnections returns how many connections any other listener may have open.
+func (res Resources) OtherConnections() int {
+	return max(res.descriptors()*otherShare/shares, minConnections)
+}
+
+func (res Resources) memory() int64 {
+	if res.Memory > 0 {
+		return res.Memory
+	}
+	return defaultMemory
+}
+
+func (res Resources) descriptors() int {
+	if res.Descriptors > 0 {
+		return res.Descriptors
+	}
+	var lim syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &lim); err != nil {
+		return 0
+	}
+	return int(min(lim.Cur, maxDescriptors))
+}
+
+// maxDescriptors is a number of descriptors that no limit exceeds in effect.
+const maxDescriptors = 1 << 20
--- a/internal/process/actor/aborted.go
+++ b/internal/process/actor/aborted.go
@@ -24,13 +24,20 @@
 func (rec *recorder) Write(buf []byte) (int, error) { return rec.body.Write(buf) }
 
 // record returns the whole response of a handler in the format of HTTP/1.1.
-func record(hdl http.Handler, req *http.Request) []byte {
+func record(hdl http.Handler, req *http.Request) []byte { return encode(recordedResponse(hdl, req)) }
+
+// recordedResponse returns the whole response of a handler.
+func recordedResponse(hdl http.Handler, req *http.Request) *http.Response {
 	rec := &recorder{status: http.StatusOK, header: http.Header{}}
 	hdl.ServeHTTP(rec, req)
-	rsp := &http.Response{
+	return &http.Response{
 		StatusCode: rec.status, ProtoMajor: 1, ProtoMinor: 1, Header: rec.header, Request: req,
 		Body: io.NopCloser(&rec.body), ContentLength: int64(rec.body.Len()),
 	}
+}
+
+// encode returns a response in the format of HTTP/1.1.
+func encode(rsp *http.Response) []byte {
 	var out bytes.Buffer
 	_ = rsp.Write(&out)
 	return out.Bytes()
--- a/internal/process/actor/connections.go
+++ b/internal/process/actor/connections.go
@@ -12,6 +12,9 @@
 // connections tracks the states of the connections of an HTTP server.
 type connections struct {
 	keepAliveLimit int // number of open connections above which answers close their connection
+	limits         Limits
+	event          func(name string)
+	refusals       refusalLog
 	pipelining     Pipelining
 	ending         func() bool      // the process is about to stop; may be nil
 	virtual        *virtualListener // of requests that run ahead
@@ -30,12 +33,15 @@
 type connectionKey struct{}
 
 func newConnections(keepAliveLimit int) *connections {
-	return &connections{keepAliveLimit: keepAliveLimit, states: map[net.Conn]http.ConnState{}, unserved: map[net.Conn]bool{}, virtual: newVirtualListener()}
+	return &connections{
+		keepAliveLimit: keepAliveLimit, limits: Limits{}.withDefaults(), event: func(string) {},
+		states: map[net.Conn]http.ConnState{}, unserved: map[net.Conn]bool{}, virtual: newVirtualListener(),
+	}
 }
 
 // newServer returns an HTTP server whose connections are tracked.
 func (cns *connections) newServer(hdl http.Handler) *http.Server {
-	srv := &http.Server{Handler: cns.closeAnswered(hdl), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: cns.stateChanged}
+	srv := &http.Server{Handler: cns.closeAnswered(hdl), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes, ConnState: cns.stateChanged}
 	srv.ConnContext = func(ctx context.Context, cnn net.Conn) context.Context {
 		return context.WithValue(ctx, connectionKey{}, cnn)
 	}
@@ -78,12 +84,6 @@
 	return cns.ending != nil && cns.ending() || cns.stopping.Load()
 }
 
-func (cns *connections) event(name string) {
-	if cns.pipelining.Event != nil {
-		cns.pipelining.Event(name)
-	}
-}
-
 // startAhead counts a request that runs ahead; it returns false if none may be started.
 func (cns *connections) startAhead() bool {
 	cns.mu.Lock()
@@ -195,129 +195,6 @@
 	return true
 }
 
-// trackedListener wraps the connections that it accepts in a trackedConn.
-type trackedListener struct {
-	net.Listener
-	cns *connections
-}
-
-// Accept returns the next connection as a trackedConn.
-func (lis *trackedListener) Accept() (net.Conn, error) {
-	cnn, err := lis.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	trc := &trackedConn{Conn: cnn, cns: lis.cns}
-	if lis.cns.pipelining.Depth > 0 {
-		trc.pipeline = newPipeline(lis.cns, trc)
-	}
-	return trc, nil
-}
-
-// trackedConn is a connection whose reads are tracked, because http.Server reports a request only once its headers are read
-// and, at a stop, closes connections from which it has read part of a request.
-type trackedConn struct {
-	net.Conn
-	cns      *connections
-	pipeline *pipeline // nil if nothing runs ahead
-
-	mu           sync.Mutex
-	active       bool // http.Server has reported the request as active
-	closeDelayed bool // the server has called Close while part of a request was read
-}
-
-func (trc *trackedConn) stateChanged(sta http.ConnState) {
-	trc.mu.Lock()
-	trc.active = sta == http.StateActive
-	closes := trc.closeDelayed && sta == http.StateClosed
-	trc.mu.Unlock()
-	if closes {
-		_ = trc.Close()
-	}
-}
-
-func (trc *trackedConn) isActive() bool {
-	trc.mu.Lock()
-	defer trc.mu.Unlock()
-	return trc.active
-}
-
-// Read reads from the connection; bytes that arrive after the server has stopped are dropped and the connection is reset,
-// so that the caller knows that its request was not accepted.
-func (trc *trackedConn) Read(buf []byte) (int, error) {
-	if trc.pipeline != nil {
-		return trc.pipeline.read(buf)
-	}
-	num, err := trc.Conn.Read(buf)
-	if num == 0 || trc.recordRead() {
-		return num, err
-	}
-	setReset(trc.Conn)
-	return 0, net.ErrClosed
-}
-
-// Write writes to the connection, unless the response of http.Server was replaced.
-func (trc *trackedConn) Write(buf []byte) (int, error) {
-	if trc.pipeline != nil && !trc.pipeline.mayWrite() {
-		return 0, net.ErrClosed
-	}
-	return trc.Conn.Write(buf)
-}
-
-// recordRead records that part of a request was read; it returns false if the server has stopped and cannot serve it.
-func (trc *trackedConn) recordRead() bool { return trc.isActive() || trc.cns.recordRead(trc) }
-
-// setReset makes the close of a connection reset it.
-func setReset(cnn net.Conn) {
-	if tcp, ok := cnn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-}
-
-// SetDeadline sets both deadlines.
-func (trc *trackedConn) SetDeadline(end time.Time) error {
-	_ = trc.SetReadDeadline(end)
-	return trc.SetWriteDeadline(end)
-}
-
-// SetReadDeadline sets the deadline for reads.
-func (trc *trackedConn) SetReadDeadline(end time.Time) error {
-	if trc.pipeline == nil {
-		return trc.Conn.SetReadDeadline(end)
-	}
-	return trc.pipeline.setReadDeadline(end)
-}
-
-// Close closes the connection; while a request is partly read, the close is delayed until the server has served it.
-func (trc *trackedConn) Close() error {
-	if trc.pipeline != nil {
-		return trc.pipeline.close(trc.delayClose)
-	}
-	if trc.delayClose() {
-		return nil
-	}
-	return trc.Conn.Close()
-}
-
-// delayClose reports whether a request is partly read, and records that the connection is to be closed after it.
-func (trc *trackedConn) delayClose() bool {
-	if !trc.cns.hasUnserved(trc) {
-		return false
-	}
-	trc.mu.Lock()
-	defer trc.mu.Unlock()
-	trc.closeDelayed = true
-	return true
-}
-
-// CloseWrite closes the sending side; the server calls it after a refused body, so that the caller can read the answer.
-func (trc *trackedConn) CloseWrite() error {
-	if tcp, ok := trc.Conn.(*net.TCPConn); ok {
-		return tcp.CloseWrite()
-	}
-	return trc.Conn.Close()
-}
-
 // shutdown closes connections after their answers and stops the server once no request is in flight. It does not use
 // http.Server.Shutdown, which drops requests that were just read. Accepted connections have half of the grace to send their
 // first request, since a loaded host may read it late.
--- a/internal/process/actor/decide.go
+++ b/internal/process/actor/decide.go
@@ -23,41 +23,6 @@
 	maxHeldTotal = 8 << 20
 )
 
-// headScanner finds the end of the head of a request, which may be split over several reads.
-type headScanner struct {
-	length int  // of the current line
-	last   byte // of the current line
-	begun  bool // a line that is not blank was found
-}
-
-// end returns the number of bytes up to the end of the blank line after the head, or 0 if dat ends before it.
-func (hsc *headScanner) end(dat []byte) int {
-	pos := 0
-	for {
-		idx := bytes.IndexByte(dat[pos:], '\n')
-		if idx < 0 {
-			hsc.add(dat[pos:])
-			return 0
-		}
-		hsc.add(dat[pos : pos+idx])
-		blank := hsc.length == 0 || hsc.length == 1 && hsc.last == '\r'
-		pos += idx + 1
-		hsc.length = 0
-		if blank && hsc.begun {
-			*hsc = headScanner{}
-			return pos
-		}
-		hsc.begun = hsc.begun || !blank
-	}
-}
-
-func (hsc *headScanner) add(dat []byte) {
-	if len(dat) > 0 {
-		hsc.length += len(dat)
-		hsc.last = dat[len(dat)-1]
-	}
-}
-
 // parseAhead parses the head of a request that may run ahead; it returns nil if the request must wait for its turn, which
 // includes every request that http.Server would refuse by itself and then close the connection.
 func parseAhead(hea []byte) *http.Request {
--- /dev/null
+++ b/internal/process/actor/limits.go
@@ -0,0 +1,47 @@
+package actor
+
+import (
+	"cmp"
+	"net/http"
+
+	"github.com/siskinrill/siskinrill/internal/host/ingress"
+)
+
+const (
+	// defaultHeadBytes is the default limit of the head of a request in bytes.
+	defaultHeadBytes = 64 << 10
+	// defaultHeadLines is the default limit of its lines, which no head of the default size exceeds.
+	defaultHeadLines = defaultHeadBytes / len("a:\r\n")
+	// maxHeadBytes is the largest head in bytes that any limit allows.
+	maxHeadBytes = 1 << 20
+)
+
+// Limits are what an HTTP server accepts of its callers; fields that are zero have defaults.
+type Limits struct {
+	// HeadBytes returns the limit of the head of a request in bytes, 0 for the default of 64 KiB.
+	HeadBytes func() int
+	// HeadLines is the limit of its lines, 16384 by default.
+	HeadLines int
+	// Memory is for the heads of all requests together, that of the process by default.
+	Memory *ingress.Memory
+	// Refusal answers a request whose head was refused; by default with a line of text.
+	Refusal func(err *ingress.HeadError) http.Handler
+}
+
+func (lim Limits) withDefaults() Limits {
+	lim.HeadLines = cmp.Or(lim.HeadLines, defaultHeadLines)
+	lim.Memory = cmp.Or(lim.Memory, ingress.Heads())
+	if lim.HeadBytes == nil {
+		lim.HeadBytes = func() int { return 0 }
+	}
+	if lim.Refusal == nil {
+		lim.Refusal = refuseAsText
+	}
+	return lim
+}
+
+// head returns the limits of a head.
+func (lim *Limits) head() ingress.Limits {
+	size := cmp.Or(lim.HeadBytes(), defaultHeadBytes)
+	return ingress.Limits{Bytes: min(size, maxHeadBytes), Lines: lim.HeadLines}
+}
--- a/internal/process/actor/pipeline.go
+++ b/internal/process/actor/pipeline.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/siskinrill/siskinrill/internal/host/ingress"
 )
 
-// Names of the events that Pipelining.Event counts.
+// Names of the events that Server.Event counts.
 const (
 	eventAhead   = "pipeline_ahead"          // a request was started before the responses ahead of it were written
 	eventDropped = "pipeline_dropped_unread" // a request was not read, because a response ahead of it closed the connection
@@ -31,8 +33,6 @@
 	// Aborted answers in place of a handler that aborts ahead of requests that were started; if it is nil, the connection is
 	// closed and they get no answer. It is only asked while no byte of the aborted response is written.
 	Aborted http.Handler
-	// Event counts an event by its name; it may be nil.
-	Event func(name string)
 }
 
 // phase is the position of http.Server within the bytes of a connection.
@@ -60,7 +60,7 @@
 	cond      sync.Cond // of queue, turns, errors and deadlines
 	phase     phase
 	fresh     bool // http.Server has read nothing yet
-	scanner   headScanner
+	scanner   ingress.Scanner
 	own       *http.Request // in phaseSplit, until it is known that requests may run beside it
 	body      int64         // rest of the body in phaseBody
 	unread    []byte        // read from conn and not handed to http.Server
@@ -77,6 +77,7 @@
 	closing   bool  // a response has announced the end of the connection
 	ended     bool  // that response, or one that was cut, is written
 	broken    bool  // no response can be written
+	linger    bool  // lingerAtClose was called
 	closed    bool  // Close was called
 	readErr   error // of conn
 
@@ -123,7 +124,7 @@
 	pip.mu.Lock()
 	defer pip.mu.Unlock()
 	pip.phase, pip.own = phaseIdle, nil
-	pip.scanner = headScanner{}
+	pip.scanner = ingress.Scanner{}
 	if len(pip.queue) == 0 {
 		pip.recordUnread()
 	}
@@ -141,21 +142,22 @@
 // dispatch starts the requests in unread that may run ahead.
 func (pip *pipeline) dispatch() {
 	for pip.mayStart() {
-		var scn headScanner
-		end := scn.end(pip.unread)
+		var scn ingress.Scanner
+		end := scn.End(pip.unread)
 		if end == 0 {
 			return
 		}
-		req := parseAhead(pip.unread[:end])
-		if req == nil || !pip.cns.pipelining.Ahead(req) {
+		head, ok := pip.acceptAhead(pip.unread[:end])
+		if !ok {
 			pip.mustWait = true
 			return
 		}
 		if !pip.cns.startAhead() {
+			head.Reset()
 			pip.countLimit()
 			return
 		}
-		vcn := &virtualConn{pip: pip, request: append([]byte(nil), pip.unread[:end]...)}
+		vcn := &virtualConn{pip: pip, head: head, request: append([]byte(nil), pip.unread[:end]...)}
 		pip.consume(end)
 		pip.queue = append(pip.queue, vcn)
 		pip.limited = false
@@ -164,6 +166,19 @@
 	}
 }
 
+// acceptAhead reports whether the request with a head may run ahead. If so, it returns the head with the memory that it holds; one that
+// is over a limit is refused when its turn comes.
+func (pip *pipeline) acceptAhead(dat []byte) (ingress.Head, bool) {
+	head := ingress.NewHead(pip.cns.limits.Memory)
+	if head.Add(dat, pip.cns.limits.head()) == nil {
+		if req := parseAhead(dat); req != nil && pip.cns.pipelining.Ahead(req) {
+			return head, true
+		}
+	}
+	head.Reset()
+	return head, false
+}
+
 // mayStart reports whether a request may be started behind those that run.
 func (pip *pipeline) mayStart() bool {
 	if len(pip.unread) == 0 || pip.mustWait || pip.closing || pip.ended || pip.broken || pip.closed || pip.readErr != nil {
@@ -262,6 +277,7 @@
 	vcn := pip.queue[pos]
 	pip.release(len(vcn.response))
 	vcn.response = nil
+	vcn.head.Reset()
 	pip.queue = append(pip.queue[:pos], pip.queue[pos+1:]...)
 	pip.cns.endAhead()
 }
--- a/internal/process/actor/pipeline_test.go
+++ b/internal/process/actor/pipeline_test.go
@@ -38,8 +38,9 @@
 func newPipelineServer(tb testing.TB, dep int, hook func(http.ResponseWriter, *http.Request)) *pipelineServer {
 	tb.Helper()
 	pls := &pipelineServer{cns: newConnections(maxKeepAlive), hook: hook, events: map[string]int{}}
+	pls.cns.event = pls.count
 	pls.cns.pipelining = Pipelining{
-		Depth: dep, Event: pls.count,
+		Depth: dep,
 		Aborted: http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
 			wri.WriteHeader(http.StatusBadGateway)
 			_, _ = io.WriteString(wri, padded(req.URL.Path, 0, 0))
--- a/internal/process/actor/pipelineread.go
+++ b/internal/process/actor/pipelineread.go
@@ -2,10 +2,11 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"os"
 	"time"
+
+	"github.com/siskinrill/siskinrill/internal/host/ingress"
 )
 
 // lingerTime limits the wait for the caller's end of a connection. A close with unread bytes resets the connection, and the
@@ -96,7 +97,7 @@
 
 // cutHead returns the number of bytes of dat that belong to the present head.
 func (pip *pipeline) cutHead(dat []byte) int {
-	end := pip.scanner.end(dat)
+	end := pip.scanner.End(dat)
 	if end == 0 {
 		return len(dat)
 	}
@@ -213,12 +214,10 @@
 	pip.closed = true
 	pip.countUnanswered()
 	pip.breakOff()
-	half, ok := pip.conn.(interface{ CloseWrite() error })
-	if !ok || !pip.pipelined && len(pip.unread) == 0 || pip.readErr != nil || half.CloseWrite() != nil {
+	lingers := pip.linger || pip.pipelined || len(pip.unread) > 0
+	if !lingers || pip.readErr != nil || !pip.trc.closeLingering() {
 		return pip.conn.Close()
 	}
-	pip.cns.lingering.Add(1)
-	go pip.linger()
 	return nil
 }
 
@@ -230,9 +229,9 @@
 	for range pip.queue {
 		pip.cns.event(eventLost)
 	}
-	var scn headScanner
+	var scn ingress.Scanner
 	for dat := pip.unread; ; {
-		end := scn.end(dat)
+		end := scn.End(dat)
 		if end == 0 {
 			return
 		}
@@ -241,9 +240,9 @@
 	}
 }
 
-func (pip *pipeline) linger() {
-	defer pip.cns.lingering.Add(-1)
-	_ = pip.conn.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, pip.conn)
-	_ = pip.conn.Close()
+// lingerAtClose makes the close wait for the caller's end of the connection, as if the caller pipelined.
+func (pip *pipeline) lingerAtClose() {
+	pip.mu.Lock()
+	defer pip.mu.Unlock()
+	pip.linger = true
 }
--- a/internal/process/actor/server.go
+++ b/internal/process/actor/server.go
@@ -15,9 +15,6 @@
 // headerTimeout limits the time to read the headers of a request, so that connections that send nothing are closed.
 const headerTimeout = 10 * time.Second
 
-// maxHeader limits the size of the head of a request in bytes, so that endless ones on many connections do not fill the memory.
-const maxHeader = 64 << 10
-
 const (
 	// acceptDelay is how long the server may take to accept a connection from the kernel's queue.
 	acceptDelay = 50 * time.Millisecond
@@ -34,6 +31,10 @@
 	Handler  http.Handler
 	// Pipelining lets requests run ahead of those before them on a connection; by default none does.
 	Pipelining Pipelining
+	// Limits are what the server accepts of its callers.
+	Limits Limits
+	// Event counts an event by its name; it may be nil.
+	Event func(name string)
 	// Ending, if set, reports whether the process is about to stop, so that answers close their connections.
 	Ending func() bool
 }
@@ -45,7 +46,10 @@
 	var ended sync.WaitGroup
 	for num, itm := range srvs {
 		con := newConnections(maxKeepAlive)
-		con.pipelining, con.ending = itm.Pipelining, itm.Ending
+		con.pipelining, con.ending, con.limits = itm.Pipelining, itm.Ending, itm.Limits.withDefaults()
+		if itm.Event != nil {
+			con.event = itm.Event
+		}
 		srv := con.newServer(itm.Handler)
 		stops[num] = func() { shutdown(srv, itm.Listener, con, grace) }
 		grp.Add(
--- a/internal/process/actor/virtual.go
+++ b/internal/process/actor/virtual.go
@@ -6,12 +6,15 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/siskinrill/siskinrill/internal/host/ingress"
 )
 
 // virtualConn is the connection on which http.Server serves one request that runs ahead. Its response is held until all
 // responses before it are written. The fields are guarded by the mutex of the pipeline.
 type virtualConn struct {
 	pip           *pipeline
+	head          ingress.Head
 	request       []byte // part of the request that http.Server has not read
 	response      []byte // part of the response that waits for its turn
 	aborted       bool   // http.Server has ended its background read
--- a/internal/process/agent/pipelining.go
+++ b/internal/process/agent/pipelining.go
@@ -4,23 +4,36 @@
 	"net/http"
 
 	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/host/ingress"
 	"github.com/siskinrill/siskinrill/internal/process/actor"
 )
 
 // callerServer returns the HTTP server for callers.
 func (prc *Process) callerServer() actor.Server {
-	aborted := http.Handler(http.HandlerFunc(prc.entry.Aborted))
-	if prc.options.Translate != nil {
-		aborted = prc.options.Translate(aborted)
-	}
+	aborted := prc.translate(http.HandlerFunc(prc.entry.Aborted))
 	return actor.Server{
-		Listener: prc.options.Callers, Handler: prc.callers, Ending: prc.stopping.Load,
+		Limits: actor.Limits{
+			HeadBytes: prc.maxHeadBytes,
+			Refusal:   func(hee *ingress.HeadError) http.Handler { return prc.translate(prc.entry.HeadRefused(hee)) },
+		},
+		Listener: prc.options.Callers, Handler: prc.callers, Ending: prc.stopping.Load, Event: prc.counters.Event,
 		Pipelining: actor.Pipelining{
-			Depth: int(prc.options.Settings.Pipelined), Ahead: prc.mayRunAhead, Aborted: aborted, Event: prc.counters.Event,
+			Depth: int(prc.options.Settings.Pipelined), Ahead: prc.mayRunAhead, Aborted: aborted,
 		},
 	}
 }
 
+// translate wraps a handler of callers' requests in Options.Translate.
+func (prc *Process) translate(hdl http.Handler) http.Handler {
+	if prc.options.Translate == nil {
+		return hdl
+	}
+	return prc.options.Translate(hdl)
+}
+
+// maxHeadBytes returns the configured limit of the head of a request in bytes, 0 if there is none.
+func (prc *Process) maxHeadBytes() int { return int(prc.session.Limits().GetMaxHeaderBytes()) }
+
 // mayRunAhead reports whether a request may start before those ahead of it on its connection are answered. When one of their
 // responses closes the connection, the caller sends the request again, so that only an idempotent one may have run by then.
 func (prc *Process) mayRunAhead(req *http.Request) bool {
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -166,10 +166,7 @@
 		Zone: set.Zone, ZoneSpillover: set.ZoneSpillover, Pacer: pac,
 	}, prc.session, prc.pool, prc.owner, prc.counters)
 	prc.entry = hdl
-	prc.callers = prc.trackRequests(hdl)
-	if opt.Translate != nil {
-		prc.callers = opt.Translate(prc.callers)
-	}
+	prc.callers = prc.translate(prc.trackRequests(hdl))
 	if opt.Extra != nil {
 		prc.extra = opt.Extra(prc)
 	}
@@ -273,7 +270,11 @@
 	// same time, since the host may soon kill the process.
 	actor.HTTP(&grp, callerGrace, prc.callerServer())
 	others := []actor.Server{{Listener: prc.options.Backend, Handler: prc.backend.Handler()}, {Listener: prc.options.Admin, Handler: prc.admin}}
-	actor.HTTP(&grp, serverGrace, append(others, prc.extra...)...)
+	others = append(others, prc.extra...)
+	for num := range others {
+		others[num].Event = prc.counters.Event
+	}
+	actor.HTTP(&grp, serverGrace, others...)
 	actor.GRPC(&grp, peerGrace, prc.options.Peers, prc.server)
 	actor.Loop(&grp, prc.owner.Run)
 	actor.Loop(&grp, prc.backend.Run)
--- a/reason.go
+++ b/reason.go
@@ -13,6 +13,10 @@
 	ReasonBadRequest Reason = "bad_request"
 	// ReasonBodyTooLarge means that the body is over the limit of its route.
 	ReasonBodyTooLarge Reason = "body_too_large"
+	// ReasonHeadTooLarge means that the head of the request is over the limit of bytes or of lines.
+	ReasonHeadTooLarge Reason = "head_too_large"
+	// ReasonHeadMemory means that no memory is left for the heads of requests, apart from ordinary ones.
+	ReasonHeadMemory Reason = "head_memory"
 	// ReasonNoLease means that this agent holds no valid lease.
 	ReasonNoLease Reason = "no_lease"
 	// ReasonNoOwner means that the key has no owner and that none was assigned before the wait for one ended.
