hopheader: the names in Connection are read once

Callers saw: beside a crowd with heads whose Connection field lists thousands of names, an ordinary request was answered at its 18th try, and the process kept all processors busy for 17 s after the crowd had left. Cause: for each field of a request or an answer the whole list was searched again, so that work grew with names times names. Change: the list is read into a set once. The fields that apply to one connection stood in two packages with different lists; both use the new package. Why it holds: each name is looked at once, each field looked up once.

--- a/internal/agent/backend/request.go
+++ b/internal/agent/backend/request.go
@@ -5,19 +5,16 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/wire/headerfield"
+	"github.com/siskinrill/siskinrill/internal/wire/hopheader"
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 	"github.com/siskinrill/siskinrill/internal/wire/reqtarget"
 )
 
-// hopHeaders apply to a single connection and are not forwarded.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
-
 // streamBody is a request body that is still being received from the caller.
 type streamBody struct {
 	io.Reader
@@ -124,23 +121,12 @@
 		name := http.CanonicalHeaderKey(fld.GetName())
 		hdr[name] = append(hdr[name], headerfield.Values(fld)...)
 	}
-	dropHopHeaders(hdr)
-}
-
-func dropHopHeaders(hdr http.Header) {
-	for _, val := range hdr["Connection"] {
-		for name := range strings.SplitSeq(val, ",") {
-			hdr.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		hdr.Del(name)
-	}
+	hopheader.Drop(hdr)
 }
 
 // headerFields converts the headers of an answer, without those of the connection.
 func headerFields(hdr http.Header) []*peerpb.HeaderField {
-	dropHopHeaders(hdr)
+	hopheader.Drop(hdr)
 	fields := make([]*peerpb.HeaderField, 0, len(hdr))
 	for name, vals := range hdr {
 		fld := &peerpb.HeaderField{}
