peer, control: heads of calls are limited

Callers saw: 500 connections with 20 calls of 6,000 short fields each took 8.6 GB at the address for other agents and 1.1 GB at that of a control process, far above the memory of any host. Cause: gRPC servers accept heads of 16 MB and any number of calls on a connection by default. Change: heads of 8 KB at most (siskinrill's own take about 200 bytes), 1,024 calls a connection, and 5 s until a connection speaks HTTP/2, also at control processes. Why it holds: a call that is over the limit is reset while its head is decoded, and no field beyond the limit is kept.

--- a/internal/agent/peer/server.go
+++ b/internal/agent/peer/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/host/egress"
+	"github.com/siskinrill/siskinrill/internal/host/ingress"
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
 
@@ -47,19 +48,19 @@
 
 // ServerOptions returns the options of a gRPC server for up to 809 peers with small buffers.
 func ServerOptions() []grpc.ServerOption {
-	return []grpc.ServerOption{
+	return append(
+		ingress.ServerOptions(),
 		grpc.ReadBufferSize(socketBuffer),
 		grpc.WriteBufferSize(socketBuffer),
 		grpc.SharedWriteBuffer(true),
 		grpc.InitialWindowSize(streamWindow),
 		grpc.InitialConnWindowSize(connectionWindow),
 		grpc.MaxRecvMsgSize(maxMessageSize),
-		grpc.ConnectionTimeout(5 * time.Second),
 		// A peer that disappeared without closing its connection must not occupy its buffers forever.
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 30 * time.Second, Timeout: 5 * time.Second}),
 		// Workers reuse their grown stacks; requests above their number get their own goroutines.
-		grpc.NumStreamWorkers(uint32(2 * runtime.GOMAXPROCS(0))),
-	}
+		grpc.NumStreamWorkers(uint32(2*runtime.GOMAXPROCS(0))),
+	)
 }
 
 // Ping answers with the current session of this agent.
--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -19,6 +19,7 @@
 	"github.com/siskinrill/siskinrill/internal/control/member"
 	"github.com/siskinrill/siskinrill/internal/control/operator"
 	"github.com/siskinrill/siskinrill/internal/control/registry"
+	"github.com/siskinrill/siskinrill/internal/host/ingress"
 	"github.com/siskinrill/siskinrill/internal/process/actor"
 )
 
@@ -69,7 +70,7 @@
 	ses := agent.LeaseOptions(opt.Settings.Lease)
 	ses.Smoothing = opt.Settings.Smoothing
 	prc.sessions = agent.New(ses, grp, reg, assign.New(policyLimits(opt.Settings)))
-	prc.server = grpc.NewServer(grpc.MaxRecvMsgSize(member.MaxMessageBytes))
+	prc.server = grpc.NewServer(append(ingress.ServerOptions(), grpc.MaxRecvMsgSize(member.MaxMessageBytes))...)
 	grp.Register(prc.server)
 	prc.sessions.Register(prc.server)
 	operator.New(grp, reg, prc.sessions).Register(prc.server)
