actor: connections that wait for their callers make room for others

Callers saw: while 1,200 clients held connections beside a limit of 1,000 descriptors, no ordinary request was answered within 60 s: idle after an answer, with a part of a line or a blank line behind one, also at the address for announcements; with bodies never sent for 60 s. Cause: a connection had no limit of time once it was answered, also if a part of the next head had come (http.Server counts the time for a head from its fourth byte on), and no number of connections was too many. Change: each connection records what it waits for from its caller. The time for a head counts from its first byte, empty lines included, and ends the connection; header_timeout_ms and idle_timeout_ms of the limits are in force, which had no effect until now. From a number of connections on (three eighths of the descriptors and one for each 138 KiB of memory for callers, a sixteenth for other listeners) those are closed that have waited 2 s: first for the rest of a head, then for a first byte, a further request, a body. One with a request that is served, or requests that were read ahead, is not closed. New settings memory_mb and descriptors, by default those of the smallest host and of the operating system; with memory_mb the collector works harder from seven eighths of it on. New setting max_header_lines. TestSlowHeads, TestRoomForCallers and TestRefusedHeads with limits lowered. Why it holds: a client that does not finish has an unserved connection, of which there are at most 5/4 of the limit at any time.

--- a/cmd/siskinrill/agent.go
+++ b/cmd/siskinrill/agent.go
@@ -4,6 +4,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/siskinrill/siskinrill/internal/config/settings"
+	"github.com/siskinrill/siskinrill/internal/host/ingress"
 	"github.com/siskinrill/siskinrill/internal/process/agent"
 )
 
@@ -15,6 +16,7 @@
 		func(fil string) (settings.Log, func() (process, error), error) {
 			set, err := settings.LoadAgent(fil)
 			return set.Log, func() (process, error) {
+				ingress.Configure(set.Resources())
 				return agent.New(agent.Options{Settings: set, Logger: logger()})
 			}, err
 		},
--- a/internal/bench/rawclient/descriptors_test.go
+++ b/internal/bench/rawclient/descriptors_test.go
@@ -24,6 +24,9 @@
 	settleTime = 5 * time.Second
 )
 
+// unsentBody is a head whose body does not follow.
+const unsentBody = "POST /orders/o1/payment HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 65536\r\n\r\n"
+
 // TestHeldConnectionsKeepCallersOut guards against clients that hold connections which they never use to an end, so that the
 // process has no descriptor left for ordinary callers.
 func TestHeldConnectionsKeepCallersOut(t *testing.T) {
@@ -40,6 +43,7 @@
 		"idle after an answer":           {"callers", rawclient.Script{Start: answered, Redial: true}},
 		"part of a line after an answer": {"callers", rawclient.Script{Start: append(bytes.Clone(answered), "GET"...), Redial: true}},
 		"blank after an answer":          {"callers", rawclient.Script{Start: append(bytes.Clone(answered), "\r\n"...), Redial: true}},
+		"body never sent":                {"callers", rawclient.Script{Start: []byte(unsentBody), Redial: true}},
 		"idle after an answer, backend":  {"backend", rawclient.Script{Start: answered, Redial: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/siskinrill/siskinrill/internal/config/source"
+	"github.com/siskinrill/siskinrill/internal/host/ingress"
 )
 
 // Defaults and limits of the settings.
@@ -26,6 +27,10 @@
 	maxFreshness = 1000 * time.Hour
 	// maxPipelined is the number of requests that run ahead in the whole process at most.
 	maxPipelined = 256
+	// maxMemoryMB, maxDescriptors and maxHeadLines are above what any host has and any head holds.
+	maxMemoryMB    = 1 << 20
+	maxDescriptors = 1 << 20
+	maxHeadLines   = 1 << 20
 	// maxLinkMbps is the speed of the fastest links in Mbit/s.
 	maxLinkMbps = 1e6
 )
@@ -49,9 +54,21 @@
 	Region string
 }
 
+// Host is what the host leaves to a process, keys of the section of its role.
+type Host struct {
+	MemoryMB    uint32 // 0 for the default
+	Descriptors uint32 // 0 for the limit of the operating system
+}
+
+// Resources returns what the process may use.
+func (hos Host) Resources() ingress.Resources {
+	return ingress.Resources{Memory: int64(hos.MemoryMB) << 20, Descriptors: int(hos.Descriptors)}
+}
+
 // Control holds the settings of a control process.
 type Control struct {
 	Place
+	Host
 	Listen         string            // IP:port of the gRPC listener, which others connect to
 	Data           string            // data directory
 	InitialMembers map[string]string // IP:port by name
@@ -73,6 +90,7 @@
 // Agent holds the settings of an agent.
 type Agent struct {
 	Place
+	Host
 	CallerListen  string   // IP:port for callers' HTTP requests
 	PeerListen    string   // IP:port of the gRPC listener for other agents
 	BackendListen string   // IP:port for announcements of the backend server
@@ -102,6 +120,8 @@
 	Service string
 	// ZoneSpillover keeps requests of services without keys in the agent's zone while it has room.
 	ZoneSpillover bool
+	// MaxHeadLines is the limit of the lines in the head of a caller's request, 0 for the default.
+	MaxHeadLines uint32
 	// CallerHeaders are the headers that tell callers apart, nil for the default of Authorization.
 	CallerHeaders []string
 	// LinkMbps is the speed of the host's network link in Mbit/s, 0 for not known. Long answers take a part of it only.
@@ -166,6 +186,8 @@
 			source.Uint32("fill_share_percent", &set.FillShare, 1, 100),
 			source.Duration("settle", &set.Settle, 0, time.Minute),
 			source.Duration("stop_timeout", &set.StopTimeout, 0, maxStop),
+			source.Uint32("memory_mb", &set.MemoryMB, 0, maxMemoryMB),
+			source.Uint32("descriptors", &set.Descriptors, 0, maxDescriptors),
 		)...,
 	)
 	doc.decodeCommon(&set.Admin, &set.Log)
@@ -213,6 +235,9 @@
 			source.Flag("zone_spillover", &set.ZoneSpillover),
 			source.Number("link_mbps", &set.LinkMbps, 0, maxLinkMbps),
 			source.Texts("caller_headers", &set.CallerHeaders),
+			source.Uint32("max_header_lines", &set.MaxHeadLines, 0, maxHeadLines),
+			source.Uint32("memory_mb", &set.MemoryMB, 0, maxMemoryMB),
+			source.Uint32("descriptors", &set.Descriptors, 0, maxDescriptors),
 		)...,
 	)
 	doc.decodeCommon(&set.Admin, &set.Log)
--- a/internal/config/settings/settings_test.go
+++ b/internal/config/settings/settings_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/siskinrill/siskinrill/internal/config/settings"
 	"github.com/siskinrill/siskinrill/internal/config/source"
+	"github.com/siskinrill/siskinrill/internal/host/ingress"
 )
 
 const (
@@ -106,8 +107,14 @@
 	must.NoError(t, err)
 	must.Eq(t, []string{"c1", "c2"}, ctl.MemberOrder)
 	must.Eq(t, settings.DefaultStopTimeout, ctl.StopTimeout)
+	must.Eq(t, ingress.Resources{}, ctl.Resources())
 	must.Eq(t, settings.Log{Level: "info", Format: "text"}, ctl.Log)
-	agt, err := settings.ParseAgent("s.toml", []byte(agentText))
+	small := strings.Replace(agentText, "[log]", "memory_mb = 184\ndescriptors = 4100\nmax_header_lines = 100\n[log]", 1)
+	agt, err := settings.ParseAgent("s.toml", []byte(small))
+	must.NoError(t, err)
+	must.Eq(t, ingress.Resources{Memory: 184 << 20, Descriptors: 4100}, agt.Resources())
+	must.Eq(t, 100, agt.MaxHeadLines)
+	agt, err = settings.ParseAgent("s.toml", []byte(agentText))
 	must.NoError(t, err)
 	must.Eq(t, settings.Agent{
 		Place:        settings.Place{Name: "a1", Zone: "in-west-a", Region: "in-west"},
--- a/internal/host/ingress/resources.go
+++ b/internal/host/ingress/resources.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"runtime/debug"
 	"syscall"
 )
 
@@ -9,11 +10,15 @@
 	defaultMemory = 284 << 20
 	// headShare is the part of the memory that heads beyond FreeCost may take together.
 	headShare = 16
+	// One part in softShare of the memory is left to what the runtime does not count, such as bytes that the kernel holds.
+	softShare = 8
 	// connectionMemory is the memory in bytes of the host for each connection of a caller. It takes about 45 KB at most: its
 	// goroutines and buffers, FreeCost and bytes read ahead; the rest is for everything else and for the garbage collector.
 	connectionMemory = 138 << 10
 	// Of the descriptors, callers may take three eighths, and each other listener a sixteenth.
 	callerShare, otherShare, shares = 6, 1, 16
+	// maxDescriptors is a number of descriptors that no process uses.
+	maxDescriptors = 1 << 20
 	// minConnections is the least number of connections that a listener accepts.
 	minConnections = 64
 )
@@ -32,8 +37,14 @@
 // Heads returns the memory of the process for heads, which all its listeners share.
 func Heads() *Memory { return heads }
 
-// Configure sets the memory of the process for heads.
-func Configure(res Resources) { heads.limit.Store(res.memory() / headShare) }
+// Configure sets the memory of the process for heads, and lets the garbage collector work harder near the end of a memory that is
+// stated.
+func Configure(res Resources) {
+	heads.limit.Store(res.memory() / headShare)
+	if res.Memory > 0 {
+		debug.SetMemoryLimit(res.Memory / softShare * (softShare - 1))
+	}
+}
 
 // CallerConnections returns how many connections of callers may be open.
 func (res Resources) CallerConnections() int {
@@ -63,6 +74,3 @@
 	}
 	return int(min(lim.Cur, maxDescriptors))
 }
-
-// maxDescriptors is a number of descriptors that no limit exceeds in effect.
-const maxDescriptors = 1 << 20
--- a/internal/process/actor/connections.go
+++ b/internal/process/actor/connections.go
@@ -53,6 +53,9 @@
 	if cns.pipelining.Depth > 0 {
 		go func() { _ = srv.Serve(cns.virtual) }()
 	}
+	done := make(chan struct{})
+	defer close(done)
+	go cns.sweep(done)
 	return srv.Serve(&trackedListener{Listener: lis, cns: cns})
 }
 
@@ -62,6 +65,9 @@
 func (cns *connections) closeAnswered(hdl http.Handler) http.Handler {
 	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
 		closes := cns.count() > cns.keepAliveLimit || cns.closes()
+		if trc, ok := req.Context().Value(connectionKey{}).(*trackedConn); ok {
+			trc.handled = true
+		}
 		if cns.pipelining.Depth > 0 {
 			switch cnn := req.Context().Value(connectionKey{}).(type) {
 			case *trackedConn:
--- a/internal/process/actor/limits.go
+++ b/internal/process/actor/limits.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net/http"
+	"time"
 
 	"github.com/siskinrill/siskinrill/internal/host/ingress"
 )
@@ -24,6 +25,13 @@
 	HeadLines int
 	// Memory is for the heads of all requests together, that of the process by default.
 	Memory *ingress.Memory
+	// HeadTime returns the time for a head from its first byte on, 0 for the default of 10 s.
+	HeadTime func() time.Duration
+	// IdleTime returns how long a connection may be idle after a response, 0 for any time.
+	IdleTime func() time.Duration
+	// Connections is the number of open connections above which those are closed that wait for their callers; by default what
+	// the process may use.
+	Connections int
 	// Refusal answers a request whose head was refused; by default with a line of text.
 	Refusal func(err *ingress.HeadError) http.Handler
 }
@@ -34,12 +42,24 @@
 	if lim.HeadBytes == nil {
 		lim.HeadBytes = func() int { return 0 }
 	}
+	if lim.HeadTime == nil {
+		lim.HeadTime = func() time.Duration { return 0 }
+	}
+	if lim.IdleTime == nil {
+		lim.IdleTime = func() time.Duration { return 0 }
+	}
+	if lim.Connections == 0 {
+		lim.Connections = ingress.Resources{}.OtherConnections()
+	}
 	if lim.Refusal == nil {
 		lim.Refusal = refuseAsText
 	}
 	return lim
 }
 
+// headTime returns the time for a head.
+func (lim *Limits) headTime() time.Duration { return cmp.Or(lim.HeadTime(), headerTimeout) }
+
 // head returns the limits of a head.
 func (lim *Limits) head() ingress.Limits {
 	size := cmp.Or(lim.HeadBytes(), defaultHeadBytes)
--- a/internal/process/actor/refusal.go
+++ b/internal/process/actor/refusal.go
@@ -47,6 +47,13 @@
 	_, _ = trc.Conn.Write(refusal(trc.cns.limits.Refusal(hee)))
 }
 
+// recordInvalid records that http.Server answers by itself, since what it has read is no valid request.
+func (trc *trackedConn) recordInvalid() {
+	trc.handled = true // once for each request
+	trc.cns.event(eventInvalid)
+	trc.cns.refusals.log(eventInvalid, "no valid request", trc.RemoteAddr().String())
+}
+
 // refusal returns the answer of a handler to a request that was not read, after which the connection ends.
 func refusal(hdl http.Handler) []byte {
 	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Body: http.NoBody}
--- /dev/null
+++ b/internal/process/actor/refusal_test.go
@@ -0,0 +1,199 @@
+package actor
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/siskinrill/siskinrill/internal/host/ingress"
+)
+
+// limitedServer is an HTTP server with low limits that counts its events.
+type limitedServer struct {
+	cns *connections
+	lis net.Listener
+
+	mu     sync.Mutex
+	events map[string]int
+}
+
+func newLimitedServer(t *testing.T, lim Limits, hdl http.HandlerFunc) *limitedServer {
+	lms := &limitedServer{cns: newConnections(maxKeepAlive), events: map[string]int{}}
+	lms.cns.limits, lms.cns.event = lim.withDefaults(), lms.count
+	lis, err := Listen("127.0.0.1:0")
+	must.NoError(t, err)
+	srv := lms.cns.newServer(hdl)
+	lms.lis = lis
+	go func() { _ = lms.cns.serve(srv, lis) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	return lms
+}
+
+func (lms *limitedServer) count(name string) {
+	lms.mu.Lock()
+	defer lms.mu.Unlock()
+	lms.events[name]++
+}
+
+func (lms *limitedServer) counted(name string) int {
+	lms.mu.Lock()
+	defer lms.mu.Unlock()
+	return lms.events[name]
+}
+
+// dial opens a connection and sends a text.
+func (lms *limitedServer) dial(t *testing.T, txt string) net.Conn {
+	cnn, err := net.Dial("tcp", lms.lis.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = cnn.Close() })
+	_, err = io.WriteString(cnn, txt)
+	must.NoError(t, err)
+	return cnn
+}
+
+// await waits until an event was counted a number of times.
+func (lms *limitedServer) await(t *testing.T, name string, num int) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); lms.counted(name) < num; time.Sleep(time.Millisecond) {
+		must.True(t, time.Now().Before(end), must.Sprintf("%s was counted %d times of %d", name, lms.counted(name), num))
+	}
+}
+
+func noContent(wri http.ResponseWriter, _ *http.Request) { wri.WriteHeader(http.StatusNoContent) }
+
+const plainHead = "GET / HTTP/1.1\r\nHost: a\r\n"
+
+// TestRefusedHeads guards against a refusal with a wrong status, one that is not counted by its reason, log lines at the rate of
+// refusals, and a handler that runs all the same.
+func TestRefusedHeads(t *testing.T) {
+	const tries = 20
+	for name, tcs := range map[string]struct {
+		lim    Limits
+		sent   string
+		status int
+		event  string
+	}{
+		"lines":   {Limits{HeadLines: 5}, plainHead + strings.Repeat("a:\r\n", 5) + "\r\n", 431, ingress.ReasonLines},
+		"bytes":   {Limits{HeadBytes: func() int { return 50 }}, plainHead + "A: " + strings.Repeat("b", 50) + "\r\n\r\n", 431, ingress.ReasonBytes},
+		"memory":  {Limits{Memory: ingress.NewMemory(1)}, plainHead + strings.Repeat("a:\r\n", 100) + "\r\n", 503, ingress.ReasonMemory},
+		"invalid": {Limits{}, plainHead + "a b: c\r\n\r\n", 400, eventInvalid},
+	} {
+		t.Run(name, func(t *testing.T) {
+			hook := logtest.NewGlobal()
+			defer logrus.StandardLogger().ReplaceHooks(logrus.LevelHooks{})
+			lms := newLimitedServer(t, tcs.lim, func(http.ResponseWriter, *http.Request) { t.Error("the handler was called") })
+			for range tries {
+				buf := bufio.NewReader(lms.dial(t, tcs.sent))
+				res, err := http.ReadResponse(buf, nil)
+				must.NoError(t, err)
+				must.Eq(t, tcs.status, res.StatusCode)
+				must.Eq(t, tcs.status == 503, res.Header.Get("Retry-After") != "")
+				_, err = io.Copy(io.Discard, res.Body)
+				must.NoError(t, err)
+				_, err = buf.ReadByte()
+				must.ErrorIs(t, err, io.EOF)
+			}
+			must.Eq(t, tries, lms.counted(tcs.event))
+			must.Len(t, 1, hook.AllEntries())
+			must.Eq(t, 0, lms.cns.limits.Memory.Used())
+		})
+	}
+}
+
+// TestSlowHeads guards against connections that are never closed although their caller does not finish a head, be it of empty lines or
+// behind a response, or sends nothing for longer than it may be idle, and against closing those that do neither.
+func TestSlowHeads(t *testing.T) {
+	answered := plainHead + "\r\n"
+	for name, tcs := range map[string]struct{ sent, later, event string }{
+		"first line":                 {"GET / HT", "", eventHeadTimeout},
+		"lines":                      {plainHead, "", eventHeadTimeout},
+		"one byte behind a response": {answered, "G", eventHeadTimeout},
+		"blank behind a response":    {answered, "\r\n", eventHeadTimeout},
+		"idle":                       {answered, "", eventIdleTimeout},
+		"nothing sent yet":           {"", "", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			lim := Limits{HeadTime: func() time.Duration { return time.Minute }, IdleTime: func() time.Duration { return time.Minute }}
+			lms := newLimitedServer(t, lim, noContent)
+			cnn := lms.dial(t, tcs.sent)
+			if tcs.later != "" {
+				_, err := http.ReadResponse(bufio.NewReader(cnn), nil)
+				must.NoError(t, err)
+				lms.awaitWait(t, waitIdle)
+				_, err = io.WriteString(cnn, tcs.later)
+				must.NoError(t, err)
+			}
+			kind := waitFirst
+			switch tcs.event {
+			case eventHeadTimeout:
+				kind = waitHead
+			case eventIdleTimeout:
+				kind = waitIdle
+			}
+			lms.awaitWait(t, kind)
+			lms.cns.sweepOnce(time.Now().Add(30 * time.Second))
+			must.Eq(t, 0, lms.counted(tcs.event))
+			lms.cns.sweepOnce(time.Now().Add(2 * time.Minute))
+			if tcs.event == "" {
+				must.MapEmpty(t, lms.events)
+				return
+			}
+			must.Eq(t, 1, lms.counted(tcs.event))
+			_, err := io.Copy(io.Discard, cnn)
+			must.NoError(t, err)
+		})
+	}
+}
+
+// awaitWait waits until the only connection waits for something.
+func (lms *limitedServer) awaitWait(t *testing.T, kind waitKind) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		if all := lms.cns.waiting(); len(all) == 1 && all[0].wait.kind == kind {
+			return
+		}
+		must.True(t, time.Now().Before(end), must.Sprint("the connection does not wait"))
+	}
+}
+
+// TestRoomForCallers guards against connections that are not used and keep others out, and against closing one with a request.
+func TestRoomForCallers(t *testing.T) {
+	release, begun := make(chan struct{}), make(chan struct{}, 3)
+	lms := newLimitedServer(t, Limits{Connections: 8}, func(wri http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == "/slow" {
+			begun <- struct{}{}
+			<-release
+		}
+		wri.WriteHeader(http.StatusNoContent)
+	})
+	var slow []net.Conn
+	for range cap(begun) {
+		slow = append(slow, lms.dial(t, "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"))
+		<-begun
+	}
+	for range 40 {
+		lms.dial(t, plainHead)
+		lms.dial(t, "")
+	}
+	lms.await(t, eventEvicted, 60)
+	must.LessEq(t, 11, lms.cns.count())
+	rdr := bufio.NewReader(lms.dial(t, plainHead+"\r\n"))
+	res, err := http.ReadResponse(rdr, nil)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusNoContent, res.StatusCode)
+	close(release)
+	for _, cnn := range slow {
+		res, err := http.ReadResponse(bufio.NewReader(cnn), nil)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusNoContent, res.StatusCode)
+	}
+}
--- a/internal/process/actor/trackedconn.go
+++ b/internal/process/actor/trackedconn.go
@@ -16,8 +16,9 @@
 	cns *connections
 }
 
-// Accept returns the next connection as a trackedConn.
+// Accept returns the next connection as a trackedConn, and closes others that wait for their callers if too many are open.
 func (lis *trackedListener) Accept() (net.Conn, error) {
+	lis.cns.makeRoom()
 	cnn, err := lis.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -37,8 +38,11 @@
 	pipeline *pipeline    // nil if nothing runs ahead
 	head     ingress.Head // only http.Server's goroutine of the connection uses it
 	refused  bool         // a refusal was written in place of a request; as head
+	handled  bool         // the request has reached its handler; as head
 
 	mu           sync.Mutex
+	wait         wait
+	ended        bool // the connection was closed while it waited for its caller
 	active       bool // http.Server has reported the request as active
 	closeDelayed bool // the server has called Close while part of a request was read
 }
@@ -46,10 +50,12 @@
 func (trc *trackedConn) stateChanged(sta http.ConnState) {
 	trc.mu.Lock()
 	trc.active = sta == http.StateActive
+	trc.wait = wait{kind: stateWait(sta), since: time.Now()}
 	closes := trc.closeDelayed && sta == http.StateClosed
 	trc.mu.Unlock()
 	if sta != http.StateActive {
 		trc.head.Reset()
+		trc.handled = false
 	}
 	if closes {
 		_ = trc.Close()
@@ -68,14 +74,24 @@
 	if trc.refused {
 		return 0, io.EOF
 	}
+	if trc.isActive() {
+		if len(buf) == 1 { // The background read of http.Server waits for the end of the connection.
+			return trc.read(buf)
+		}
+		return trc.readBody(buf)
+	}
 	num, err := trc.read(buf)
-	if num == 0 || trc.isActive() {
+	if num == 0 {
 		return num, err
 	}
 	if ref := trc.countHead(buf[:num]); ref != nil {
 		trc.refuse(ref)
 		return 0, io.EOF // http.Server may answer that, see Write, and closes the connection
 	}
+	if !trc.recordHead(trc.head.Complete()) {
+		trc.cns.recordRefused(trc)
+		return 0, io.EOF
+	}
 	return num, err
 }
 
@@ -99,6 +115,9 @@
 	if trc.pipeline != nil && !trc.pipeline.mayWrite() {
 		return 0, net.ErrClosed
 	}
+	if !trc.handled {
+		trc.recordInvalid()
+	}
 	return trc.Conn.Write(buf)
 }
 
--- a/internal/process/agent/process.go
+++ b/internal/process/agent/process.go
@@ -273,6 +273,7 @@
 	others = append(others, prc.extra...)
 	for num := range others {
 		others[num].Event = prc.counters.Event
+		others[num].Limits.Connections = prc.options.Settings.Resources().OtherConnections()
 	}
 	actor.HTTP(&grp, serverGrace, others...)
 	actor.GRPC(&grp, peerGrace, prc.options.Peers, prc.server)
--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -43,6 +43,7 @@
 // Process is a control process with all its parts.
 type Process struct {
 	options  Options
+	counters *siskinrill.Counters
 	group    *member.Group
 	sessions *agent.Sessions
 	server   *grpc.Server
@@ -66,7 +67,7 @@
 	if err := opt.listen(); err != nil {
 		return nil, err
 	}
-	prc := &Process{options: opt, group: grp}
+	prc := &Process{options: opt, group: grp, counters: siskinrill.NewCounters()}
 	ses := agent.LeaseOptions(opt.Settings.Lease)
 	ses.Smoothing = opt.Settings.Smoothing
 	prc.sessions = agent.New(ses, grp, reg, assign.New(policyLimits(opt.Settings)))
@@ -80,7 +81,7 @@
 	}
 	prc.handler = adminhttp.New(adminhttp.Options{
 		Role: "control", Name: opt.Settings.Name, Token: opt.Settings.Admin.Token,
-		Operator: prc.operator, Counters: siskinrill.NewCounters(), Ready: prc.Ready,
+		Operator: prc.operator, Counters: prc.counters, Ready: prc.Ready,
 		Vars: []map[string]expvar.Var{gauges(grp, reg)},
 	})
 	return prc, nil
@@ -167,7 +168,12 @@
 	}).Info("control: Started.")
 	var grp run.Group
 	actor.Until(ctx, &grp, prc.stop)
-	actor.HTTP(&grp, operatorGrace, append([]actor.Server{{Listener: prc.options.Admin, Handler: prc.handler}}, prc.extra...)...)
+	srvs := append([]actor.Server{{Listener: prc.options.Admin, Handler: prc.handler}}, prc.extra...)
+	for num := range srvs {
+		srvs[num].Event = prc.counters.Event
+		srvs[num].Limits.Connections = prc.options.Settings.Resources().OtherConnections()
+	}
+	actor.HTTP(&grp, operatorGrace, srvs...)
 	actor.Loop(&grp, prc.sessions.Run)
 	actor.Loop(&grp, prc.group.Run)
 	actor.GRPC(&grp, 0, prc.options.Listener, prc.server)
