admin, platform: bodies of operators' requests share a limited memory

Callers saw: 500 clients that each send a body of 8 MB to the admin address, finished or not, took 1.8 to 5.0 GB. Cause: each body is read as a whole up to its limit, and nothing limits the sum; a body that never ends was waited for without limit. Change: bodies of operators' requests cost 4 bytes a byte and share an eighth of the memory; one alone may exceed it, so that a large configuration is accepted in calm. Others are refused with 503 body_memory. Why it holds: memory is taken before each 32 KiB are read and given back after the request.

--- a/internal/admin/http/handler.go
+++ b/internal/admin/http/handler.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"expvar"
 	"fmt"
-	"io"
 	"mime"
 	"net/http"
 	"sort"
@@ -21,6 +20,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/host/ingress"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
 )
 
@@ -219,7 +219,14 @@
 }
 
 func decode(wri http.ResponseWriter, req *http.Request, msg proto.Message) bool {
-	dat, err := io.ReadAll(http.MaxBytesReader(wri, req.Body, maxBodyBytes))
+	dat, release, err := ingress.ReadRequest(wri, req, maxBodyBytes)
+	defer release()
+	var boe *ingress.BodyError
+	if errors.As(err, &boe) {
+		wri.Header().Set("Retry-After", "1")
+		writeProblem(wri, http.StatusServiceUnavailable, "body_memory", boe.Error())
+		return false
+	}
 	if err == nil {
 		err = protojson.Unmarshal(dat, msg)
 	}
--- a/internal/bench/rawclient/memory_test.go
+++ b/internal/bench/rawclient/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -100,6 +101,29 @@
 	}
 }
 
+// TestBodiesElsewhereEndProcess guards against bodies of legal size of operators' requests and announcements, finished or not, that
+// together end a process by its memory.
+func TestBodiesElsewhereEndProcess(t *testing.T) {
+	const size = 8 << 20
+	apply := fmt.Appendf(nil, "POST /v1/config HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", size)
+	unfinished := append(bytes.Clone(apply), bytes.Repeat([]byte(" "), size-1)...)
+	empty := append(bytes.Clone(apply), bytes.Repeat([]byte("{},"), size/3+1)[:size]...)
+	announce := append([]byte("POST /announce HTTP/1.1\r\nHost: a\r\nContent-Length: 65536\r\n\r\n"), bytes.Repeat([]byte(" "), 65535)...)
+	for name, tcs := range map[string]struct {
+		listener string
+		sent     []byte
+	}{
+		"admin, not finished":         {"admin", unfinished},
+		"admin, not valid":            {"admin", empty},
+		"control admin, not finished": {"control admin", unfinished},
+		"backend, not finished":       {"backend", announce},
+	} {
+		t.Run(name, func(t *testing.T) {
+			requireBounded(t, tcs.listener, func(int) rawclient.Script { return rawclient.Script{Start: tcs.sent} })
+		})
+	}
+}
+
 // requireBounded plays clients at an address and requires that the process lives within the memory of its host and answers
 // afterwards.
 func requireBounded(t *testing.T, listener string, script func(num int) rawclient.Script) {
--- a/internal/host/ingress/ingress_test.go
+++ b/internal/host/ingress/ingress_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
@@ -149,3 +150,23 @@
 		})
 	})
 }
+
+// TestBodyMemory guards against bodies that take more memory than is left, memory that is not given back, and a large body that is
+// refused although it is the only one.
+func TestBodyMemory(t *testing.T) {
+	mem := NewMemory(bodyStep * bodyCost)
+	large := strings.Repeat("a", 3*bodyStep)
+	dat, release, err := mem.ReadBody(strings.NewReader(large))
+	must.NoError(t, err)
+	must.Eq(t, large, string(dat))
+	_, other, err := mem.ReadBody(strings.NewReader("a"))
+	var boe *BodyError
+	must.ErrorAs[*BodyError](t, err, &boe)
+	other()
+	release()
+	must.Eq(t, 0, mem.Used())
+	_, release, err = mem.ReadBody(io.MultiReader(strings.NewReader(large), iotest.ErrReader(io.ErrUnexpectedEOF)))
+	must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	release()
+	must.Eq(t, 0, mem.Used())
+}
--- a/internal/host/ingress/resources.go
+++ b/internal/host/ingress/resources.go
@@ -10,6 +10,8 @@
 	defaultMemory = 284 << 20
 	// headShare is the part of the memory that heads beyond FreeCost may take together.
 	headShare = 16
+	// bodyShare is the part that bodies of operators' requests may take together.
+	bodyShare = 8
 	// One part in softShare of the memory is left to what the runtime does not count, such as bytes that the kernel holds.
 	softShare = 8
 	// connectionMemory is the memory in bytes of the host for each connection of a caller. It takes about 45 KB at most: its
@@ -31,16 +33,20 @@
 	Descriptors int
 }
 
-// heads is the memory for heads of the process.
-var heads = NewMemory(defaultMemory / headShare)
+// The memory of the process for heads and for bodies, which all its listeners share.
+var (
+	heads  = NewMemory(defaultMemory / headShare)
+	bodies = NewMemory(defaultMemory / bodyShare)
+)
 
-// Heads returns the memory of the process for heads, which all its listeners share.
+// Heads returns the memory of the process for heads.
 func Heads() *Memory { return heads }
 
-// Configure sets the memory of the process for heads, and lets the garbage collector work harder near the end of a memory that is
+// Configure sets the memory of the process for heads and bodies, and lets the garbage collector work harder near the end of a memory that is
 // stated.
 func Configure(res Resources) {
 	heads.limit.Store(res.memory() / headShare)
+	bodies.limit.Store(res.memory() / bodyShare)
 	if res.Memory > 0 {
 		debug.SetMemoryLimit(res.Memory / softShare * (softShare - 1))
 	}
