standin: the heads of requests are limited

Callers saw: 500 connections with unfinished heads of short lines took 599 to 644 MB in the process of a stand-in, endless lines 1.4 to 1.9 GB (siskinrill dev, where it is the whole deployment). Cause: the HTTP server of a stand-in had the default limit of 1 MB a head and none for the sum. Change: ingress.Guard counts heads for a server that tracks its connections in no other way. Why it holds: as for the other listeners, memory is taken before a head is parsed.

--- a/internal/bench/standin/server.go
+++ b/internal/bench/standin/server.go
@@ -9,15 +9,23 @@
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/siskinrill/siskinrill/internal/host/ingress"
 )
 
-const headerTimeout = 10 * time.Second // for reading the headers of a request
+const (
+	headerTimeout = 10 * time.Second // for reading the headers of a request
+	// maxHeadBytes and maxHeadLines allow the largest head that an agent accepts, with the fields that it adds.
+	maxHeadBytes = 80 << 10
+	maxHeadLines = 17 << 10
+)
 
 // Server is a stand-in backend server with fault injection and a ledger.
 type Server struct {
 	opt       Options
 	mux       *http.ServeMux
 	http      *http.Server
+	guard     *ingress.Guard
 	ledger    *ledger
 	faults    *faultState
 	fences    fences
@@ -59,7 +67,8 @@
 	srv.ctx, srv.cancel = context.WithCancel(context.Background())
 	srv.cold.until = srv.startedAt.Add(opt.ColdTime)
 	srv.routes()
-	srv.http = &http.Server{Handler: srv, ReadHeaderTimeout: headerTimeout}
+	srv.guard = ingress.NewGuard(ingress.Limits{Bytes: maxHeadBytes, Lines: maxHeadLines})
+	srv.http = &http.Server{Handler: srv, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: 2 * maxHeadBytes, ConnState: srv.guard.ConnState}
 	if err := srv.setListening(true); err != nil {
 		return nil, err
 	}
@@ -120,7 +129,7 @@
 }
 
 func (srv *Server) serve(lis net.Listener) {
-	err := srv.http.Serve(lis)
+	err := srv.http.Serve(srv.guard.Listen(lis))
 	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		logrus.Warnf("standin: server %s cannot accept connections: %v", srv.opt.ID, err)
 	}
