peer: an owner takes the heads of requests from the memory for heads

Callers saw: 400 requests with heads of 9,000 lines that wait at one owner took 885 to 1,013 MB in its process; with 82 entries, each of which accepts five such heads at once, as many can come. Cause: the memory for heads was taken where requests enter only. Change: the first message of an attempt is decoded only if the memory for heads has room for its header fields; otherwise the attempt is refused with head_memory as not run, and the entry tells its caller to come back. Evidence: TestHeadsOfManyEntriesFillMemory (limit 284 MB): 885 MB more before, 13 to 25 MB after, with 394 of 400 refused and an ordinary request served beside them. Ruled out: the same check after decoding; 390 to 740 MB, since up to 400 messages are decoded before the first is refused. Why it holds: lines are counted in the encoded message, so that nothing is decoded for which there is no memory.

--- a/internal/agent/peer/server.go
+++ b/internal/agent/peer/server.go
@@ -56,6 +56,7 @@
 		grpc.InitialWindowSize(streamWindow),
 		grpc.InitialConnWindowSize(connectionWindow),
 		grpc.MaxRecvMsgSize(maxMessageSize),
+		grpc.ForceServerCodecV2(newHeadCodec()),
 		// A peer that disappeared without closing its connection must not occupy its buffers forever.
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 30 * time.Second, Timeout: 5 * time.Second}),
 		// Workers reuse their grown stacks; requests above their number get their own goroutines.
@@ -92,11 +93,16 @@
 
 // Forward runs one attempt and streams its answer or refusal.
 func (srv *Server) Forward(str peerpb.PeerService_ForwardServer) error {
-	msg, err := str.Recv()
-	if err != nil {
+	var fst firstMessage
+	if err := str.RecvMsg(&fst); err != nil {
 		return err
 	}
-	opn := msg.GetOpen()
+	defer fst.release()
+	if fst.refused {
+		rpl := &reply{stream: str, owner: srv.owner}
+		return rpl.sendRefusal(siskinrill.NotRun(siskinrill.ReasonHeadMemory))
+	}
+	opn := fst.msg.GetOpen()
 	if opn == nil {
 		return status.Error(codes.InvalidArgument, "the first message must open an attempt")
 	}
