actor: callers that never read their answers do not keep their connections

Callers saw: a caller that does not read its answers holds its connection, its request and its descriptor forever. Cause: only the rest of a long answer had a deadline; a write of anything else waits for the caller's window without end. Change: each write without a deadline of its own ends after 30 s, also on connections whose requests run ahead. Evidence: TestUnreadAnswers with the limit lowered: all 20 connections open after 20 s before, all closed and nothing held after. Why it holds: each write ends, and a failed write ends the connection.

--- a/internal/process/actor/limits.go
+++ b/internal/process/actor/limits.go
@@ -13,6 +13,9 @@
 	defaultHeadBytes = 64 << 10
 	// defaultHeadLines is the default limit of its lines, which no head of the default size exceeds.
 	defaultHeadLines = defaultHeadBytes / len("a:\r\n")
+	// defaultWriteTime limits one write of a response, of 16 KiB at most, without a deadline of its own. A caller that reads more
+	// slowly does not want the answer.
+	defaultWriteTime = 30 * time.Second
 	// maxHeadBytes is the largest head in bytes that any limit allows.
 	maxHeadBytes = 1 << 20
 )
@@ -29,6 +32,8 @@
 	HeadTime func() time.Duration
 	// IdleTime returns how long a connection may be idle after a response, 0 for any time.
 	IdleTime func() time.Duration
+	// WriteTime limits each write of a response that has no deadline of its own, 30 s by default.
+	WriteTime time.Duration
 	// Connections is the number of open connections above which those are closed that wait for their callers; by default what
 	// the process may use.
 	Connections int
@@ -37,6 +42,7 @@
 }
 
 func (lim Limits) withDefaults() Limits {
+	lim.WriteTime = cmp.Or(lim.WriteTime, defaultWriteTime)
 	lim.HeadLines = cmp.Or(lim.HeadLines, defaultHeadLines)
 	lim.Memory = cmp.Or(lim.Memory, ingress.Heads())
 	if lim.HeadBytes == nil {
--- a/internal/process/actor/refusal_test.go
+++ b/internal/process/actor/refusal_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,18 +23,35 @@
 	cns *connections
 	lis net.Listener
 
+	opened atomic.Int32
 	mu     sync.Mutex
 	events map[string]int
 }
 
-func newLimitedServer(t *testing.T, lim Limits, hdl http.HandlerFunc) *limitedServer {
+// countingListener counts the connections that it accepts.
+type countingListener struct {
+	net.Listener
+	count *atomic.Int32
+}
+
+func (lis *countingListener) Accept() (net.Conn, error) {
+	cnn, err := lis.Listener.Accept()
+	if err == nil {
+		lis.count.Add(1)
+	}
+	return cnn, err
+}
+
+func (lms *limitedServer) accepted() int { return int(lms.opened.Load()) }
+
+func newLimitedServer(t *testing.T, lim Limits, pip Pipelining, hdl http.HandlerFunc) *limitedServer {
 	lms := &limitedServer{cns: newConnections(maxKeepAlive), events: map[string]int{}}
-	lms.cns.limits, lms.cns.event = lim.withDefaults(), lms.count
+	lms.cns.limits, lms.cns.pipelining, lms.cns.event = lim.withDefaults(), pip, lms.count
 	lis, err := Listen("127.0.0.1:0")
 	must.NoError(t, err)
 	srv := lms.cns.newServer(hdl)
 	lms.lis = lis
-	go func() { _ = lms.cns.serve(srv, lis) }()
+	go func() { _ = lms.cns.serve(srv, &countingListener{Listener: lis, count: &lms.opened}) }()
 	t.Cleanup(func() { _ = srv.Close() })
 	return lms
 }
@@ -90,7 +108,7 @@
 		t.Run(name, func(t *testing.T) {
 			hook := logtest.NewGlobal()
 			defer logrus.StandardLogger().ReplaceHooks(logrus.LevelHooks{})
-			lms := newLimitedServer(t, tcs.lim, func(http.ResponseWriter, *http.Request) { t.Error("the handler was called") })
+			lms := newLimitedServer(t, tcs.lim, Pipelining{}, func(http.ResponseWriter, *http.Request) { t.Error("the handler was called") })
 			for range tries {
 				buf := bufio.NewReader(lms.dial(t, tcs.sent))
 				res, err := http.ReadResponse(buf, nil)
@@ -123,7 +141,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			lim := Limits{HeadTime: func() time.Duration { return time.Minute }, IdleTime: func() time.Duration { return time.Minute }}
-			lms := newLimitedServer(t, lim, noContent)
+			lms := newLimitedServer(t, lim, Pipelining{}, noContent)
 			cnn := lms.dial(t, tcs.sent)
 			if tcs.later != "" {
 				_, err := http.ReadResponse(bufio.NewReader(cnn), nil)
@@ -168,7 +186,7 @@
 // TestRoomForCallers guards against connections that are not used and keep others out, and against closing one with a request.
 func TestRoomForCallers(t *testing.T) {
 	release, begun := make(chan struct{}), make(chan struct{}, 3)
-	lms := newLimitedServer(t, Limits{Connections: 8}, func(wri http.ResponseWriter, req *http.Request) {
+	lms := newLimitedServer(t, Limits{Connections: 8}, Pipelining{}, func(wri http.ResponseWriter, req *http.Request) {
 		if req.URL.Path == "/slow" {
 			begun <- struct{}{}
 			<-release
@@ -197,3 +215,27 @@
 		must.Eq(t, http.StatusNoContent, res.StatusCode)
 	}
 }
+
+// TestUnreadAnswers guards against callers that never read their answers and keep connections and requests forever, also with requests
+// that run ahead.
+func TestUnreadAnswers(t *testing.T) {
+	const clients, answerBytes = 20, 8 << 20
+	for name, depth := range map[string]int{"one by one": 0, "sent ahead": 4} {
+		t.Run(name, func(t *testing.T) {
+			pip := Pipelining{Depth: depth, Ahead: func(*http.Request) bool { return true }}
+			lms := newLimitedServer(t, Limits{WriteTime: 50 * time.Millisecond}, pip, func(wri http.ResponseWriter, _ *http.Request) {
+				_, _ = wri.Write(make([]byte, answerBytes))
+			})
+			for range clients {
+				cnn := lms.dial(t, strings.Repeat(plainHead+"\r\n", 3))
+				_ = cnn.(*net.TCPConn).SetReadBuffer(1)
+			}
+			for end := time.Now().Add(20 * time.Second); lms.accepted() < clients || lms.cns.count() > 0; time.Sleep(5 * time.Millisecond) {
+				must.True(t, time.Now().Before(end), must.Sprintf("%d connections are open", lms.cns.count()))
+			}
+			for end := time.Now().Add(20 * time.Second); lms.cns.held.Load() > 0; time.Sleep(5 * time.Millisecond) {
+				must.True(t, time.Now().Before(end), must.Sprintf("%d bytes are held", lms.cns.held.Load()))
+			}
+		})
+	}
+}
--- a/internal/process/actor/trackedconn.go
+++ b/internal/process/actor/trackedconn.go
@@ -40,11 +40,13 @@
 	refused  bool         // a refusal was written in place of a request; as head
 	handled  bool         // the request has reached its handler; as head
 
-	mu           sync.Mutex
-	wait         wait
-	ended        bool // the connection was closed while it waited for its caller
-	active       bool // http.Server has reported the request as active
-	closeDelayed bool // the server has called Close while part of a request was read
+	mu   sync.Mutex
+	wait wait
+	// writeDeadline is whether http.Server or the handler has set a deadline for writes.
+	writeDeadline bool
+	ended         bool // the connection was closed while it waited for its caller
+	active        bool // http.Server has reported the request as active
+	closeDelayed  bool // the server has called Close while part of a request was read
 }
 
 func (trc *trackedConn) stateChanged(sta http.ConnState) {
@@ -118,9 +120,26 @@
 	if !trc.handled {
 		trc.recordInvalid()
 	}
+	if !trc.hasWriteDeadline() {
+		_ = trc.Conn.SetWriteDeadline(time.Now().Add(trc.cns.limits.WriteTime))
+	}
 	return trc.Conn.Write(buf)
 }
 
+func (trc *trackedConn) hasWriteDeadline() bool {
+	trc.mu.Lock()
+	defer trc.mu.Unlock()
+	return trc.writeDeadline
+}
+
+// SetWriteDeadline sets the deadline for writes.
+func (trc *trackedConn) SetWriteDeadline(end time.Time) error {
+	trc.mu.Lock()
+	trc.writeDeadline = !end.IsZero()
+	trc.mu.Unlock()
+	return trc.Conn.SetWriteDeadline(end)
+}
+
 // recordRead records that part of a request was read; it returns false if the server has stopped and cannot serve it.
 func (trc *trackedConn) recordRead() bool { return trc.isActive() || trc.cns.recordRead(trc) }
 
--- a/internal/process/actor/virtual.go
+++ b/internal/process/actor/virtual.go
@@ -68,6 +68,9 @@
 		return 0, net.ErrClosed
 	}
 	vcn.written = true
+	if vcn.writeDeadline.IsZero() {
+		_ = pip.conn.SetWriteDeadline(time.Now().Add(pip.cns.limits.WriteTime))
+	}
 	pip.mu.Unlock()
 	num, err := pip.conn.Write(buf)
 	pip.mu.Lock()
