backend: an answer without length is complete only if nothing says otherwise

Cause: a reset is reported once by the kernel. The goroutine that writes the request takes the error, and the one that reads the answer then sees the end of the connection, which ends an unframed answer. Change: after a failed write the end of a connection is a reset for reads. Why it holds: each sign that the server has not ended the answer by itself is asked for before the end is passed on.

--- a/internal/agent/backend/answer.go
+++ b/internal/agent/backend/answer.go
@@ -9,16 +9,20 @@
 	"github.com/go-faster/errors"
 
 	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/httpanswer"
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
 
 // answer returns the head of an answer with all of its body if that is short, otherwise with a streamed body.
 func (rnn *run) answer(res *http.Response) (*siskinrill.Answer, *siskinrill.Refusal) {
-	if isUnframed(res) && !rnn.cli.opt.Unframed {
+	if httpanswer.IsUnframed(res) && !rnn.cli.opt.Unframed {
 		res.Body.Close()
 		rnn.cli.mtr.fail()
 		return nil, siskinrill.Unknown(siskinrill.ReasonBackendBadAnswer, errors.New("the answer has neither a content length nor chunked encoding"))
 	}
+	if httpanswer.IsUnframed(res) {
+		res.Body = &unframedBody{ReadCloser: res.Body, rnn: rnn}
+	}
 	hea := &peerpb.Response{Status: uint32(res.StatusCode), BodyLength: res.ContentLength}
 	hea.Headers = headerFields(res.Header)
 	if res.ContentLength < 0 || res.ContentLength > maxBufferedAnswer {
@@ -41,11 +45,6 @@
 	return siskinrill.NewAnswer(hea, nil), nil
 }
 
-// isUnframed reports whether the end of the answer cannot be told apart from a broken connection.
-func isUnframed(res *http.Response) bool {
-	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody
-}
-
 // classifyReadError returns the refusal for an answer that was interrupted.
 func (rnn *run) classifyReadError(err error) *siskinrill.Refusal {
 	rsn := siskinrill.ReasonBackendBadAnswer
--- a/internal/agent/backend/conn.go
+++ b/internal/agent/backend/conn.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -95,13 +96,18 @@
 type conn struct {
 	net.Conn
 	onEnd func() // called when the server closes or resets the connection; nil: nothing is called
-	mu    sync.Mutex
-	gat   *gate
+	// broken is whether a write has failed. It has taken the error of a reset, after which reads see the end of the connection.
+	broken atomic.Bool
+	mu     sync.Mutex
+	gat    *gate
 }
 
 // Read reads from the server and notices the end of the connection.
 func (con *conn) Read(buf []byte) (int, error) {
 	num, err := con.Conn.Read(buf)
+	if err == io.EOF && con.broken.Load() {
+		err = syscall.ECONNRESET
+	}
 	if con.onEnd != nil && (errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)) {
 		con.onEnd()
 	}
@@ -125,15 +131,23 @@
 func (con *conn) Write(buf []byte) (int, error) {
 	gat := con.gate()
 	if gat == nil {
-		return con.Conn.Write(buf)
+		return con.write(buf)
 	}
 	first, err := gat.beginWrite()
 	if err != nil {
 		return 0, err
 	}
-	num, err := con.Conn.Write(buf)
+	num, err := con.write(buf)
 	if first && num == 0 && err != nil {
 		gat.undoBegin()
 	}
 	return num, err
 }
+
+func (con *conn) write(buf []byte) (int, error) {
+	num, err := con.Conn.Write(buf)
+	if err != nil {
+		con.broken.Store(true)
+	}
+	return num, err
+}
--- a/internal/agent/backend/do.go
+++ b/internal/agent/backend/do.go
@@ -20,18 +20,19 @@
 
 // run is one request to the backend server.
 type run struct {
-	cli    *Client
-	tgt    *target
-	att    *siskinrill.Attempt
-	bdy    io.ReadCloser
-	name   string                 // attempt id as the server gets it
-	start  siskinrill.ServerStart // of the server that must run the request
-	sent   atomic.Bool            // the complete request was written
-	failed atomic.Bool            // ended because the server was marked as failed
-	reused atomic.Bool            // the connection was used before
-	gat    *gate
-	ctx    context.Context
-	cancel context.CancelFunc
+	cli     *Client
+	tgt     *target
+	att     *siskinrill.Attempt
+	bdy     io.ReadCloser
+	name    string                 // attempt id as the server gets it
+	start   siskinrill.ServerStart // of the server that must run the request
+	sent    atomic.Bool            // the complete request was written
+	written *written
+	failed  atomic.Bool // ended because the server was marked as failed
+	reused  atomic.Bool // the connection was used before
+	gat     *gate
+	ctx     context.Context
+	cancel  context.CancelFunc
 }
 
 // Do runs an attempt under a grant; an error is a *siskinrill.Refusal, whose outcome is not_run only if no
@@ -39,7 +40,7 @@
 func (cli *Client) Do(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error) {
 	ctx, cancel := withTimeout(ctx, att.Open())
 	grt = limitStart(grt)
-	rnn := &run{cli: cli, att: att, name: attemptName(att.Open()), bdy: newBody(att), gat: newGate(grt.Expires()), cancel: cancel}
+	rnn := &run{cli: cli, att: att, name: attemptName(att.Open()), bdy: newBody(att), gat: newGate(grt.Expires()), written: newWritten(), cancel: cancel}
 	rnn.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: rnn.gotConn, WroteRequest: rnn.wrote})
 	rnn.tgt = cli.begin(rnn)
 	if rnn.tgt == nil {
@@ -91,6 +92,7 @@
 	if inf.Err == nil {
 		rnn.sent.Store(true)
 	}
+	rnn.written.finish()
 }
 
 // end removes the request from those in flight; it is called once.
