httpanswer: a status out of 200 to 599 is no answer

Callers saw: an upstream in trouble sent an answer whose status was 000. Here the entry refused it, but as a run that had answered: it was never tried elsewhere, and it counted for the health of the upstream. Health, grants and releases took any status for an answer. Cause: the client of net/http accepts each status of three characters that are a number (000, 099, 999, "+20"), any version of HTTP, a switch of protocols, and takes the chunks of an answer of HTTP/1.0 for its body. Only the entry looked at the status. Change: the answers of all connections to a backend server are checked where they are read: requests, retries, probes, health, grants and releases; those of the admin API, of announcements and of the load tool as well, which must be framed. One that is not valid ends its connection and the idle ones; a request gets backend_bad_answer (502, may have run) and is tried elsewhere if it is idempotent. What a probe states counts only once its answer has ended. Why it holds: no code behind the transport sees such an answer.

--- a/internal/admin/http/client.go
+++ b/internal/admin/http/client.go
@@ -14,8 +14,12 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
+	"github.com/siskinrill/siskinrill/internal/wire/httpanswer"
 )
 
+// maxAnswerBytes limits the body of an answer.
+const maxAnswerBytes = 128 << 20
+
 // RefusedError is an answer of the admin API with a status other than 200.
 type RefusedError struct {
 	code   int
@@ -41,7 +45,7 @@
 
 // NewClient returns a client of the admin API at an IP:port; the token may be empty.
 func NewClient(adr, tok string) *Client {
-	return &Client{address: adr, token: tok, client: &http.Client{}}
+	return &Client{address: adr, token: tok, client: &http.Client{Transport: httpanswer.FramedTransport(http.DefaultTransport)}}
 }
 
 // Status returns the leader's view of the members, services and upstreams.
@@ -187,6 +191,9 @@
 		return 0, nil, errors.Wrap(err, "call admin API at "+cli.address)
 	}
 	defer func() { _ = res.Body.Close() }()
-	dat, err := io.ReadAll(res.Body)
+	dat, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
+	if len(dat) > maxAnswerBytes {
+		return 0, nil, errors.Errorf("the answer is longer than %d bytes", maxAnswerBytes)
+	}
 	return res.StatusCode, dat, wrap(err, "read answer")
 }
--- a/internal/agent/backend/answers_test.go
+++ b/internal/agent/backend/answers_test.go
@@ -193,3 +193,12 @@
 	}
 }
 
+// TestStatusOutOfRange guards against answers whose status no HTTP server may send and that pass to the caller.
+func TestStatusOutOfRange(t *testing.T) {
+	for _, sts := range []string{"000", "099", "600", "999", "101"} {
+		t.Run(sts, func(t *testing.T) {
+			ans := rawAnswer{text: []byte("HTTP/1.1 " + sts + " OK\r\nContent-Length: 2\r\n\r\nok"), ending: endKeep}
+			requireTruth(t, ans, receive(t, ans))
+		})
+	}
+}
--- a/internal/agent/backend/cold.go
+++ b/internal/agent/backend/cold.go
@@ -262,7 +262,9 @@
 		return "", false
 	}
 	defer res.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxBufferedAnswer)); err != nil {
+		return "", false
+	}
 	cli.readWarmup(tgt, res.Header, sentAt, true)
-	_, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxBufferedAnswer))
-	return res.Header.Get(siskinrill.HeaderUpstream), err == nil
+	return res.Header.Get(siskinrill.HeaderUpstream), true
 }
--- a/internal/agent/backend/do.go
+++ b/internal/agent/backend/do.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/httpanswer"
 	"github.com/siskinrill/siskinrill/internal/wire/peerpb"
 )
 
@@ -163,7 +164,12 @@
 		// net/http has lost the connection and sent the request again by itself.
 		rnn.cli.fail(rnn.tgt, causeRefused)
 	}
+	var ine *httpanswer.InvalidError
 	switch {
+	case errors.As(err, &ine):
+		rnn.cli.cnt.Event("backend_invalid_answer")
+		rnn.cli.mtr.fail()
+		return rnn.lost(siskinrill.ReasonBackendBadAnswer, err)
 	case rnn.failed.Load():
 		return rnn.lost(siskinrill.ReasonBackendLost, err)
 	case rnn.callerFailed() || errors.Is(rnn.ctx.Err(), context.Canceled):
--- a/internal/agent/backend/grantloop.go
+++ b/internal/agent/backend/grantloop.go
@@ -165,7 +165,7 @@
 
 // send sends a call guarded by a gate, and returns the status of its answer and the handover for the next
 // owner of the keys.
-func (cli *Client) send(ctx context.Context, pool *http.Transport, gat *gate, build func() (*http.Request, error)) (int, string, error) {
+func (cli *Client) send(ctx context.Context, pool http.RoundTripper, gat *gate, build func() (*http.Request, error)) (int, string, error) {
 	req, err := build()
 	if err != nil {
 		return 0, "", err
--- a/internal/agent/backend/target.go
+++ b/internal/agent/backend/target.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/url"
+
+	"github.com/siskinrill/siskinrill/internal/wire/httpanswer"
 )
 
 // target is an address of the backend server with its own connection pools.
@@ -15,8 +17,14 @@
 	retries   http.RoundTripper // opens a connection for each retry
 	probes    http.RoundTripper // separate, so that an exhausted pool does not make the server look failed
 	polls     http.RoundTripper // separate, on one connection that is kept between two polls of the health path
-	calls     *http.Transport   // separate, so that grants and releases don't queue behind requests
-	releases  *http.Transport   // opens a connection for each release
+	calls     http.RoundTripper // separate, so that grants and releases don't queue behind requests
+	releases  http.RoundTripper // opens a connection for each release
+	close     func()            // closes idle connections
+}
+
+// checked wraps a pool of connections to check its answers and to translate headers.
+func (opt *Options) checked(pool *http.Transport) http.RoundTripper {
+	return opt.Transport(httpanswer.Transport(pool))
 }
 
 // newTarget returns the target of an announcement that has been validated; onEnd is called when the server ends a connection.
@@ -40,15 +48,19 @@
 	}
 	retries := newSingleUse(dial)
 	retries.MaxConnsPerHost = int(ann.Connections)
+	calls := &http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: maxGrantCalls, IdleConnTimeout: opt.MaxIdle,
+		DisableCompression: true, MaxResponseHeaderBytes: maxAnswerHeader,
+	}
 	return &target{
-		base: loc, pool: pool, transport: opt.Transport(pool), retries: opt.Transport(retries), releases: newSingleUse(dial),
-		probes: opt.Transport(&http.Transport{DialContext: opt.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxAnswerHeader}),
-		polls: opt.Transport(&http.Transport{
+		base: loc, pool: pool, transport: opt.checked(pool), retries: opt.checked(retries), releases: httpanswer.Transport(newSingleUse(dial)), calls: httpanswer.Transport(calls),
+		probes: opt.checked(&http.Transport{DialContext: opt.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxAnswerHeader}),
+		polls: opt.checked(&http.Transport{
 			DialContext: opt.Dial, MaxConnsPerHost: 1, IdleConnTimeout: pollIdle, MaxResponseHeaderBytes: maxAnswerHeader,
 		}),
-		calls: &http.Transport{
-			DialContext: dial, MaxIdleConnsPerHost: maxGrantCalls, IdleConnTimeout: opt.MaxIdle,
-			DisableCompression: true, MaxResponseHeaderBytes: maxAnswerHeader,
+		close: func() {
+			pool.CloseIdleConnections()
+			calls.CloseIdleConnections()
 		},
 	}
 }
@@ -60,8 +72,3 @@
 		DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxAnswerHeader,
 	}
 }
-
-func (tgt *target) close() {
-	tgt.pool.CloseIdleConnections()
-	tgt.calls.CloseIdleConnections()
-}
--- a/internal/bench/load/call.go
+++ b/internal/bench/load/call.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/siskinrill/siskinrill"
+	"github.com/siskinrill/siskinrill/internal/wire/httpanswer"
 )
 
 // Outcomes of a call: the values of the Siskinrill-Outcome header, and two for calls without an answer.
@@ -67,7 +68,7 @@
 		DisableCompression:  true,
 	}
 	pls := &pipelines{depth: opt.Pipeline, conns: map[string][]*pipelinedConn{}}
-	return &sender{opt: opt, client: &http.Client{Transport: trn}, pipelines: pls}
+	return &sender{opt: opt, client: &http.Client{Transport: httpanswer.Transport(trn)}, pipelines: pls}
 }
 
 // send sends one request and records its result in cal.
--- a/internal/bench/standin/announce.go
+++ b/internal/bench/standin/announce.go
@@ -4,11 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/siskinrill/siskinrill/internal/wire/httpanswer"
 )
 
 const (
@@ -20,6 +23,11 @@
 	healthPath      = "/health"
 )
 
+// maxAnnounceAnswer limits the answer to an announcement in bytes.
+const maxAnnounceAnswer = 64 << 10
+
+var announceClient = &http.Client{Transport: httpanswer.FramedTransport(http.DefaultTransport)}
+
 // announcement is the body of POST /announce.
 type announcement struct {
 	ID          string  `json:"id"`
@@ -113,13 +121,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "build announcement request")
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := announceClient.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "send announcement")
 	}
 	defer res.Body.Close()
 	ans := &announcementAnswer{}
-	if err := json.NewDecoder(res.Body).Decode(ans); err != nil {
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxAnnounceAnswer)).Decode(ans); err != nil {
 		return nil, errors.Wrap(err, "decode announcement answer")
 	}
 	return ans, nil
