httpanswer: a field whose name or value HTTP does not allow ends the answer

Callers saw: an upstream in trouble sent an answer in whose head the name of a field held a blank; the line was passed on, or the body was read with the wrong framing ("Transfer-Encoding : chunked" beside a length, "Content-Length : 2" alone). Cause: net/http accepts blanks in the names of fields and does not take such a field for the one that is meant. Change: answers with names or values that are not valid are refused like those with a status that is not. Why it holds: the check covers each field that net/http has parsed; what it refuses by itself was an error before.

--- a/internal/agent/backend/answers_test.go
+++ b/internal/agent/backend/answers_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
 
 	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/agent/backend"
@@ -36,6 +38,153 @@
 	body   []byte // of a whole answer
 }
 
+// part is one variant of a part of an answer.
+type part struct {
+	text  string
+	whole bool
+}
+
+// statusLines are the variants of the first line.
+var statusLines = []part{
+	{"HTTP/1.1 200 OK", true},
+	{"HTTP/1.1 201 Created", true},
+	{"HTTP/1.1 404 Not Found", true},
+	{"HTTP/1.1 500", true},
+	{"HTTP/1.1 599 Odd", true},
+	{"HTTP/1.1 000 OK", false},
+	{"HTTP/1.1 099 OK", false},
+	{"HTTP/1.1 600 OK", false},
+	{"HTTP/1.1 999 OK", false},
+	{"HTTP/1.1 20 OK", false},
+	{"HTTP/1.1 2000 OK", false},
+	{"HTTP/1.1 +20 OK", false},
+	{"HTTP/1.1 -20 OK", false},
+	{"HTTP/1.1 -00 OK", false},
+	{"HTTP/1.1 2x0 OK", false},
+	{"HTTP/1.1 101 Switching Protocols", false},
+	{"HTTP/2.0 200 OK", false},
+	{"HTTP/0.9 200 OK", false},
+	{"HTTX/1.1 200 OK", false},
+}
+
+// fieldLines are the variants of a line of the head.
+var fieldLines = []part{
+	{"X-Field: v", true},
+	{"X-Empty:", true},
+	{"X-Tab:\tv\tw", true},
+	{"Bad Name: v", false},
+	{"X-Blank : v", false},
+	{"Transfer-Encoding : chunked", false},
+	{"Content-Length : 1", false},
+	{"Content Length: 1", false},
+	{"X\tTab: v", false},
+	{"X\x01Control: v", false},
+	{"X\x7fDel: v", false},
+	{"X\x00Nul: v", false},
+	{"X(Paren): v", false},
+	{": v", false},
+	{"no colon", false},
+	{"X-Nul: a\x00b", false},
+	{"X-CR: a\rb", false},
+	{"X-Control: a\x02b", false},
+	{"Content-Length: 1\r\nContent-Length: 2", false},
+	{"Content-Length: -1", false},
+	{"Transfer-Encoding: gzip", false},
+}
+
+// drawAnswer draws an answer.
+func drawAnswer(rt *rapid.T) rawAnswer {
+	ans := rawAnswer{whole: true}
+	var out bytes.Buffer
+	for range rapid.IntRange(0, 2).Draw(rt, "interim") {
+		out.WriteString("HTTP/1.1 103 Early Hints\r\nX-Field: v\r\n\r\n")
+	}
+	line := drawPart(rt, "status", statusLines, &ans)
+	_, _ = fmt.Sscanf(line, "HTTP/1.1 %d", &ans.status)
+	out.WriteString(line + "\r\n")
+	for range rapid.IntRange(0, 2).Draw(rt, "fields") {
+		out.WriteString(drawPart(rt, "field", fieldLines, &ans) + "\r\n")
+	}
+	ans.body = bytes.Repeat([]byte("answer "), rapid.SampledFrom([]int{1, 100, 20000}).Draw(rt, "size"))
+	drawBody(rt, &out, &ans)
+	ans.text = out.Bytes()
+	return ans
+}
+
+// drawPart draws a variant, in most cases a whole one.
+func drawPart(rt *rapid.T, name string, parts []part, ans *rawAnswer) string {
+	itm := parts[0]
+	if rapid.IntRange(0, 2).Draw(rt, name+" odd") == 0 {
+		itm = rapid.SampledFrom(parts).Draw(rt, name)
+	}
+	ans.whole = ans.whole && itm.whole
+	return itm.text
+}
+
+// drawBody draws how the body is framed and where it ends.
+func drawBody(rt *rapid.T, out *bytes.Buffer, ans *rawAnswer) {
+	chunked := fmt.Sprintf("%x\r\n%s\r\n", len(ans.body), ans.body)
+	cut := ans.body[:len(ans.body)-1]
+	framing := rapid.SampledFrom([]string{
+		"length", "chunked", "end", "end early", "same length twice", "length and chunked", "length cut", "chunked cut", "chunk cut", "reset",
+		"reset early", "size overflows", "negative size", "size in words", "second answer", "1.0 chunked",
+	}).Draw(rt, "framing")
+	ans.ending = rapid.SampledFrom([]ending{endKeep, endClose}).Draw(rt, "ending")
+	switch framing {
+	case "length":
+		fmt.Fprintf(out, "Content-Length: %d\r\n\r\n%s", len(ans.body), ans.body)
+	case "same length twice":
+		ans.mayRun = true
+		fmt.Fprintf(out, "Content-Length: %d\r\nContent-Length: %[1]d\r\n\r\n%s", len(ans.body), ans.body)
+	case "second answer":
+		fmt.Fprintf(out, "Content-Length: %d\r\n\r\n%sHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", len(ans.body), ans.body)
+	case "chunked":
+		fmt.Fprintf(out, "Transfer-Encoding: chunked\r\n\r\n%s0\r\n\r\n", chunked)
+	case "length and chunked":
+		ans.mayRun = true
+		fmt.Fprintf(out, "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n%s0\r\n\r\n", chunked)
+	case "end":
+		ans.ending = endClose
+		fmt.Fprintf(out, "\r\n%s", ans.body)
+	default:
+		ans.whole = false
+		drawCut(rt, framing, out, ans, chunked, string(cut))
+	}
+}
+
+// drawCut writes the body of an answer that is not whole.
+func drawCut(_ *rapid.T, framing string, out *bytes.Buffer, ans *rawAnswer, chunked, cut string) {
+	ans.ending = endClose
+	switch framing {
+	case "end early":
+		ans.early = true
+		fmt.Fprintf(out, "\r\n%s", cut)
+	case "length cut":
+		fmt.Fprintf(out, "Content-Length: %d\r\n\r\n%s", len(ans.body), cut)
+	case "chunked cut":
+		fmt.Fprintf(out, "Transfer-Encoding: chunked\r\n\r\n%s", chunked)
+	case "chunk cut":
+		fmt.Fprintf(out, "Transfer-Encoding: chunked\r\n\r\n%s", chunked[:len(chunked)-3])
+	case "reset":
+		ans.ending = endReset
+		fmt.Fprintf(out, "\r\n%s", cut)
+	case "reset early":
+		ans.ending, ans.early = endReset, true
+		fmt.Fprintf(out, "\r\n%s", cut)
+	case "size overflows":
+		fmt.Fprintf(out, "Transfer-Encoding: chunked\r\n\r\n1%016x\r\n%s\r\n0\r\n\r\n", len(ans.body), ans.body)
+	case "negative size":
+		fmt.Fprintf(out, "Transfer-Encoding: chunked\r\n\r\n-1\r\n%s\r\n0\r\n\r\n", ans.body)
+	case "size in words":
+		fmt.Fprintf(out, "Transfer-Encoding: chunked\r\n\r\n0x5\r\n%s\r\n0\r\n\r\n", ans.body)
+	case "1.0 chunked":
+		out.WriteString("Transfer-Encoding: chunked\r\n\r\n" + chunked + "0\r\n\r\n")
+		line := bytes.Replace(bytes.Clone(out.Bytes()), []byte("HTTP/1.1"), []byte("HTTP/1.0"), -1)
+		out.Reset()
+		out.Write(line)
+	}
+}
+
 // earlyPause lets the client read an answer before its connection ends.
 const earlyPause = 5 * time.Millisecond
 
@@ -156,6 +305,15 @@
 
 func headOf(ans rawAnswer) string { return string(ans.text[:min(len(ans.text), 200)]) }
 
+// TestAnswersNotWhole guards against answers that end early, are none of HTTP/1.1 or have an odd head, and pass as whole ones, and
+// against refusing whole ones.
+func TestAnswersNotWhole(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ans := drawAnswer(rt)
+		requireTruth(rt, ans, receive(t, ans))
+	})
+}
+
 // TestResetUploadAnswered guards against the part of an answer without length that passes as the whole one, when the server
 // resets the connection while the request is still being written.
 func TestResetUploadAnswered(t *testing.T) {
@@ -202,3 +360,21 @@
 		})
 	}
 }
+
+// TestFieldNameWithBlank guards against answers in which the name of a field holds a blank or a control byte, so that the line is
+// passed on or the body is read with the wrong framing.
+func TestFieldNameWithBlank(t *testing.T) {
+	for name, line := range map[string]string{
+		"blank inside":          "Bad Name: v\r\nContent-Length: 2",
+		"blank before colon":    "Content-Length : 2",
+		"blank before chunked":  "Transfer-Encoding : chunked\r\nContent-Length: 2",
+		"control byte":          "X\x01: v\r\nContent-Length: 2",
+		"tab before the colon":  "X\t: v\r\nContent-Length: 2",
+		"blank, ends with conn": "X : v",
+	} {
+		t.Run(name, func(t *testing.T) {
+			ans := rawAnswer{text: []byte("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\nok"), ending: endClose}
+			requireTruth(t, ans, receive(t, ans))
+		})
+	}
+}
--- a/internal/wire/httpanswer/check.go
+++ b/internal/wire/httpanswer/check.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Statuses of final answers.
@@ -35,7 +37,7 @@
 		// net/http takes chunks in such an answer for its body.
 		return invalid("version %s without a content length", res.Proto)
 	}
-	return nil
+	return checkFields(res.Header)
 }
 
 // IsUnframed reports whether the end of an answer is marked only by the end of its connection.
@@ -43,6 +45,20 @@
 	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody
 }
 
+func checkFields(hdr http.Header) error {
+	for name, vals := range hdr {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return invalid("the name of field %q", name)
+		}
+		for _, val := range vals {
+			if !httpguts.ValidHeaderFieldValue(val) {
+				return invalid("the value of field %s", name)
+			}
+		}
+	}
+	return nil
+}
+
 // transport checks the answers of another one.
 type transport struct {
 	next   http.RoundTripper
