caller: the bodies of requests share a limited memory

Callers saw: clients that announce a body and send nothing of it, or almost all, took 64 KiB each: 6,000 of them 400 to 780 MB. Cause: the buffer for the first part of a body was made for all that was announced, and nothing limits the sum. Change: the buffer grows with what has arrived. What goes beyond 4 KiB comes out of a memory for callers' bodies, a sixth of the memory; a request that finds none left is refused with body_memory as not run. Why it holds: memory is taken before the buffer grows and given back when the request ends.

--- a/internal/agent/caller/body.go
+++ b/internal/agent/caller/body.go
@@ -9,12 +9,18 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/siskinrill/siskinrill/internal/wire/chunk"
+	"github.com/siskinrill/siskinrill/internal/host/ingress"
 )
 
 // Bodies up to this length are buffered completely, so that an attempt can be repeated.
 const maxBufferedBody = 64 << 10
 
+// errNoBodyMemory means that the bodies of other requests have taken the memory that is left for them.
+var errNoBodyMemory = errors.New("no memory is left for the body")
+
+// firstBuffer is the size in bytes of the buffer for a body of which nothing has arrived.
+const firstBuffer = 4 << 10
+
 // After a refusal in the middle of a body, at most this much more is read before the connection is closed.
 const maxLingerBytes = 256 << 10
 
@@ -23,6 +29,7 @@
 	prefix        []byte
 	complete      bool // prefix is the entire body
 	length        int64
+	held          int64 // memory for the prefix, in bytes
 	rest          *rest
 	attemptReader *attemptReader // of the latest attempt
 }
@@ -96,37 +103,70 @@
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
 	rdr := http.MaxBytesReader(wri, req.Body, limit)
-	prefix, complete, err := readPrefix(rdr, req.ContentLength)
-	if err != nil {
+	bdy := &body{length: req.ContentLength}
+	if err := bdy.readPrefix(rdr); err != nil {
+		bdy.release()
 		return nil, err
 	}
-	bdy := &body{prefix: prefix, complete: complete, length: req.ContentLength}
-	if complete {
-		bdy.length = int64(len(prefix))
+	if bdy.complete {
+		bdy.length = int64(len(bdy.prefix))
 		return bdy, nil
 	}
 	bdy.rest = &rest{rdr: rdr}
 	return bdy, nil
 }
 
-// readPrefix reads up to maxBufferedBody bytes and reports whether the body ended there.
-func readPrefix(rdr io.Reader, length int64) ([]byte, bool, error) {
-	if length >= 0 && length <= maxBufferedBody {
-		buf := make([]byte, length)
-		if _, err := io.ReadFull(rdr, buf); err != nil {
-			return nil, false, errors.Wrap(err, "read body")
-		}
-		return buf, true, nil
+// readPrefix reads up to maxBufferedBody bytes.
+func (bdy *body) readPrefix(rdr io.Reader) error {
+	known := bdy.length >= 0 && bdy.length <= maxBufferedBody
+	limit := maxBufferedBody
+	if known {
+		limit = int(bdy.length)
 	}
-	buf := make([]byte, maxBufferedBody)
-	num, err := chunk.Fill(rdr, buf)
-	if err == io.EOF {
-		return buf[:num], true, nil
+	err := bdy.fillPrefix(rdr, limit)
+	if known && err == io.EOF {
+		err = io.ErrUnexpectedEOF
 	}
-	if err != nil {
-		return nil, false, errors.Wrap(err, "read body")
+	bdy.complete = known || err == io.EOF
+	if err != nil && err != io.EOF {
+		return errors.Wrap(err, "read body")
 	}
-	return buf, false, nil
+	return nil
+}
+
+// fillPrefix reads up to limit bytes. The buffer grows with what has arrived, since callers may announce more than they send. The error is
+// io.EOF if there are fewer bytes, and errNoBodyMemory if no memory is left.
+func (bdy *body) fillPrefix(rdr io.Reader, limit int) error {
+	bdy.prefix = make([]byte, 0, min(limit, firstBuffer))
+	for len(bdy.prefix) < limit {
+		if len(bdy.prefix) == cap(bdy.prefix) && !bdy.grow(limit) {
+			return errNoBodyMemory
+		}
+		num, err := rdr.Read(bdy.prefix[len(bdy.prefix):cap(bdy.prefix)])
+		bdy.prefix = bdy.prefix[:len(bdy.prefix)+num]
+		if err != nil && len(bdy.prefix) < limit {
+			return err
+		}
+	}
+	return nil
+}
+
+// grow makes the buffer larger if there is memory for it.
+func (bdy *body) grow(limit int) bool {
+	size := min(limit, 4*cap(bdy.prefix))
+	more := int64(size) - bdy.held
+	if !ingress.CallerBodies().Take(more) {
+		return false
+	}
+	bdy.held += more
+	bdy.prefix = append(make([]byte, 0, size), bdy.prefix...)
+	return true
+}
+
+// release gives back the memory for the prefix.
+func (bdy *body) release() {
+	ingress.CallerBodies().Return(bdy.held)
+	bdy.held = 0
 }
 
 // prepareResend revokes the reader of the last attempt and reports whether another attempt can send the complete body.
--- a/internal/agent/caller/handler.go
+++ b/internal/agent/caller/handler.go
@@ -78,6 +78,7 @@
 	}
 	han.inFlight.add(cal)
 	defer han.inFlight.remove(cal)
+	defer cal.body.release()
 	defer cal.removeOutstanding()
 	ans, ref := cal.serve()
 	cal.progress.setStage(stageAnswer)
@@ -246,6 +247,9 @@
 
 // bodyReason returns the reason why a caller's body could not be read.
 func bodyReason(ctx context.Context, err error) siskinrill.Reason {
+	if errors.Is(err, errNoBodyMemory) {
+		return siskinrill.ReasonBodyMemory
+	}
 	big := &http.MaxBytesError{}
 	if errors.As(err, &big) {
 		return siskinrill.ReasonBodyTooLarge
--- a/internal/host/ingress/resources.go
+++ b/internal/host/ingress/resources.go
@@ -12,6 +12,8 @@
 	headShare = 16
 	// bodyShare is the part that bodies of operators' requests may take together.
 	bodyShare = 8
+	// callerBodyShare is the part that the bodies of callers' requests may take together.
+	callerBodyShare = 6
 	// One part in softShare of the memory is left to what the runtime does not count, such as bytes that the kernel holds.
 	softShare = 8
 	// connectionMemory is the memory in bytes of the host for each connection of a caller. It takes about 45 KB at most: its
@@ -37,16 +39,22 @@
 var (
 	heads  = NewMemory(defaultMemory / headShare)
 	bodies = NewMemory(defaultMemory / bodyShare)
+
+	callerBodies = NewMemory(defaultMemory / callerBodyShare)
 )
 
 // Heads returns the memory of the process for heads.
 func Heads() *Memory { return heads }
 
+// CallerBodies returns the memory of the process for the parts of callers' bodies that it holds.
+func CallerBodies() *Memory { return callerBodies }
+
 // Configure sets the memory of the process for heads and bodies, and lets the garbage collector work harder near the end of a memory that is
 // stated.
 func Configure(res Resources) {
 	heads.limit.Store(res.memory() / headShare)
 	bodies.limit.Store(res.memory() / bodyShare)
+	callerBodies.limit.Store(res.memory() / callerBodyShare)
 	if res.Memory > 0 {
 		debug.SetMemoryLimit(res.Memory / softShare * (softShare - 1))
 	}
--- a/reason.go
+++ b/reason.go
@@ -17,6 +17,8 @@
 	ReasonHeadTooLarge Reason = "head_too_large"
 	// ReasonHeadMemory means that no memory is left for the heads of requests, apart from ordinary ones.
 	ReasonHeadMemory Reason = "head_memory"
+	// ReasonBodyMemory means that no memory is left for the bodies of requests.
+	ReasonBodyMemory Reason = "body_memory"
 	// ReasonNoLease means that this agent holds no valid lease.
 	ReasonNoLease Reason = "no_lease"
 	// ReasonNoOwner means that the key has no owner and that none was assigned before the wait for one ended.
