actor: only refused callers are drained to a limit

Change: at the close of a connection on which a caller has sent requests ahead, its bytes are dropped for 500 ms as before, however many there are; the new limit of 256 KiB is for callers whose heads were refused. Evidence: tests of the package.

--- a/internal/host/ingress/resources.go
+++ b/internal/host/ingress/resources.go
@@ -16,7 +16,7 @@
 	callerBodyShare = 6
 	// One part in softShare of the memory is left to what the runtime does not count, such as bytes that the kernel holds.
 	softShare = 8
-	// connectionMemory is the memory in bytes of the host for each connection of a caller. It takes about 45 KB at most: its
+	// connectionMemory is the memory in bytes of the host for each connection of a caller. It takes 58 KB at most: its
 	// goroutines and buffers, FreeCost and bytes read ahead; the rest is for everything else and for the garbage collector.
 	connectionMemory = 138 << 10
 	// Of the descriptors, callers may take three eighths, and each other listener a sixteenth.
@@ -35,11 +35,10 @@
 	Descriptors int
 }
 
-// The memory of the process for heads and for bodies, which all its listeners share.
+// The memory of the process for heads, for the bodies of operators' requests and for those of callers; all its listeners share it.
 var (
-	heads  = NewMemory(defaultMemory / headShare)
-	bodies = NewMemory(defaultMemory / bodyShare)
-
+	heads        = NewMemory(defaultMemory / headShare)
+	bodies       = NewMemory(defaultMemory / bodyShare)
 	callerBodies = NewMemory(defaultMemory / callerBodyShare)
 )
 
--- a/internal/process/actor/refusal.go
+++ b/internal/process/actor/refusal.go
@@ -94,7 +94,11 @@
 func (trc *trackedConn) linger() {
 	defer trc.cns.lingering.Add(-1)
 	_ = trc.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.CopyN(io.Discard, trc.Conn, maxLingerBytes)
+	if trc.refused {
+		_, _ = io.CopyN(io.Discard, trc.Conn, maxLingerBytes)
+	} else {
+		_, _ = io.Copy(io.Discard, trc.Conn)
+	}
 	_ = trc.Conn.Close()
 }
 
