backend: a server that another has replaced finishes its answers

Cause: the end of an unframed answer was doubted once another server had been announced, though a server that is replaced as planned goes on with what it has; for one that leaves, the mark as failed that follows its closed port was taken for trouble. Change: only a server that is current and does not leave is asked for signs of trouble. Evidence: TestCrashDuringUnframedAnswer, TestAnswersNotWhole.

--- a/internal/agent/backend/unframed.go
+++ b/internal/agent/backend/unframed.go
@@ -52,17 +52,28 @@
 	switch {
 	case !rnn.sent.Load():
 		return errors.New("the connection ended before the request was written")
-	case rnn.failed.Load() || rnn.cli.hasFailed(rnn.tgt):
+	case rnn.failed.Load():
 		return errors.New("the connection ended while the server was failing")
-	case !rnn.cli.isLeaving() && rnn.cli.refusesConnections(rnn.ctx, rnn.tgt):
+	case rnn.cli.mayEnd(rnn.tgt):
+		return nil
+	case rnn.cli.hasFailed():
+		return errors.New("the connection ended while the server was failing")
+	case rnn.cli.refusesConnections(rnn.ctx, rnn.tgt):
 		return errors.New("the connection ended and the server's port refuses further ones")
 	}
 	return nil
 }
 
-// hasFailed reports whether a server has been marked as failed, or another one has taken its place.
-func (cli *Client) hasFailed(tgt *target) bool {
+// mayEnd reports whether a server is leaving or another one has taken its place, so that it finishes what it has and ends.
+func (cli *Client) mayEnd(tgt *target) bool {
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	return cli.leaving || cli.tgt != tgt
+}
+
+// hasFailed reports whether the current server has been marked as failed.
+func (cli *Client) hasFailed() bool {
 	cli.mu.Lock()
 	defer cli.mu.Unlock()
-	return cli.tgt != tgt || cli.state == controlpb.UpstreamState_UPSTREAM_STATE_FAILED
+	return cli.state == controlpb.UpstreamState_UPSTREAM_STATE_FAILED
 }
