agent/control: the model of hosts delivers copies of announcements

Cause: the model delivered a late announcement as the same value whose first delivery was still in flight. Announce completes the number of connections in the value that it gets; the agent decodes each announcement into a value of its own. Change: the model keeps and delivers copies. Its checks and faults are unchanged.

--- a/internal/agent/control/power_test.go
+++ b/internal/agent/control/power_test.go
@@ -164,7 +164,8 @@
 			ann.Holds = append(ann.Holds, backend.HeldRange{First: fst, Last: lst, Token: tok})
 		}
 	}
-	hst.sent = append(hst.sent, ann)
+	sentCopy := *ann // Announce completes the one that it gets
+	hst.sent = append(hst.sent, &sentCopy)
 	hst.mu.Unlock()
 	sent := time.Now()
 	std, err := cli.Announce(context.Background(), ann)
--- a/internal/agent/control/powerfault_test.go
+++ b/internal/agent/control/powerfault_test.go
@@ -112,7 +112,8 @@
 	if len(hst.sent) == 0 {
 		return nil
 	}
-	return hst.sent[rnd.Intn(len(hst.sent))]
+	ann := *hst.sent[rnd.Intn(len(hst.sent))] // Announce completes the one that it gets
+	return &ann
 }
 
 // forged returns an announcement of another writer.
