--- a/internal/agent/backend/answer.go
+++ b/internal/agent/backend/answer.go
@@ -15,12 +15,13 @@
 
 // answer returns the head of an answer with all of its body if that is short, otherwise with a streamed body.
 func (rnn *run) answer(res *http.Response) (*siskinrill.Answer, *siskinrill.Refusal) {
-	if httpanswer.IsUnframed(res) && !rnn.cli.opt.Unframed {
+	unframed := httpanswer.IsUnframed(res)
+	if unframed && !rnn.cli.opt.Unframed {
 		res.Body.Close()
 		rnn.cli.mtr.fail()
 		return nil, siskinrill.Unknown(siskinrill.ReasonBackendBadAnswer, errors.New("the answer has neither a content length nor chunked encoding"))
 	}
-	if httpanswer.IsUnframed(res) {
+	if unframed {
 		res.Body = &unframedBody{ReadCloser: res.Body, rnn: rnn}
 	}
 	hea := &peerpb.Response{Status: uint32(res.StatusCode), BodyLength: res.ContentLength}
--- a/internal/host/ingress/body.go
+++ b/internal/host/ingress/body.go
@@ -16,18 +16,13 @@
 )
 
 // BodyError means that other bodies have taken the memory that is left for them.
-type BodyError struct {
-	size int
-}
+type BodyError struct{}
 
-// Error returns how much of the body was read.
-func (boe *BodyError) Error() string {
+// Error tells that the memory is taken.
+func (*BodyError) Error() string {
 	return "no memory is left for the body of the request, try again later"
 }
 
-// Size returns how many bytes of the body were read.
-func (boe *BodyError) Size() int { return boe.size }
-
 // ReadRequest reads the body of an operator's request of at most limit bytes like ReadBody.
 func ReadRequest(wri http.ResponseWriter, req *http.Request, limit int64) (dat []byte, release func(), err error) {
 	ctl := http.NewResponseController(wri)
@@ -44,7 +39,7 @@
 	for {
 		if !mem.takeMore(bodyStep*bodyCost, held) {
 			release()
-			return nil, func() {}, &BodyError{size: len(dat)}
+			return nil, func() {}, &BodyError{}
 		}
 		held += bodyStep * bodyCost
 		dat, err = readStep(rdr, dat)
--- a/internal/host/ingress/head.go
+++ b/internal/host/ingress/head.go
@@ -58,9 +58,6 @@
 // NewHead returns a head of which nothing has arrived.
 func NewHead(mem *Memory) Head { return Head{mem: mem} }
 
-// Begun reports whether a part of the head has arrived.
-func (hea *Head) Begun() bool { return hea.size > 0 }
-
 // Complete reports whether the whole head has arrived.
 func (hea *Head) Complete() bool { return hea.complete }
 
--- a/internal/process/actor/pipeline_test.go
+++ b/internal/process/actor/pipeline_test.go
@@ -31,14 +31,34 @@
 	lis  net.Listener
 	hook func(wri http.ResponseWriter, req *http.Request)
 
+	events eventCounter
+}
+
+// eventCounter counts the events of a server by name.
+type eventCounter struct {
 	mu     sync.Mutex
-	events map[string]int
+	counts map[string]int
+}
+
+func (evc *eventCounter) add(name string) {
+	evc.mu.Lock()
+	defer evc.mu.Unlock()
+	if evc.counts == nil {
+		evc.counts = map[string]int{}
+	}
+	evc.counts[name]++
+}
+
+func (evc *eventCounter) count(name string) int {
+	evc.mu.Lock()
+	defer evc.mu.Unlock()
+	return evc.counts[name]
 }
 
 func newPipelineServer(tb testing.TB, dep int, hook func(http.ResponseWriter, *http.Request)) *pipelineServer {
 	tb.Helper()
-	pls := &pipelineServer{cns: newConnections(maxKeepAlive), hook: hook, events: map[string]int{}}
-	pls.cns.event = pls.count
+	pls := &pipelineServer{cns: newConnections(maxKeepAlive), hook: hook}
+	pls.cns.event = pls.events.add
 	pls.cns.pipelining = Pipelining{
 		Depth: dep,
 		Aborted: http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
@@ -55,18 +75,6 @@
 	return pls
 }
 
-func (pls *pipelineServer) count(name string) {
-	pls.mu.Lock()
-	defer pls.mu.Unlock()
-	pls.events[name]++
-}
-
-func (pls *pipelineServer) event(name string) int {
-	pls.mu.Lock()
-	defer pls.mu.Unlock()
-	return pls.events[name]
-}
-
 func (pls *pipelineServer) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
 	bdy, _ := io.ReadAll(req.Body)
 	if pls.hook != nil {
@@ -191,7 +199,7 @@
 			rt.Fatal(*txt)
 		}
 	})
-	must.Positive(t, pls.event(eventAhead))
+	must.Positive(t, pls.events.count(eventAhead))
 }
 
 // TestPipelineConcurrent guards against requests that wait for a slow one ahead of them, in one packet, in packets that split
@@ -294,8 +302,8 @@
 			_, _, err := plc.receive(http.MethodGet)
 			must.Error(t, err)
 			must.Eq(t, tcs.started, started.Load())
-			must.Eq(t, tcs.dropped, pls.event(eventDropped))
-			must.Eq(t, tcs.replaced, pls.event(eventReplaced))
+			must.Eq(t, tcs.dropped, pls.events.count(eventDropped))
+			must.Eq(t, tcs.replaced, pls.events.count(eventReplaced))
 		})
 	}
 }
@@ -363,7 +371,7 @@
 	close(end)
 	wgr.Wait()
 	must.Between(t, siz, most.Load(), maxHeld)
-	must.Positive(t, pls.event(eventLimit))
+	must.Positive(t, pls.events.count(eventLimit))
 	must.Eq(t, 0, pls.cns.held.Load())
 }
 
@@ -466,8 +474,8 @@
 	}
 	wgr.Wait()
 	must.Eq(t, 0, wrong.Load())
-	must.Eq(t, 0, pls.event(eventLost), must.Sprint("started requests without an answer"))
-	t.Logf("%d responses on %d connections, %d out of order; %v", received.Load(), conns.Load(), wrong.Load(), pls.events)
+	must.Eq(t, 0, pls.events.count(eventLost), must.Sprint("started requests without an answer"))
+	t.Logf("%d responses on %d connections, %d out of order; %v", received.Load(), conns.Load(), wrong.Load(), pls.events.counts)
 }
 
 func orderedPath(cal, num int) string {
--- a/internal/process/actor/refusal_test.go
+++ b/internal/process/actor/refusal_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,8 +23,7 @@
 	lis net.Listener
 
 	opened atomic.Int32
-	mu     sync.Mutex
-	events map[string]int
+	events eventCounter
 }
 
 // countingListener counts the connections that it accepts.
@@ -45,8 +43,8 @@
 func (lms *limitedServer) accepted() int { return int(lms.opened.Load()) }
 
 func newLimitedServer(t *testing.T, lim Limits, pip Pipelining, hdl http.HandlerFunc) *limitedServer {
-	lms := &limitedServer{cns: newConnections(maxKeepAlive), events: map[string]int{}}
-	lms.cns.limits, lms.cns.pipelining, lms.cns.event = lim.withDefaults(), pip, lms.count
+	lms := &limitedServer{cns: newConnections(maxKeepAlive)}
+	lms.cns.limits, lms.cns.pipelining, lms.cns.event = lim.withDefaults(), pip, lms.events.add
 	lis, err := Listen("127.0.0.1:0")
 	must.NoError(t, err)
 	srv := lms.cns.newServer(hdl)
@@ -56,18 +54,6 @@
 	return lms
 }
 
-func (lms *limitedServer) count(name string) {
-	lms.mu.Lock()
-	defer lms.mu.Unlock()
-	lms.events[name]++
-}
-
-func (lms *limitedServer) counted(name string) int {
-	lms.mu.Lock()
-	defer lms.mu.Unlock()
-	return lms.events[name]
-}
-
 // dial opens a connection and sends a text.
 func (lms *limitedServer) dial(t *testing.T, txt string) net.Conn {
 	cnn, err := net.Dial("tcp", lms.lis.Addr().String())
@@ -81,8 +67,8 @@
 // await waits until an event was counted a number of times.
 func (lms *limitedServer) await(t *testing.T, name string, num int) {
 	t.Helper()
-	for end := time.Now().Add(10 * time.Second); lms.counted(name) < num; time.Sleep(time.Millisecond) {
-		must.True(t, time.Now().Before(end), must.Sprintf("%s was counted %d times of %d", name, lms.counted(name), num))
+	for end := time.Now().Add(10 * time.Second); lms.events.count(name) < num; time.Sleep(time.Millisecond) {
+		must.True(t, time.Now().Before(end), must.Sprintf("%s was counted %d times of %d", name, lms.events.count(name), num))
 	}
 }
 
@@ -120,7 +106,7 @@
 				_, err = buf.ReadByte()
 				must.ErrorIs(t, err, io.EOF)
 			}
-			must.Eq(t, tries, lms.counted(tcs.event))
+			must.Eq(t, tries, lms.events.count(tcs.event))
 			must.Len(t, 1, hook.AllEntries())
 			must.Eq(t, 0, lms.cns.limits.Memory.Used())
 		})
@@ -159,9 +145,9 @@
 			}
 			lms.awaitWait(t, kind)
 			lms.cns.sweepOnce(time.Now().Add(30 * time.Second))
-			must.Eq(t, 0, lms.counted(tcs.event))
+			must.Eq(t, 0, lms.events.count(tcs.event))
 			lms.cns.sweepOnce(time.Now().Add(2 * time.Minute))
-			must.Eq(t, 1, lms.counted(tcs.event))
+			must.Eq(t, 1, lms.events.count(tcs.event))
 			_, err := io.Copy(io.Discard, cnn)
 			must.NoError(t, err)
 		})
