--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,6 @@
+#!/bin/bash
+# Builds the stand-ins and the player of the script cases of the third review, with the standard library only.
+set -eu
+cd "$(dirname "$0")/standin-3"
+export GOFLAGS=-mod=mod GOWORK=off GOTOOLCHAIN=local
+go build -o bin/review3 .
