--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -56,7 +57,9 @@
 	cores    []*host
 	sidecars []*host
 	started  []*exec.Cmd
-	version  int
+
+	mu     sync.Mutex
+	events []judged
 }
 
 func newDeployment(rec *record) (*deployment, error) {
@@ -170,13 +173,16 @@
 }
 
 // startUpstream starts the stand-in of a backend server beside a sidecar and records what it writes.
-func (dep *deployment) startUpstream(hst *host, id string) (*exec.Cmd, error) {
+func (dep *deployment) startUpstream(hst *host, id string, flags ...string) (*exec.Cmd, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
-	cmd := exec.Command(self, "upstream", "-id", id, "-service", hst.service, "-zone", hst.zone,
-		"-address", dep.address(hst, portApp), "-control", dep.address(hst, portControl))
+	args := []string{
+		"upstream", "-id", id, "-service", hst.service, "-zone", hst.zone,
+		"-address", dep.address(hst, portApp), "-control", dep.address(hst, portControl),
+	}
+	cmd := exec.Command(self, append(args, flags...)...)
 	out, err := cmd.StdoutPipe()
 	if err != nil {
 		return nil, err
@@ -189,7 +195,9 @@
 	go func() {
 		scn := bufio.NewScanner(out)
 		for scn.Scan() {
-			dep.rec.printf("upstream %s: %s", id, scn.Text())
+			if !dep.recordEvent(id, scn.Text()) {
+				dep.rec.printf("upstream %s: %s", id, scn.Text())
+			}
 		}
 	}()
 	return cmd, nil
@@ -230,9 +238,6 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	cli := &http.Client{Timeout: time.Second + time.Duration(len(raw)>>20)*time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	if method == http.MethodGet {
-		cli.Timeout = 10 * time.Second // a long answer may take its time
-	}
 	res, err := cli.Do(req)
 	if err != nil {
 		return 0, nil, err
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -17,8 +17,9 @@
 
 // cases maps the name of a case to its function, which returns whether the rule was broken.
 var cases = map[string]func(dep *deployment, trouble bool) (bool, error){
-	"unframed": playUnframed,
-	"readback": playReadBack,
+	"unframed":   playUnframed,
+	"singlekeys": playSingleKeys,
+	"invalid":    playInvalid,
 }
 
 func main() {
@@ -26,7 +27,7 @@
 		os.Exit(runUpstream(os.Args[2:]))
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review3 unframed|readback DIR")
+		fmt.Fprintln(os.Stderr, "usage: review3 unframed|singlekeys|invalid DIR")
 		os.Exit(exitFailed)
 	}
 	os.Exit(play(os.Args[1], os.Args[2]))
--- a/review/standin-3/upstream.go
+++ b/review/standin-3/upstream.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,6 +22,7 @@
 	upstreamSlots     = 18
 	heartbeatInterval = 870 * time.Millisecond
 	drainTime         = 2 * time.Second
+	maxAnswer         = 4 << 10 // of an answer to a heartbeat
 	// workTime is until the first half of an answer is sent, halfTime until the rest of it.
 	workTime = 200 * time.Millisecond
 	halfTime = 800 * time.Millisecond
@@ -37,6 +39,8 @@
 	mu       sync.Mutex
 	sequence int
 	state    string
+	shards   *shards   // nil for a service without keys
+	slowFrom time.Time // zero: it does not turn slow
 }
 
 func runUpstream(args []string) int {
@@ -47,7 +51,15 @@
 	fls.StringVar(&ups.zone, "zone", "", "zone")
 	fls.StringVar(&ups.address, "address", "", "own address")
 	fls.StringVar(&ups.control, "control", "", "address for heartbeats")
+	sharded := fls.Bool("sharded", false, "the service is divided by key")
+	slowFrom := fls.Duration("slow-from", 0, "time after its start at which it turns slow, 0: never")
 	_ = fls.Parse(args)
+	if *sharded {
+		ups.shards = newShards()
+	}
+	if *slowFrom > 0 {
+		ups.slowFrom = time.Now().Add(*slowFrom)
+	}
 	lis, err := net.Listen("tcp", ups.address)
 	if err != nil {
 		fmt.Println(err)
@@ -64,6 +76,10 @@
 	signal.Notify(term, syscall.SIGTERM)
 	tck := time.NewTicker(heartbeatInterval)
 	var end <-chan time.Time
+	rush := make(chan struct{})
+	if ups.shards != nil {
+		rush = ups.shards.rush
+	}
 	for {
 		acked := ups.beat()
 		if acked && ups.state == "draining" && end == nil {
@@ -72,6 +88,8 @@
 		}
 		select {
 		case <-tck.C:
+		case <-rush:
+			time.Sleep(rushAgain)
 		case <-term:
 			ups.state = "draining"
 			fmt.Println("reports that it drains")
@@ -85,27 +103,39 @@
 
 func (ups *upstream) beat() bool {
 	ups.sequence++
-	return ups.call(http.MethodPut, map[string]any{
+	body := map[string]any{
 		"service": ups.service, "address": ups.address, "zone": ups.zone, "version": "v1", "slots": upstreamSlots,
 		"state": ups.state, "warmup-left-ms": 0, "sequence": ups.sequence, "born": ups.born,
-	})
+	}
+	if ups.shards == nil {
+		_, acked := ups.call(http.MethodPut, body)
+		return acked
+	}
+	holds, released := ups.shards.report()
+	body["holds"], body["released"] = holds, released
+	sent := time.Now()
+	raw, acked := ups.call(http.MethodPut, body)
+	if acked {
+		ups.shards.apply(raw, sent, len(released))
+	}
+	return acked
 }
 
 // call makes a call to the control address of the own host and reports whether it was acknowledged.
-func (ups *upstream) call(method string, body any) bool {
+func (ups *upstream) call(method string, body any) ([]byte, bool) {
 	raw, _ := json.Marshal(body)
 	req, err := http.NewRequest(method, "http://"+ups.control+"/siskinrill/instances/"+ups.id, bytes.NewReader(raw))
 	if err != nil {
-		return false
+		return nil, false
 	}
 	req.Header.Set("Content-Type", "application/json")
 	res, err := (&http.Client{Timeout: time.Second}).Do(req)
 	if err != nil {
-		return false
+		return nil, false
 	}
 	defer res.Body.Close()
-	_, _ = io.Copy(io.Discard, res.Body)
-	return res.StatusCode == http.StatusOK
+	dat, err := io.ReadAll(res.Body)
+	return dat, err == nil && res.StatusCode == http.StatusOK && len(dat) <= maxAnswer
 }
 
 func (ups *upstream) serve(lis net.Listener) {
@@ -138,6 +168,10 @@
 			_, _ = io.WriteString(cnn, "HTTP/1.1 421 Misdirected Request\r\n"+head+"Content-Length: 0\r\n\r\n")
 			continue
 		}
+		if ups.shards != nil {
+			ups.answerKeyed(cnn, req, head+"X-Siskinrill-Attempt-Id: "+attempt+"\r\n", attempt)
+			continue
+		}
 		fmt.Println("runs", attempt)
 		time.Sleep(workTime)
 		body := wholeBody(attempt)
@@ -148,3 +182,23 @@
 		return
 	}
 }
+
+// answerKeyed runs a request with a key, if the key is held.
+func (ups *upstream) answerKeyed(cnn net.Conn, req *http.Request, head, attempt string) {
+	key, err := strconv.Atoi(req.Header.Get("X-Siskinrill-Shard-Key"))
+	if err != nil || !ups.shards.begin(key) {
+		_, _ = io.WriteString(cnn, "HTTP/1.1 421 Misdirected Request\r\n"+head+"X-Siskinrill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return
+	}
+	work := orderWork
+	if slow := time.Since(ups.slowFrom); !ups.slowFrom.IsZero() && slow >= 0 && slow < slowTime {
+		work *= slowness
+	}
+	time.Sleep(work)
+	status := "200 OK"
+	if !ups.shards.end(key) {
+		status = "500 Internal Server Error" // the work outlasted its lease
+	}
+	head += "X-Siskinrill-Server-Stamp: " + ups.id + "." + attempt + "\r\nContent-Length: 3\r\n"
+	_, _ = io.WriteString(cnn, "HTTP/1.1 "+status+"\r\n"+head+"\r\nkit")
+}
