--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(dep *deployment, trouble bool) (bool, error){
 	"unframed":   playUnframed,
 	"singlekeys": playSingleKeys,
+	"lost":       playLostAnswers,
 	"invalid":    playInvalid,
 }
 
@@ -27,7 +28,7 @@
 		os.Exit(runUpstream(os.Args[2:]))
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review3 unframed|singlekeys|invalid DIR")
+		fmt.Fprintln(os.Stderr, "usage: review3 unframed|singlekeys|lost|invalid DIR")
 		os.Exit(exitFailed)
 	}
 	os.Exit(play(os.Args[1], os.Args[2]))
--- a/review/standin-3/sharded.go
+++ b/review/standin-3/sharded.go
@@ -321,6 +321,7 @@
 	at       int64
 	num      [4]int
 	fresh    bool
+	attempt  string
 }
 
 // recordEvent keeps an event that an upstream has written, and reports whether the line is one.
@@ -333,6 +334,8 @@
 	switch evt.kind {
 	case "grant":
 		_, _ = fmt.Sscanf(line, "E %d grant %d %d %d %d %t", &evt.at, &evt.num[0], &evt.num[1], &fence, &evt.num[3], &evt.fresh)
+	case "run":
+		_, _ = fmt.Sscanf(line, "E %d run %s", &evt.at, &evt.attempt)
 	default:
 		_, _ = fmt.Sscanf(line, "E %d %s %d", &evt.at, &evt.kind, &evt.num[0])
 	}
--- a/review/standin-3/upstream.go
+++ b/review/standin-3/upstream.go
@@ -39,7 +39,9 @@
 	mu       sync.Mutex
 	sequence int
 	state    string
-	shards   *shards   // nil for a service without keys
+	shards   *shards // nil for a service without keys
+	reads    bool
+	lostFrom time.Time // zero: it loses no answers
 	slowFrom time.Time // zero: it does not turn slow
 }
 
@@ -53,7 +55,13 @@
 	fls.StringVar(&ups.control, "control", "", "address for heartbeats")
 	sharded := fls.Bool("sharded", false, "the service is divided by key")
 	slowFrom := fls.Duration("slow-from", 0, "time after its start at which it turns slow, 0: never")
+	read := fls.Bool("read", false, "its answers have a length, on connections that are kept")
+	loseFrom := fls.Duration("lose-from", 0, "time after its start from which on it loses answers, 0: never")
 	_ = fls.Parse(args)
+	ups.reads = *read
+	if *loseFrom > 0 {
+		ups.lostFrom = time.Now().Add(*loseFrom)
+	}
 	if *sharded {
 		ups.shards = newShards()
 	}
@@ -172,6 +180,12 @@
 			ups.answerKeyed(cnn, req, head+"X-Siskinrill-Attempt-Id: "+attempt+"\r\n", attempt)
 			continue
 		}
+		if ups.reads {
+			if !ups.answerRead(cnn, head, attempt) {
+				return
+			}
+			continue
+		}
 		fmt.Println("runs", attempt)
 		time.Sleep(workTime)
 		body := wholeBody(attempt)
