--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -86,13 +87,18 @@
 	return errors.New("no free ports")
 }
 
+// maxHosts is the number of hosts of each kind whose addresses are checked.
+const maxHosts = 5
+
 func (dep *deployment) areFree() bool {
-	for num := range portCount {
-		lis, err := net.Listen("tcp", fmt.Sprintf(":%d", dep.base+num))
-		if err != nil {
-			return false
+	for num := range 2 * maxHosts {
+		for port := range portCount {
+			lis, err := net.Listen("tcp", fmt.Sprintf("%s.%d.%d:%d", dep.network, 1+num/maxHosts, 1+num%maxHosts, dep.base+port))
+			if err != nil {
+				return false
+			}
+			_ = lis.Close()
 		}
-		_ = lis.Close()
 	}
 	return true
 }
@@ -139,7 +145,7 @@
 		return err
 	}
 	hst.process = cmd
-	dep.started = append(dep.started, cmd)
+	dep.keep(cmd)
 	dep.rec.printf("%s started at %s", hst.name, hst.ip)
 	return nil
 }
@@ -190,7 +196,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	dep.started = append(dep.started, cmd)
+	dep.keep(cmd)
 	dep.rec.printf("upstream %s started beside %s", id, hst.name)
 	go func() {
 		scn := bufio.NewScanner(out)
@@ -203,6 +209,34 @@
 	return cmd, nil
 }
 
+// stopOnSignal ends all processes when this one is told to end.
+func (dep *deployment) stopOnSignal() {
+	sig := make(chan os.Signal, 1)
+	signal.Notify(sig, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-sig
+		for _, cmd := range dep.processes() {
+			_ = cmd.Process.Signal(syscall.SIGKILL)
+		}
+		_ = os.RemoveAll(dep.dir)
+		os.Exit(exitFailed)
+	}()
+}
+
+// processes returns the processes that were started.
+func (dep *deployment) processes() []*exec.Cmd {
+	dep.mu.Lock()
+	defer dep.mu.Unlock()
+	return append([]*exec.Cmd{}, dep.started...)
+}
+
+// keep notes a process that was started.
+func (dep *deployment) keep(cmd *exec.Cmd) {
+	dep.mu.Lock()
+	defer dep.mu.Unlock()
+	dep.started = append(dep.started, cmd)
+}
+
 // stop ends all processes that were started and removes their files.
 func (dep *deployment) stop() {
 	for _, cmd := range dep.started {
--- a/review/standin-3/lost.go
+++ b/review/standin-3/lost.go
@@ -16,8 +16,8 @@
 	lostShare     = 0.4                                        // x of answer_lost
 	lostFrom      = 16 * time.Second                           // after the start of an upstream
 	lostTime      = 3 * 4 * time.Second                        // three times for_s, one after the other
-	readInterval  = 10 * time.Millisecond                      // between two requests
-	readCount     = 2600                                       // 26 s
+	readInterval  = 5 * time.Millisecond                       // between two requests
+	readCount     = 5200                                       // 26 s
 	budgetRatio   = 0.2                                        // retry-budget-ratio
 	budgetSlack   = 60                                         // retry-slack
 	budgetWindow  = int64(10 * time.Second / time.Microsecond) // retry-window-s
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -49,6 +49,7 @@
 		rec.printf("could not run: %v", err)
 		return exitFailed
 	}
+	dep.stopOnSignal()
 	defer dep.stop()
 	broken, err := cases[name](dep, trouble)
 	switch {
