--- a/review/standin-3/sharded.go
+++ b/review/standin-3/sharded.go
@@ -53,7 +53,9 @@
 		}
 		fence := shs.fence[key]
 		from := key
-		for key++; key < keyCount && shs.fence[key] == fence && (fence == 0 || shs.until[key] > now || shs.working[key] > 0); key++ {
+		key++
+		for key < keyCount && shs.fence[key] == fence && (fence == 0 || shs.until[key] > now || shs.working[key] > 0) {
+			key++
 		}
 		if fence != 0 {
 			holds = append(holds, [3]any{from, key - 1, fence})
