--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/standin-3"
 export GOFLAGS=-mod=mod GOWORK=off GOTOOLCHAIN=local
-go build -o bin/review3 .
+go build -buildvcs=false -o bin/review3 .
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -27,16 +27,15 @@
 	if len(os.Args) > 1 && os.Args[1] == "upstream" {
 		os.Exit(runUpstream(os.Args[2:]))
 	}
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review3 unframed|singlekeys|lost|invalid DIR")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil || os.Args[3] != "on" && os.Args[3] != "off" {
+		fmt.Fprintln(os.Stderr, "usage: review3 unframed|singlekeys|lost|invalid DIR on|off")
 		os.Exit(exitFailed)
 	}
-	os.Exit(play(os.Args[1], os.Args[2]))
+	os.Exit(play(os.Args[1], os.Args[2], os.Args[3] == "on"))
 }
 
-// play plays a case and writes its record to record.txt in a folder.
-func play(name, dir string) int {
-	trouble := os.Getenv("TROUBLE") != "0"
+// play plays a case, with its disruption or without, and writes its record to record.txt in a folder.
+func play(name, dir string, trouble bool) int {
 	rec, err := newRecord(filepath.Join(dir, "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
