backend: a revocation that is forgotten frees no row

What callers would have seen: two servers at work on a key, after an agent had lost its session while its server released keys.

Cause: a new session has no rows for a moment, and an answer in that moment forgets the revocations of rows that are not the agent's. The call of Revoke that waited took a revocation that is not there for a row that is free, and reported its release. Control takes that report if it has given the rows back meanwhile: their tokens are the same.

Change: Revoke drops such a row. If control still wants it released, the owner calls again, and the hold that was granted bounds the wait.

--- a/internal/agent/backend/holdmodel_test.go
+++ b/internal/agent/backend/holdmodel_test.go
@@ -280,16 +280,16 @@
 			pse.revoking--
 			continue
 		}
-		par := fre.ref.GetPartition()
-		if old := pse.rows[par]; old == nil || old.GetToken() != fre.ref.GetToken() {
-			continue
-		}
 		for _, cel := range pse.cells {
 			if cel.first >= fre.first && cel.last <= fre.last && cel.token != 0 && cel.token <= fre.ref.GetToken() && time.Now().Before(cel.until) {
 				return fmt.Errorf("keys %d to %d were given away %s before their hold ends, left out: %t, worked on: %t",
 					cel.first, cel.last, time.Until(cel.until), cel.leftOut, cel.works())
 			}
 		}
+		par := fre.ref.GetPartition()
+		if old := pse.rows[par]; old == nil || old.GetToken() != fre.ref.GetToken() {
+			continue
+		}
 		delete(pse.rows, par)
 		if pse.rnd.Intn(2) == 0 {
 			pse.assign(par)
--- a/internal/agent/backend/partly_test.go
+++ b/internal/agent/backend/partly_test.go
@@ -184,6 +184,27 @@
 	})
 }
 
+// TestRowsForgottenWithSession guards against a row that counts as free because the agent has lost its session, and with it its rows, while
+// the server releases them.
+func TestRowsForgottenWithSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hol := newHeartbeatServer(3 * time.Second)
+		rows := []*controlpb.Shard{row(1, 5)}
+		hol.rows = rows
+		hol.sendHeartbeat(t, false)
+		freed := hol.revokeAsync(t, rows[0])
+		hol.rows = nil
+		hol.pieces(t, []HeldRange{{First: 5000, Last: 5000, Token: 5}})
+		must.SliceEmpty(t, freed())
+		hol.rows = rows
+		freed = hol.revokeAsync(t, rows[0])
+		hol.pieces(t, []HeldRange{{First: 5000, Last: 5000, Token: 5}})
+		must.SliceEmpty(t, freed())
+		hol.pieces(t, nil)
+		must.Eq(t, []uint32{1}, freed())
+	})
+}
+
 // TestPartitionsChangeWhileReleasing guards against a partition that is given away because a heartbeat is read by another number of
 // partitions than the one by which it was revoked.
 func TestPartitionsChangeWhileReleasing(t *testing.T) {
--- a/internal/agent/backend/revoke.go
+++ b/internal/agent/backend/revoke.go
@@ -162,14 +162,14 @@
 }
 
 // split divides revoked rows into those that are free, with their handovers, and the others, with the first time at which one of these
-// expires and a channel closed at the next change. A row that the server never held is free once an answer has omitted it.
+// expires and a channel closed at the next change. A row that the server never held is free once an answer has omitted it. Rows that this
+// agent no longer owns are neither: their release is no longer its to report.
 func (kys *keys) split(refs []*controlpb.ShardRef) (free, rest []*controlpb.ShardRef, at time.Time, changed <-chan struct{}) {
 	kys.mu.Lock()
 	defer kys.mu.Unlock()
 	for _, ref := range refs {
 		rev := kys.revoked[grantKey{ref.GetPartition(), ref.GetToken()}]
 		if rev == nil {
-			free = append(free, ref)
 			continue
 		}
 		end := kys.heldUntil(ref.GetPartition(), rev)
