backend: the time to read a heartbeat does not grow with overlaps

A server that works on many keys lists each of them in a range of its own. The partitions that ranges touch are visited until one range contains them, so that the time grows with ranges plus partitions also where the ranges overlap. An announcement may have 256 KiB now, as on the platform; a longer one is refused as a whole and renews nothing.

--- a/internal/agent/backend/announce.go
+++ b/internal/agent/backend/announce.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// maxAnnouncement is the maximum size of an announcement in bytes.
-	maxAnnouncement = 64 << 10
+	// maxAnnouncement is the maximum size of an announcement in bytes, enough for thousands of ranges of keys.
+	maxAnnouncement = 256 << 10
 	// connectionsPerSlot is the default for a server that does not state its number of connections.
 	connectionsPerSlot = 4
 )
--- a/internal/agent/backend/partly_test.go
+++ b/internal/agent/backend/partly_test.go
@@ -291,6 +291,32 @@
 	}
 }
 
+// TestOverlappingRangesReadAgain guards against a heartbeat that takes a time of its ranges times the partitions to read.
+func TestOverlappingRangesReadAgain(t *testing.T) {
+	for name, all := range map[string]bool{"single keys": false, "overlapping": true} {
+		t.Run(name, func(t *testing.T) {
+			const partitions, num = 512, 10_000
+			visits, cov := 0, newCover(partitions)
+			for _, rng := range joinRanges(rangesOf(num, all)) {
+				cov.visit(rng.First, rng.Last, func(uint32, bool) { visits++ })
+			}
+			must.LessEq(t, partitions+2*num, visits)
+		})
+	}
+}
+
+// rangesOf returns as many ranges: single keys with gaps between them, or all keys again and again, each time under another token.
+func rangesOf(num int, all bool) []HeldRange {
+	if !all {
+		return singleKeys(num)
+	}
+	var out []HeldRange
+	for pos := range num {
+		out = append(out, HeldRange{Last: siskinrill.NumericKeyCount - 1, Token: uint64(pos) + 1})
+	}
+	return out
+}
+
 // singleKeys returns as many one-key ranges, with gaps between them.
 func singleKeys(num int) []HeldRange {
 	var out []HeldRange
@@ -301,15 +327,21 @@
 	return out
 }
 
-// BenchmarkHeartbeatOfSingleKeys measures the time to read a heartbeat while all partitions are being revoked, by its number of ranges.
-func BenchmarkHeartbeatOfSingleKeys(b *testing.B) {
-	for name, num := range map[string]int{"2000": 2000, "4000": 4000, "8000": 8000, "16000": 16000} {
+// BenchmarkHeartbeatOfRanges measures the time to read a heartbeat while all partitions are being revoked, by its number of ranges.
+func BenchmarkHeartbeatOfRanges(b *testing.B) {
+	for name, tcs := range map[string]struct {
+		num int
+		all bool
+	}{
+		"2000 keys": {num: 2000}, "4000 keys": {num: 4000}, "8000 keys": {num: 8000}, "16000 keys": {num: 16000},
+		"2000 overlapping": {num: 2000, all: true}, "16000 overlapping": {num: 16000, all: true},
+	} {
 		b.Run(name, func(b *testing.B) {
 			const partitions = 512
 			kys := newKeys()
-			ann := &Announcement{ID: "v1", Service: "vitrine", Holds: singleKeys(num)}
+			ann := &Announcement{ID: "v1", Service: "vitrine", Holds: rangesOf(tcs.num, tcs.all)}
 			for _, rng := range ann.Holds {
-				ann.Released = append(ann.Released, ReleasedRange{First: rng.First + 1, Last: rng.First + 1, Handover: "warm"})
+				ann.Released = append(ann.Released, ReleasedRange{First: rng.First, Last: rng.Last, Handover: "warm"})
 			}
 			kys.applyHeartbeat(ann, partitions)
 			var refs []*controlpb.ShardRef
--- a/internal/agent/backend/reported.go
+++ b/internal/agent/backend/reported.go
@@ -16,34 +16,26 @@
 }
 
 // readHolds reads the ranges of a heartbeat, which may be in any order, overlap, or end within a partition. It lists nothing if partitions
-// is 0. The time grows with the number of ranges and of the partitions that they touch.
+// is 0.
 func readHolds(rngs []HeldRange, partitions uint32) reportedHolds {
 	rep := reportedHolds{whole: map[uint32]uint64{}, partly: map[uint32]uint64{}}
 	if partitions == 0 {
 		return rep
 	}
+	cov := newCover(partitions)
 	for _, rng := range joinRanges(rngs) {
-		from, to := partitionsTouching(rng.First, rng.Last, partitions)
-		for par := from; par <= to; par++ {
-			rep.add(par, rng.Token, containsPartition(rng.First, rng.Last, par, partitions))
-		}
+		cov.visit(rng.First, rng.Last, func(par uint32, whole bool) {
+			if whole {
+				delete(rep.partly, par)
+				rep.whole[par] = rng.Token
+				return
+			}
+			rep.partly[par] = max(rep.partly[par], rng.Token)
+		})
 	}
 	return rep
 }
 
-// add adds a partition that is listed in full or in part; tokens have to come in descending order.
-func (rep *reportedHolds) add(par uint32, tok uint64, full bool) {
-	if _, ok := rep.whole[par]; ok {
-		return
-	}
-	if full {
-		delete(rep.partly, par)
-		rep.whole[par] = tok
-		return
-	}
-	rep.partly[par] = max(rep.partly[par], tok)
-}
-
 // lists reports whether a key of a partition is listed.
 func (rep *reportedHolds) lists(par uint32) bool {
 	_, whole := rep.whole[par]
--- a/internal/agent/backend/revoke.go
+++ b/internal/agent/backend/revoke.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"iter"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,13 +68,14 @@
 			revoked[par] = append(revoked[par], rev)
 		}
 	}
-	for _, rng := range rngs {
-		from, to := partitionsTouching(rng.First, rng.Last, kys.partitions)
-		for par := from; par <= to; par++ {
+	// Of several ranges with the same keys, the last one has the handover that is valid now.
+	cov := newCover(kys.partitions)
+	for _, rng := range slices.Backward(rngs) {
+		cov.visit(rng.First, rng.Last, func(par uint32, _ bool) {
 			for _, rev := range revoked[par] {
 				rev.addHandover(rng)
 			}
-		}
+		})
 	}
 }
 
