backend: a row listed under another token than the granted one is granted again first

What callers saw: requests could be sent to a server that had let go of their keys; it answers 421, so that they are sent again.

Cause: a server that releases whole rows lists one under its earlier token while it works on a key of it. After the row had come back with a higher token and that grant was lost, the listed row counted as held.

--- a/internal/agent/backend/hold.go
+++ b/internal/agent/backend/hold.go
@@ -70,14 +70,10 @@
 			kys.endHold(par, hld)
 			continue
 		}
-		tok, whole := rep.whole[par]
-		if whole {
-			// With another token, the server did not receive the grant with the renewed one.
-			hld.token = tok
-		} else {
-			hld = hld.inPart()
+		if tok, whole := rep.whole[par]; !whole || tok != hld.token {
+			// With another token, the server did not receive the last grant. It may have let go of keys before that.
+			kys.held[par] = hld.inPart()
 		}
-		kys.held[par] = hld
 	}
 	for par, tok := range rep.whole {
 		kys.addUnknownHold(par, partitionHold{token: tok})
--- a/internal/agent/backend/partly_test.go
+++ b/internal/agent/backend/partly_test.go
@@ -142,6 +142,30 @@
 	})
 }
 
+// TestLeftOutRowServedAgain guards against requests for a row that the server was told to release and lists as a whole because it works on
+// one of its keys, after the row has come back with a higher token and that grant was lost.
+func TestLeftOutRowServedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hol := newHeartbeatServer(3 * time.Second)
+		hol.rows = []*controlpb.Shard{row(1, 5)}
+		hol.sendHeartbeat(t, false)
+		freed := hol.revokeAsync(t, hol.rows[0])
+		hol.sendHeartbeat(t, false)
+		time.Sleep(3 * time.Second)
+		must.Eq(t, []uint32{1}, freed())
+		hol.rows = []*controlpb.Shard{row(1, 9)}
+		hol.leaseEnd = time.Now().Add(3 * time.Second)
+		whole := []HeldRange{{First: 4096, Last: 8191, Token: 5}}
+		hol.pieces(t, whole) // the answer is lost
+		time.Sleep(time.Second)
+		std := hol.pieces(t, whole)
+		must.Eq(t, []GrantedRange{{First: 4096, Last: 8191, Token: 9}}, std.Holds)
+		must.False(t, hol.cli.Held(hol.rows[0]))
+		time.Sleep(answerReadTime)
+		must.True(t, hol.cli.Held(hol.rows[0]))
+	})
+}
+
 // TestServerFailsWhileReleasing guards against the keys of a failed server that are given to others although it may hold them, because an
 // answer that it may not have got leaves them out, or because it lists only some of them.
 func TestServerFailsWhileReleasing(t *testing.T) {
