standin: keys by heartbeats, and a setting to keep single keys

The stand-in knew holds by calls only, whose release is answered when all work on the range has ended.

--- a/internal/bench/standin/announce.go
+++ b/internal/bench/standin/announce.go
@@ -42,6 +42,11 @@
 	Incarnation uint64  `json:"incarnation,omitempty"`
 	HoldsKeys   bool    `json:"holds_keys,omitempty"`
 	WarmupMs    *uint32 `json:"warmup_ms,omitempty"`
+
+	// Only with Options.HeartbeatHolds.
+	Sequence uint64          `json:"sequence,omitempty"`
+	Holds    []heldRange     `json:"holds,omitempty"`
+	Released []releasedRange `json:"released,omitempty"`
 }
 
 // announcementAnswer is the agent's answer to an announcement.
@@ -50,6 +55,9 @@
 	Draining bool   `json:"draining"`
 	MayStop  bool   `json:"may_stop"`
 	Reason   string `json:"reason"`
+	// Holds are the keys that the server is to hold for HoldMs from when it sent the announcement; 0: as before.
+	Holds  []heldRange `json:"holds"`
+	HoldMs uint32      `json:"hold_ms"`
 }
 
 // Run announces the server every second and samples its load until the context ends, then closes the server.
@@ -68,6 +76,7 @@
 			return nil
 		case <-tck.C:
 			srv.announceAndLog(ctx)
+			tck.Reset(srv.nextAnnouncement())
 		case <-smp.C:
 			srv.recordSample()
 		}
@@ -110,10 +119,39 @@
 	}
 }
 
+// nextAnnouncement returns the time until the next announcement.
+func (srv *Server) nextAnnouncement() time.Duration {
+	if srv.opt.HeartbeatHolds && srv.heldKeys.isReleasing() {
+		return releaseInterval
+	}
+	return announceInterval
+}
+
 func (srv *Server) announce(ctx context.Context) (*announcementAnswer, error) {
+	srv.announcing.Lock()
+	defer srv.announcing.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	buf, err := json.Marshal(srv.newAnnouncement())
+	ann, sent := srv.newAnnouncement(), time.Now()
+	if srv.opt.HeartbeatHolds {
+		srv.sequence++
+		ann.Sequence = srv.sequence
+		ann.Holds, ann.Released = srv.heldKeys.list()
+	}
+	ans, err := srv.postAnnouncement(ctx, ann)
+	if err != nil || !srv.opt.HeartbeatHolds || !ans.Accepted {
+		return ans, err
+	}
+	until := time.Time{}
+	if ans.HoldMs > 0 {
+		until = sent.Add(time.Duration(ans.HoldMs) * time.Millisecond)
+	}
+	srv.heldKeys.applyAnswer(ans.Holds, until, len(ann.Released))
+	return ans, nil
+}
+
+func (srv *Server) postAnnouncement(ctx context.Context, ann announcement) (*announcementAnswer, error) {
+	buf, err := json.Marshal(ann)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode announcement")
 	}
@@ -140,8 +178,8 @@
 		ID: srv.opt.ID, Service: srv.opt.Service, URL: "http://" + srv.addr, Slots: srv.opt.Slots,
 		Connections: srv.opt.Connections, ChecksFence: srv.opt.CheckFence, HealthPath: healthPath, Leaving: srv.leaving,
 	}
-	ann.HoldsKeys, ann.WarmupMs = srv.opt.HoldsKeys, srv.warmup()
-	if srv.opt.HoldsKeys || srv.opt.Numbered {
+	ann.HoldsKeys, ann.WarmupMs = srv.heldKeys != nil, srv.warmup()
+	if ann.HoldsKeys || srv.opt.Numbered {
 		ann.Incarnation = uint64(srv.startedAt.UnixMilli())
 	}
 	if !srv.opt.NoGrants {
--- a/internal/bench/standin/keys.go
+++ b/internal/bench/standin/keys.go
@@ -35,13 +35,16 @@
 	highestToken uint64 // received for this key
 	heldUntil    time.Time
 	running      int
+	leftOut      bool // an answer to an announcement has left it out, and it is not released yet
 }
 
-// heldKeys are the keys that the server holds through /keys/grant and /keys/release.
+// heldKeys are the keys that the server holds through /keys/grant and /keys/release, or by the answers to its announcements.
 type heldKeys struct {
-	mu       sync.Mutex
-	keys     [siskinrill.NumericKeyCount]heldKey
-	releases uint64 // count, makes each handover text unique
+	mu         sync.Mutex
+	keys       [siskinrill.NumericKeyCount]heldKey
+	releases   uint64          // count, makes each handover text unique
+	released   []releasedRange // to be announced
+	singleKeys bool            // releases single keys, see Options.KeepsSingleKeys
 }
 
 // grant applies a grant with a hold that ends at until; it returns false if one of the keys had a higher token.
@@ -88,7 +91,7 @@
 func (hks *heldKeys) beginRequest(key uint32) bool {
 	hks.mu.Lock()
 	defer hks.mu.Unlock()
-	if !time.Now().Before(hks.keys[key].heldUntil) {
+	if hks.keys[key].leftOut || !time.Now().Before(hks.keys[key].heldUntil) {
 		return false
 	}
 	hks.keys[key].running++
--- a/internal/bench/standin/options.go
+++ b/internal/bench/standin/options.go
@@ -35,6 +35,11 @@
 	CheckFence bool
 	// HoldsKeys makes the server serve only numeric keys that its agent granted through /keys/grant.
 	HoldsKeys bool
+	// HeartbeatHolds makes the server serve only numeric keys that the answers to its announcements grant.
+	HeartbeatHolds bool
+	// KeepsSingleKeys makes a server with HeartbeatHolds release the keys that an answer leaves out one by one: it keeps, and announces,
+	// only those that requests run for. Otherwise it releases whole ranges.
+	KeepsSingleKeys bool
 	// Numbered makes the server announce an incarnation, which increases with each start.
 	Numbered bool
 	// NoGrants disables the /grants endpoint.
--- a/internal/bench/standin/server.go
+++ b/internal/bench/standin/server.go
@@ -30,7 +30,7 @@
 	faults    *faultState
 	fences    fences
 	warmKeys  warmKeys
-	heldKeys  *heldKeys // nil unless Options.HoldsKeys is set
+	heldKeys  *heldKeys // nil unless Options.HoldsKeys or HeartbeatHolds is set
 	slots     chan struct{}
 	samples   samples
 	cold      coldState
@@ -39,6 +39,9 @@
 	ctx    context.Context // cancelled by Close
 	cancel context.CancelFunc
 
+	announcing sync.Mutex // one announcement at a time
+	sequence   uint64     // of the last announcement, guarded by announcing
+
 	mu              sync.Mutex
 	granted         map[string]uint64
 	waiting         int
@@ -54,6 +57,9 @@
 	if opt.ID == "" || opt.Service == "" {
 		return nil, errors.New("a stand-in needs an id and a service")
 	}
+	if opt.HoldsKeys && opt.HeartbeatHolds {
+		return nil, errors.New("a stand-in holds its keys by calls or by heartbeats, not both")
+	}
 	led, err := newLedger(opt.LedgerRows, opt.LedgerFile)
 	if err != nil {
 		return nil, err
@@ -93,13 +99,15 @@
 	if !srv.opt.NoGrants {
 		srv.mux.HandleFunc("POST "+grantsPath, srv.putGrants)
 	}
-	if !srv.opt.HoldsKeys {
+	if !srv.opt.HoldsKeys && !srv.opt.HeartbeatHolds {
 		srv.mux.HandleFunc("/", srv.handleRequest)
 		return
 	}
-	srv.heldKeys = &heldKeys{}
-	srv.mux.HandleFunc("POST "+grantPath, srv.postGrant)
-	srv.mux.HandleFunc("POST "+releasePath, srv.postRelease)
+	srv.heldKeys = &heldKeys{singleKeys: srv.opt.KeepsSingleKeys}
+	if srv.opt.HoldsKeys {
+		srv.mux.HandleFunc("POST "+grantPath, srv.postGrant)
+		srv.mux.HandleFunc("POST "+releasePath, srv.postRelease)
+	}
 	srv.mux.HandleFunc("/", srv.requireHeldKey(srv.handleRequest))
 }
 
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -139,19 +139,22 @@
 	Slots       uint32
 	Connections uint32
 	ChecksFence bool
-	Grants      bool          // provides the endpoint for grants
-	HoldsKeys   bool          // receives grants of numeric keys by calls of the agent
-	Numbered    bool          // announces an incarnation, which increases with each start
-	ServiceTime time.Duration // median duration of a request
-	ColdKey     time.Duration // added to the first request of a key after its grant
-	ColdTime    time.Duration // time from the start until requests have their normal duration
-	ColdFactor  uint32        // factor of the duration of requests at the start
-	ColdRate    float64       // requests a second that it tolerates during ColdTime, 0 for no limit
-	ColdCrash   bool          // ends when it gets more
-	HealthLag   time.Duration // age of the figures of the health and load endpoints
-	StopTimeout time.Duration // maximum wait for the agent's permission to stop
-	LedgerFile  string        // file to which the ledger's rows are also written, empty for none
-	Log         Log
+	Grants      bool // provides the endpoint for grants
+	HoldsKeys   bool // receives grants of numeric keys by calls of the agent
+	// HeartbeatHolds makes it hold numeric keys by the answers to its announcements, and KeepsSingleKeys release them one by one.
+	HeartbeatHolds  bool
+	KeepsSingleKeys bool
+	Numbered        bool          // announces an incarnation, which increases with each start
+	ServiceTime     time.Duration // median duration of a request
+	ColdKey         time.Duration // added to the first request of a key after its grant
+	ColdTime        time.Duration // time from the start until requests have their normal duration
+	ColdFactor      uint32        // factor of the duration of requests at the start
+	ColdRate        float64       // requests a second that it tolerates during ColdTime, 0 for no limit
+	ColdCrash       bool          // ends when it gets more
+	HealthLag       time.Duration // age of the figures of the health and load endpoints
+	StopTimeout     time.Duration // maximum wait for the agent's permission to stop
+	LedgerFile      string        // file to which the ledger's rows are also written, empty for none
+	Log             Log
 }
 
 // LoadControl reads and checks the settings file of a control process.
@@ -275,6 +278,8 @@
 		source.Duration("service_time", &set.ServiceTime, 0, time.Minute),
 		source.Flag("grants", &set.Grants),
 		source.Flag("holds_keys", &set.HoldsKeys),
+		source.Flag("heartbeat_holds", &set.HeartbeatHolds),
+		source.Flag("keeps_single_keys", &set.KeepsSingleKeys),
 		source.Flag("numbered", &set.Numbered),
 		source.Duration("cold_key", &set.ColdKey, 0, time.Minute),
 		source.Duration("cold_time", &set.ColdTime, 0, time.Hour),
--- a/internal/process/standin/process.go
+++ b/internal/process/standin/process.go
@@ -37,7 +37,7 @@
 	set := opt.Settings
 	srv, err := standin.New(standin.Options{
 		ID: set.ID, Service: set.Service, Listen: set.Listen, Agent: set.Agent,
-		Slots: int(set.Slots), Connections: int(set.Connections), CheckFence: set.ChecksFence, NoGrants: !set.Grants, HoldsKeys: set.HoldsKeys, Numbered: set.Numbered,
+		Slots: int(set.Slots), Connections: int(set.Connections), CheckFence: set.ChecksFence, NoGrants: !set.Grants, HoldsKeys: set.HoldsKeys, HeartbeatHolds: set.HeartbeatHolds, KeepsSingleKeys: set.KeepsSingleKeys, Numbered: set.Numbered,
 		Median: set.ServiceTime, ColdKey: set.ColdKey, ColdTime: set.ColdTime, ColdFactor: float64(set.ColdFactor), Lag: set.HealthLag,
 		ColdRate: set.ColdRate, ColdCrash: set.ColdCrash,
 		LedgerFile: set.LedgerFile,
