backend: tests of holds that end, by grant and by listing

TestServedBeyondGrant fails if requests are sent until the end of what the server may hold, TestHoldListedAgain if a hold that is listed again counts from then on (scratch copy, one rule taken out at a time).

--- a/internal/agent/backend/partly_test.go
+++ b/internal/agent/backend/partly_test.go
@@ -142,6 +142,42 @@
 	})
 }
 
+// TestServedBeyondGrant guards against requests for a row after the end of its grant, because keys of it may be held for longer under a
+// grant of a previous process of the agent.
+func TestServedBeyondGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hol := newHeartbeatServer(time.Second)
+		hol.rows = []*controlpb.Shard{row(1, 5)}
+		std := hol.pieces(t, []HeldRange{{First: 5000, Last: 5000, Token: 5}})
+		must.Len(t, 1, std.Holds)
+		time.Sleep(answerReadTime)
+		must.True(t, hol.cli.Held(hol.rows[0]))
+		time.Sleep(time.Second)
+		must.False(t, hol.cli.Held(hol.rows[0]))
+		must.Positive(t, hol.cli.keys.heldFor(1))
+	})
+}
+
+// TestHoldListedAgain guards against a hold that never ends, because a server lists a key in some heartbeats and not in others.
+func TestHoldListedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hol := newHeartbeatServer(3 * time.Second)
+		hol.rows = []*controlpb.Shard{row(1, 5)}
+		hol.sendHeartbeat(t, false)
+		until := time.Now().Add(maxServerHold)
+		hol.rows = nil
+		for pos := 0; time.Now().Before(until); pos++ {
+			var listed []HeldRange
+			if pos%2 == 0 {
+				listed = []HeldRange{{First: 5000, Last: 5000, Token: 5}}
+			}
+			hol.pieces(t, listed)
+			must.LessEq(t, time.Until(until), hol.cli.keys.remaining())
+			time.Sleep(500 * time.Millisecond)
+		}
+	})
+}
+
 // TestLeftOutRowServedAgain guards against requests for a row that the server was told to release and lists as a whole because it works on
 // one of its keys, after the row has come back with a higher token and that grant was lost.
 func TestLeftOutRowServedAgain(t *testing.T) {
