owner, backend: a test that rows are reported one by one; reading of heartbeats in one file

TestIdleRowReportedLate guards against a released row that waits for others which move with it; the owner's fake backend releases rows one after another for it. What applies the lists of a heartbeat is beside what reads them (reported.go); hold.go keeps grants and waits. No change of behaviour.

--- a/internal/agent/backend/reported.go
+++ b/internal/agent/backend/reported.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // reportedHolds is what a heartbeat lists as held, by partition. A server may list any ranges of keys: it keeps the keys that it works on
@@ -72,3 +73,46 @@
 	}
 	return out
 }
+
+// applyReported updates the holds from what a heartbeat lists; the caller holds the mutex.
+func (kys *keys) applyReported(rep reportedHolds) {
+	for par, hld := range kys.held {
+		if !rep.lists(par) {
+			kys.endHold(par, hld)
+			continue
+		}
+		if tok, whole := rep.whole[par]; !whole || tok != hld.token {
+			// With another token, the server did not receive the last grant. It may have let go of keys before that.
+			kys.held[par] = hld.inPart()
+		}
+	}
+	for par, tok := range rep.whole {
+		kys.addUnknownHold(par, partitionHold{token: tok})
+	}
+	for par, tok := range rep.partly {
+		kys.addUnknownHold(par, partitionHold{token: tok, partly: true})
+	}
+}
+
+// endHold removes a hold that a heartbeat does not list; the caller holds the mutex.
+func (kys *keys) endHold(par uint32, hld partitionHold) {
+	if hld.direct {
+		// The service's carrier has changed; keys granted by a call need not be listed in a heartbeat.
+		kys.unacknowledged[par] = later(kys.unacknowledged[par], hld.until)
+	}
+	delete(kys.held, par)
+}
+
+// addUnknownHold adds a hold that a heartbeat lists and of which this process has no record. It ends no later than the last hold that was
+// granted or, if none was by this process, the longest one that another may have granted before now. The caller holds the mutex.
+func (kys *keys) addUnknownHold(par uint32, hld partitionHold) {
+	if _, ok := kys.held[par]; ok {
+		return
+	}
+	end, ok := kys.latestEnd[par]
+	if !ok {
+		end = time.Now().Add(maxServerHold)
+	}
+	hld.until = later(end, kys.priorHoldsUntil)
+	kys.setHold(par, hld)
+}
--- a/internal/agent/owner/fake_test.go
+++ b/internal/agent/owner/fake_test.go
@@ -187,6 +187,7 @@
 	do         func(ctx context.Context, att *siskinrill.Attempt, grt siskinrill.Grant) (*siskinrill.Answer, error)
 	grantDelay time.Duration // delay of the answer to a grant report
 	noKeys     atomic.Bool   // holds no keys
+	rowTime    time.Duration // for which it holds each further row that is revoked
 	advice     atomic.Pointer[peerpb.Advice]
 	cold       atomic.Pointer[siskinrill.StartLimit] // replaces the limit of advice
 }
@@ -220,8 +221,17 @@
 	return true
 }
 
-func (fba *fakeBackend) Revoke(_ context.Context, refs []*controlpb.ShardRef) iter.Seq[[]*controlpb.ShardRef] {
-	return slices.Values([][]*controlpb.ShardRef{refs})
+func (fba *fakeBackend) Revoke(ctx context.Context, refs []*controlpb.ShardRef) iter.Seq[[]*controlpb.ShardRef] {
+	if fba.rowTime == 0 {
+		return slices.Values([][]*controlpb.ShardRef{refs})
+	}
+	return func(yield func([]*controlpb.ShardRef) bool) {
+		for free := range slices.Chunk(refs, 1) {
+			if !yield(free) || !sleep(ctx, fba.rowTime) {
+				return
+			}
+		}
+	}
 }
 
 func (fba *fakeBackend) ReportGrants(context.Context, []*controlpb.ShardRef, []*controlpb.ShardRef) error {
--- a/internal/agent/owner/owner_test.go
+++ b/internal/agent/owner/owner_test.go
@@ -60,3 +60,20 @@
 		row.Target = peerNode
 	}
 }
+
+// TestIdleRowReportedLate guards against rows that the backend server has released and that wait for others which move with them.
+func TestIdleRowReportedLate(t *testing.T) {
+	bubble(t, 4, func(t *testing.T, bnc *bench) {
+		bnc.bck.rowTime = 2 * time.Second
+		bnc.ses.change(func() { releaseAll(bnc.ses) })
+		for num := range svcParts {
+			time.Sleep(time.Second)
+			partitions := map[uint32]bool{}
+			for _, ref := range bnc.ses.reported() {
+				partitions[ref.GetPartition()] = true // a report is repeated until the row has changed
+			}
+			must.MapLen(t, num+1, partitions)
+			time.Sleep(time.Second)
+		}
+	})
+}
