--- a/internal/agent/owner/grants.go
+++ b/internal/agent/owner/grants.go
@@ -68,7 +68,7 @@
 	own.reporter.mu.Lock()
 	defer own.reporter.mu.Unlock()
 	for _, ref := range refs {
-		own.reporter.reported[shardID{service: ref.GetService(), partition: ref.GetPartition(), key: ref.GetKey()}] = ref.GetToken()
+		own.reporter.reported[shardOfRef(ref)] = ref.GetToken()
 	}
 	return true
 }
--- a/internal/agent/owner/queue.go
+++ b/internal/agent/owner/queue.go
@@ -23,6 +23,10 @@
 	return shardID{service: row.GetService(), partition: row.GetPartition(), key: row.GetKey()}
 }
 
+func shardOfRef(ref *controlpb.ShardRef) shardID {
+	return shardID{service: ref.GetService(), partition: ref.GetPartition(), key: ref.GetKey()}
+}
+
 // ticket is the state of one attempt while the owner handles it.
 type ticket struct {
 	att           *siskinrill.Attempt
--- a/internal/agent/owner/release.go
+++ b/internal/agent/owner/release.go
@@ -27,8 +27,7 @@
 }
 
 func moveKeyOfRef(ref *controlpb.ShardRef) moveKey {
-	shd := shardID{service: ref.GetService(), partition: ref.GetPartition(), key: ref.GetKey()}
-	return moveKey{shard: shd, token: ref.GetToken()}
+	return moveKey{shard: shardOfRef(ref), token: ref.GetToken()}
 }
 
 func (own *Owner) moving() bool {
--- a/internal/bench/standin/heartbeatkeys.go
+++ b/internal/bench/standin/heartbeatkeys.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/siskinrill/siskinrill"
@@ -56,31 +55,15 @@
 	if until.IsZero() {
 		return
 	}
-	var kept [siskinrill.NumericKeyCount]bool
-	for _, rng := range granted {
-		if !siskinrill.ValidKeyRange(rng.First, rng.Last) || hks.hasNewer(rng) {
-			continue
-		}
-		for key := rng.First; key <= rng.Last; key++ {
-			hky := &hks.keys[key]
-			hky.token, hky.highestToken, hky.heldUntil, hky.leftOut = rng.Token, rng.Token, until, false
-			kept[key] = true
-		}
-	}
 	for key := range hks.keys {
-		hks.keys[key].leftOut = hks.keys[key].token != 0 && !kept[key]
+		hks.keys[key].leftOut = hks.keys[key].token != 0
 	}
-	hks.releaseLeftOut()
-}
-
-// hasNewer reports whether a key of a range has had a higher token; the caller holds the mutex.
-func (hks *heldKeys) hasNewer(rng heldRange) bool {
-	for key := rng.First; key <= rng.Last; key++ {
-		if hks.keys[key].highestToken > rng.Token {
-			return true
+	for _, rng := range granted {
+		if siskinrill.ValidKeyRange(rng.First, rng.Last) {
+			hks.take(rng.First, rng.Last, rng.Token, until)
 		}
 	}
-	return false
+	hks.releaseLeftOut()
 }
 
 // releaseLeftOut releases the keys that an answer has left out, but for those, or the whole ranges, that requests run for; the caller holds
@@ -105,8 +88,7 @@
 // releaseIdle releases the keys of a range that no request runs for; those whose hold has ended are not announced as released. The caller
 // holds the mutex.
 func (hks *heldKeys) releaseIdle(first, last uint32) {
-	hks.releases++
-	handover := fmt.Sprintf("%d-%d-%d", first, last, hks.releases)
+	handover := hks.newHandover(first, last)
 	for key := first; key <= last; key++ {
 		hky := &hks.keys[key]
 		if hky.running > 0 {
--- a/internal/bench/standin/keys.go
+++ b/internal/bench/standin/keys.go
@@ -51,14 +51,19 @@
 func (hks *heldKeys) grant(cll keyRequest, until time.Time) bool {
 	hks.mu.Lock()
 	defer hks.mu.Unlock()
-	for key := cll.First; key <= cll.Last; key++ {
-		if hks.keys[key].highestToken > cll.Token {
+	return hks.take(cll.First, cll.Last, cll.Token, until)
+}
+
+// take is grant for a caller that holds the mutex.
+func (hks *heldKeys) take(first, last uint32, tok uint64, until time.Time) bool {
+	for key := first; key <= last; key++ {
+		if hks.keys[key].highestToken > tok {
 			return false
 		}
 	}
-	for key := cll.First; key <= cll.Last; key++ {
+	for key := first; key <= last; key++ {
 		hky := &hks.keys[key]
-		hky.token, hky.highestToken, hky.heldUntil = cll.Token, cll.Token, until
+		hky.token, hky.highestToken, hky.heldUntil, hky.leftOut = tok, tok, until, false
 	}
 	return true
 }
@@ -83,8 +88,13 @@
 			return "", false
 		}
 	}
+	return hks.newHandover(cll.First, cll.Last), true
+}
+
+// newHandover returns the handover text of released keys; the caller holds the mutex.
+func (hks *heldKeys) newHandover(first, last uint32) string {
 	hks.releases++
-	return fmt.Sprintf("%d-%d-%d", cll.First, cll.Last, hks.releases), true
+	return fmt.Sprintf("%d-%d-%d", first, last, hks.releases)
 }
 
 // beginRequest counts a running request for a key, or returns false if the key is not held.
