backend, standin: tests share their set-up

Cause: three tests of keys in use wrote the same set-up, the model of holds looked for the cells of a range in three places and passed its context through each step, and the stand-in's two agents were built twice.

Change: newReleasingServer, pieceServer.within, a restart of the agent as a method, newClient for both carriers. Checks, cases, bounds and the order of random numbers are as before.

--- a/internal/agent/backend/holdmodel_test.go
+++ b/internal/agent/backend/holdmodel_test.go
@@ -61,6 +61,8 @@
 	partitions uint32             // number while the service has keys
 	flt        keyFaults
 	cli        *Client
+	ctx        context.Context // ends with the agent's process
+	stop       context.CancelFunc
 	rows       map[uint32]*controlpb.Shard
 	heard      bool      // the agent has told control of the server, so that it gets its rows
 	rowsFrom   time.Time // control returns the rows to a restarted agent
@@ -140,9 +142,31 @@
 		Incoming: func(string) bool { return time.Now().Before(pse.incoming) },
 	}, siskinrill.NewCounters())
 	pse.cli.keys.faults = pse.flt
+	pse.ctx, pse.stop = context.WithCancel(context.Background())
 	pse.heard, pse.answered = false, time.Time{}
 }
 
+// restartAgent ends the agent's process and starts another one, to which control returns the rows after a while.
+func (pse *pieceServer) restartAgent() {
+	pse.stop()
+	synctest.Wait()
+	pse.drainFreed() // what the process would have reported
+	pse.revoking = 0
+	pse.startAgent()
+	pse.rowsFrom = time.Now().Add(time.Duration(pse.rnd.Intn(500)) * time.Millisecond)
+}
+
+// within returns the cells in a range of keys.
+func (pse *pieceServer) within(first, last uint32) []*cell {
+	var out []*cell
+	for _, cel := range pse.cells {
+		if first <= cel.first && cel.last <= last {
+			out = append(out, cel)
+		}
+	}
+	return out
+}
+
 // expire ends work, and the holds whose time is over.
 func (pse *pieceServer) expire() {
 	for _, cel := range pse.cells {
@@ -206,12 +230,7 @@
 	pse.expire()
 	kept := map[*cell]bool{}
 	for _, rng := range granted {
-		var within []*cell
-		for _, cel := range pse.cells {
-			if rng.First <= cel.first && cel.last <= rng.Last {
-				within = append(within, cel)
-			}
-		}
+		within := pse.within(rng.First, rng.Last)
 		if slices.ContainsFunc(within, func(cel *cell) bool { return cel.seen > rng.Token }) {
 			continue
 		}
@@ -241,14 +260,14 @@
 }
 
 // revoke moves some rows away.
-func (pse *pieceServer) revoke(ctx context.Context) {
+func (pse *pieceServer) revoke() {
 	rows := pse.owned()
 	pse.rnd.Shuffle(len(rows), func(one, two int) { rows[one], rows[two] = rows[two], rows[one] })
 	var refs []*controlpb.ShardRef
 	for _, row := range rows[:min(len(rows), 1+pse.rnd.Intn(3))] {
 		refs = append(refs, refOf(row))
 	}
-	cli, num := pse.cli, pse.partitions
+	ctx, cli, num := pse.ctx, pse.cli, pse.partitions
 	pse.revoking++
 	go func() {
 		for free := range cli.Revoke(ctx, refs) {
@@ -280,8 +299,8 @@
 			pse.revoking--
 			continue
 		}
-		for _, cel := range pse.cells {
-			if cel.first >= fre.first && cel.last <= fre.last && cel.token != 0 && cel.token <= fre.ref.GetToken() && time.Now().Before(cel.until) {
+		for _, cel := range pse.within(fre.first, fre.last) {
+			if cel.token != 0 && cel.token <= fre.ref.GetToken() && time.Now().Before(cel.until) {
 				return fmt.Errorf("keys %d to %d were given away %s before their hold ends, left out: %t, worked on: %t",
 					cel.first, cel.last, time.Until(cel.until), cel.leftOut, cel.works())
 			}
@@ -322,8 +341,8 @@
 			continue
 		}
 		first, last := siskinrill.KeyRange(row.GetPartition(), pse.partitions)
-		for _, cel := range pse.cells {
-			if cel.first >= first && cel.last <= last && !cel.serves() && !cel.hasJustEnded() {
+		for _, cel := range pse.within(first, last) {
+			if !cel.serves() && !cel.hasJustEnded() {
 				return fmt.Errorf("partition %d counts as held, but the server does not serve the keys %d to %d", row.GetPartition(), cel.first, cel.last)
 			}
 		}
@@ -332,14 +351,14 @@
 }
 
 // step lets something happen.
-func (pse *pieceServer) step(ctx context.Context, restart func() context.Context) (context.Context, error) {
+func (pse *pieceServer) step() error {
 	switch pse.rnd.Intn(20) {
 	case 0, 1:
 		time.Sleep(time.Duration(pse.rnd.Intn(1500)) * time.Millisecond)
 	case 2, 3, 4:
 		pse.beginWork(maxPieceWork)
 	case 5, 6, 7:
-		pse.revoke(ctx)
+		pse.revoke()
 	case 8, 9:
 		pse.leaseEnd = time.Now().Add(pieceLease)
 	case 10:
@@ -350,7 +369,7 @@
 		pse.returnRows()
 	case 13:
 		if pse.rnd.Intn(3) == 0 {
-			ctx = restart()
+			pse.restartAgent()
 		}
 	case 14:
 		if pse.rnd.Intn(4) == 0 {
@@ -360,35 +379,23 @@
 			pse.cli.refreshService() // the agent gets the rows and the number together
 		}
 	default:
-		return ctx, pse.sendHeartbeat(pse.rnd.Intn(4) == 0)
+		return pse.sendHeartbeat(pse.rnd.Intn(4) == 0)
 	}
-	return ctx, nil
+	return nil
 }
 
 // run plays a series and returns the first violation. In the end, work that never ends must not keep rows for ever.
 func (pse *pieceServer) run() error {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer func() { cancel() }()
-	restart := func() context.Context {
-		cancel()
-		synctest.Wait()
-		pse.drainFreed() // what an ended process would have reported
-		pse.revoking = 0
-		ctx, cancel = context.WithCancel(context.Background())
-		pse.startAgent()
-		pse.rowsFrom = time.Now().Add(time.Duration(pse.rnd.Intn(500)) * time.Millisecond)
-		return ctx
-	}
+	defer func() { pse.stop() }()
 	for num := range pieceSteps {
-		var err error
-		if ctx, err = pse.step(ctx, restart); err != nil {
+		if err := pse.step(); err != nil {
 			return err
 		}
 		if err := pse.check(); err != nil {
 			return fmt.Errorf("step %d: %w", num, err)
 		}
 	}
-	return pse.settle(ctx)
+	return pse.settle()
 }
 
 func (pse *pieceServer) check() error {
@@ -401,10 +408,10 @@
 }
 
 // settle lets the server work on some keys for ever and checks that all rows that are being revoked become free.
-func (pse *pieceServer) settle(ctx context.Context) error {
+func (pse *pieceServer) settle() error {
 	pse.service = pse.configured()
 	pse.beginWork(time.Hour)
-	pse.revoke(ctx)
+	pse.revoke()
 	for end := time.Now().Add(maxServerHold + time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		pse.leaseEnd = time.Now().Add(pieceLease)
 		if err := pse.sendHeartbeat(false); err != nil {
--- a/internal/agent/backend/partly_test.go
+++ b/internal/agent/backend/partly_test.go
@@ -48,6 +48,17 @@
 	}
 }
 
+// newReleasingServer returns a server that an answer has told to release partition 1 and to hold other rows, and a function that returns
+// the partitions that are free so far.
+func newReleasingServer(t *testing.T, others ...*controlpb.Shard) (*heartbeatServer, func() []uint32) {
+	hol := newHeartbeatServer(3 * time.Second)
+	hol.rows = append([]*controlpb.Shard{row(1, 5)}, others...)
+	hol.sendHeartbeat(t, false)
+	freed := hol.revokeAsync(t, hol.rows[0])
+	hol.sendHeartbeat(t, false)
+	return hol, freed
+}
+
 // TestKeysInUseGivenAway guards against a partition that is given to another server while this one works on some of its keys, which it
 // lists in ranges of its own, and against one that it keeps longer than its hold by listing them.
 func TestKeysInUseGivenAway(t *testing.T) {
@@ -66,11 +77,7 @@
 		for ends, lasts := range map[string]bool{"work ends": false, "work lasts for ever": true} {
 			t.Run(name+", "+ends, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					hol := newHeartbeatServer(3 * time.Second)
-					hol.rows = []*controlpb.Shard{row(1, 5), row(2, 5)}
-					hol.sendHeartbeat(t, false)
-					freed := hol.revokeAsync(t, hol.rows[0])
-					hol.sendHeartbeat(t, false) // the answer leaves the row out
+					hol, freed := newReleasingServer(t, row(2, 5))
 					until := hol.until
 					hol.leaseEnd = time.Now().Add(time.Minute) // a listed row is not renewed
 					for time.Until(until) > 100*time.Millisecond {
@@ -182,11 +189,7 @@
 // one of its keys, after the row has come back with a higher token and that grant was lost.
 func TestLeftOutRowServedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		hol := newHeartbeatServer(3 * time.Second)
-		hol.rows = []*controlpb.Shard{row(1, 5)}
-		hol.sendHeartbeat(t, false)
-		freed := hol.revokeAsync(t, hol.rows[0])
-		hol.sendHeartbeat(t, false)
+		hol, freed := newReleasingServer(t)
 		time.Sleep(3 * time.Second)
 		must.Eq(t, []uint32{1}, freed())
 		hol.rows = []*controlpb.Shard{row(1, 9)}
@@ -271,11 +274,7 @@
 	for name, num := range map[string]uint32{"fewer": 8, "more": 32, "other borders": 10} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				hol := newHeartbeatServer(3 * time.Second)
-				hol.rows = []*controlpb.Shard{row(1, 5)}
-				hol.sendHeartbeat(t, false)
-				freed := hol.revokeAsync(t, hol.rows[0])
-				hol.sendHeartbeat(t, false)
+				hol, freed := newReleasingServer(t)
 				hol.service = keyedService()
 				hol.service.Partitions = num
 				hol.pieces(t, []HeldRange{{First: 5000, Last: 5000, Token: 5}})
--- a/internal/bench/standin/heartbeatkeys_test.go
+++ b/internal/bench/standin/heartbeatkeys_test.go
@@ -7,14 +7,12 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
-	"github.com/siskinrill/siskinrill"
 	"github.com/siskinrill/siskinrill/internal/agent/backend"
 	"github.com/siskinrill/siskinrill/internal/bench/standin"
 	"github.com/siskinrill/siskinrill/internal/wire/controlpb"
@@ -28,12 +26,7 @@
 }
 
 func newHeartbeatAgent(t *testing.T, rows ...*controlpb.Shard) *heartbeatAgent {
-	svc := &controlpb.Service{Name: "vitrine", Partitions: 16, KeyMode: controlpb.KeyMode_KEY_MODE_NUMBER, Connections: 8}
-	agt := &heartbeatAgent{cli: backend.New(backend.Options{
-		Owned:   func() []*controlpb.Shard { return rows },
-		Lease:   func() (time.Time, bool) { return time.Now().Add(3500 * time.Millisecond), true },
-		Service: func(string) *controlpb.Service { return svc },
-	}, siskinrill.NewCounters())}
+	agt := &heartbeatAgent{cli: newClient(t, controlpb.Carrier_CARRIER_HEARTBEAT, rows...)}
 	hdl := agt.cli.Handler()
 	web := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
 		buf, _ := io.ReadAll(req.Body)
@@ -44,10 +37,7 @@
 		hdl.ServeHTTP(wri, req)
 	}))
 	agt.addr = web.Listener.Addr().String()
-	ctx, cancel := context.WithCancel(context.Background())
-	var end sync.WaitGroup
-	end.Go(func() { _ = agt.cli.Run(ctx) })
-	t.Cleanup(func() { web.Close(); cancel(); end.Wait() })
+	t.Cleanup(web.Close)
 	return agt
 }
 
@@ -70,10 +60,7 @@
 		"whole ranges": {kept: []backend.HeldRange{{First: 0, Last: 8191, Token: 5}}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			rows := []*controlpb.Shard{
-				{Service: "vitrine", Owner: 7, Token: 5, Phase: controlpb.Phase_PHASE_OWNED},
-				{Service: "vitrine", Partition: 1, Owner: 7, Token: 5, Phase: controlpb.Phase_PHASE_OWNED},
-			}
+			rows := []*controlpb.Shard{ownedRow(0), ownedRow(1)}
 			agt := newHeartbeatAgent(t, rows...)
 			srv := newServer(t, standin.Options{HeartbeatHolds: true, KeepsSingleKeys: tcs.single, Median: 2500 * time.Millisecond, Agent: agt.addr})
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
--- a/internal/bench/standin/keys_test.go
+++ b/internal/bench/standin/keys_test.go
@@ -23,23 +23,29 @@
 	ref *controlpb.ShardRef
 }
 
-func newKeyAgent(t *testing.T, srv *standin.Server) *keyAgent {
-	agt := &keyAgent{
-		row: &controlpb.Shard{Service: "vitrine", Owner: 7, Token: 5, Phase: controlpb.Phase_PHASE_OWNED},
-		ref: &controlpb.ShardRef{Service: "vitrine", Token: 5},
-	}
-	svc := &controlpb.Service{
-		Name: "vitrine", Partitions: 16, KeyMode: controlpb.KeyMode_KEY_MODE_NUMBER, Carrier: controlpb.Carrier_CARRIER_DIRECT, Connections: 8,
-	}
-	agt.cli = backend.New(backend.Options{
-		Owned:   func() []*controlpb.Shard { return []*controlpb.Shard{agt.row} },
+// ownedRow returns a row that the agent owns.
+func ownedRow(par uint32) *controlpb.Shard {
+	return &controlpb.Shard{Service: "vitrine", Partition: par, Owner: 7, Token: 5, Phase: controlpb.Phase_PHASE_OWNED}
+}
+
+// newClient returns the running backend client of an agent that owns rows of a service with 16 partitions.
+func newClient(t *testing.T, carrier controlpb.Carrier, rows ...*controlpb.Shard) *backend.Client {
+	svc := &controlpb.Service{Name: "vitrine", Partitions: 16, KeyMode: controlpb.KeyMode_KEY_MODE_NUMBER, Carrier: carrier, Connections: 8}
+	cli := backend.New(backend.Options{
+		Owned:   func() []*controlpb.Shard { return rows },
 		Lease:   func() (time.Time, bool) { return time.Now().Add(3500 * time.Millisecond), true },
 		Service: func(string) *controlpb.Service { return svc },
 	}, siskinrill.NewCounters())
 	ctx, cancel := context.WithCancel(context.Background())
 	var end sync.WaitGroup
-	end.Go(func() { _ = agt.cli.Run(ctx) })
+	end.Go(func() { _ = cli.Run(ctx) })
 	t.Cleanup(func() { cancel(); end.Wait() })
+	return cli
+}
+
+func newKeyAgent(t *testing.T, srv *standin.Server) *keyAgent {
+	agt := &keyAgent{row: ownedRow(0), ref: &controlpb.ShardRef{Service: "vitrine", Token: 5}}
+	agt.cli = newClient(t, controlpb.Carrier_CARRIER_DIRECT, agt.row)
 	_, err := agt.cli.Announce(t.Context(), &backend.Announcement{
 		ID: "vitrine-1", Service: "vitrine", URL: srv.URL(), Slots: 2, Incarnation: 1, Sequence: 1, HoldsKeys: true,
 	})
@@ -47,6 +53,11 @@
 	return agt
 }
 
+// revoke revokes the row and returns what is free then.
+func (agt *keyAgent) revoke(t *testing.T) []*controlpb.ShardRef {
+	return slices.Concat(slices.Collect(agt.cli.Revoke(t.Context(), []*controlpb.ShardRef{agt.ref}))...)
+}
+
 func (agt *keyAgent) awaitHold(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
@@ -73,7 +84,7 @@
 	for len(srv.Ledger(0, 10)) == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	refs := slices.Concat(slices.Collect(agt.cli.Revoke(t.Context(), []*controlpb.ShardRef{agt.ref}))...)
+	refs := agt.revoke(t)
 	rows := srv.Ledger(0, 10)
 	must.Len(t, 1, refs)
 	must.StrContains(t, refs[0].GetHandover(), "0-4095-")
@@ -91,7 +102,7 @@
 	must.Less(t, 300, code)
 	agt := newKeyAgent(t, srv)
 	agt.awaitHold(t)
-	refs := slices.Concat(slices.Collect(agt.cli.Revoke(t.Context(), []*controlpb.ShardRef{agt.ref}))...)
+	refs := agt.revoke(t)
 	must.Len(t, 1, refs)
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		must.Eq(t, http.StatusMisdirectedRequest, status(t, srv, "7"))
